--- /dev/null
+++ b/ploverhatch/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API."""
--- /dev/null
+++ b/ploverhatch/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the back ends' control and request protocol."""
--- /dev/null
+++ b/ploverhatch/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, benchmarks and slopes."""
--- /dev/null
+++ b/ploverhatch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line programs."""
--- /dev/null
+++ b/ploverhatch/cli/emulator.py
@@ -0,0 +1,39 @@
+"""``ploverhatch emulator``: stand-ins of the platform and the back ends."""
+
+import click
+
+from ploverhatch.cli.running import run_until_signal, say_ready, start_logging
+from ploverhatch.emulator.backend import BackendBehaviour, BackendEmulator
+from ploverhatch.emulator.platform import PlatformEmulator
+
+
+@click.group()
+def emulator() -> None:
+    """Run stand-ins for trials and tests."""
+
+
+@emulator.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, show_default=True, help="0: any free port.")
+def platform(host: str, port: int) -> None:
+    """Run the platform's object API and machine list."""
+    start_logging(False)
+    service = PlatformEmulator((host, port))
+    say_ready(port=service.server.port)
+    run_until_signal(service.close)
+
+
+@emulator.command()
+@click.option("--name", required=True)
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, show_default=True, help="0: any free port.")
+@click.option("--slots", default=2, show_default=True)
+@click.option("--service-ms", default=2.0, show_default=True)
+@click.option("--cold-ms", default=0.0, show_default=True, help="Extra time while cold.")
+def backend(name: str, host: str, port: int, slots: int, service_ms: float, cold_ms: float) -> None:
+    """Run one back end with an execution log."""
+    start_logging(False)
+    behaviour = BackendBehaviour(slots=slots, service_ms=service_ms, cold_ms=cold_ms)
+    service = BackendEmulator(name, (host, port), behaviour)
+    say_ready(name=name, port=service.port)
+    run_until_signal(service.close)
--- /dev/null
+++ b/ploverhatch/cli/main.py
@@ -0,0 +1,25 @@
+"""Entry point of the ``ploverhatch`` command."""
+
+import click
+
+from ploverhatch import __version__
+from ploverhatch.cli.ctl import ctl
+from ploverhatch.cli.demo import demo
+from ploverhatch.cli.emulator import emulator
+from ploverhatch.cli.load import load
+from ploverhatch.cli.node import node
+from ploverhatch.cli.policy import policy
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__)
+def main() -> None:
+    """Route requests to back ends that own keys exclusively.
+
+    Exit codes: 0 success, 1 failure, 2 wrong use or settings, 3 conflict,
+    4 outcome unknown.
+    """
+
+
+for command in (node, policy, ctl, emulator, load, demo):
+    main.add_command(command)
--- /dev/null
+++ b/ploverhatch/common/__init__.py
@@ -0,0 +1,1 @@
+"""Types and helpers that every layer may use."""
--- /dev/null
+++ b/ploverhatch/consensus/replica.py
@@ -0,0 +1,637 @@
+"""Replica of the log: elections, replication, membership, snapshots.
+
+The algorithm is Raft's (Ongaro 2014) with pre-vote, check-quorum, leadership
+transfer and one-voter-at-a-time changes, fitted to processes without disks:
+
+* term, vote and log live in memory only. A restarted process has a new
+  ``node_id`` and joins as a learner, so a forgotten vote can not be repeated;
+* a leader may act on its leadership only while :meth:`Replica.has_lease`
+  holds: a majority answered a heartbeat sent within the election timeout, and
+  every voter refuses to elect another leader for as long.
+
+The class does no input or output and reads no clock: events come with
+``now_ms`` (elapsed milliseconds) and actions are returned.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import xxhash
+
+from ploverhatch.common.timing import ControlTiming
+from ploverhatch.consensus.log import MemoryLog
+from ploverhatch.state.commands import RECORD_KINDS, Command, make_entry
+from ploverhatch.state.records import ClaimResult
+from ploverhatch.state.replicated import ReplicatedState, restore
+from ploverhatch.transport import wire
+
+MAX_ENTRIES_PER_APPEND = 256
+COMPACT_AFTER = 4096
+KEEP_AFTER_COMPACTION = 1024
+LEARNER_SLACK = 32
+
+
+class Role(Enum):
+    """Part that a replica plays in the current term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True)
+class Send:
+    """Action: send a message to a node; it may be lost."""
+
+    recipient: str
+    message: Any
+
+
+@dataclass(frozen=True)
+class Applied:
+    """Action: an entry was committed and applied to the state."""
+
+    entry: wire.LogEntry
+    result: ClaimResult | None
+
+
+@dataclass(frozen=True)
+class Restored:
+    """Action: the state was replaced by a snapshot."""
+
+    snapshot: wire.Snapshot
+
+
+@dataclass(frozen=True)
+class RoleChanged:
+    """Action: the replica became or stopped being leader."""
+
+    leading: bool
+    term: int
+
+
+Action = Send | Applied | Restored | RoleChanged
+
+
+class NotLeaderError(Exception):
+    """Only the leader takes proposals; ``leader_id`` may name it."""
+
+    def __init__(self, leader_id: str) -> None:
+        super().__init__(leader_id)
+        self.leader_id = leader_id
+
+
+class MembershipPendingError(Exception):
+    """An earlier change of the voters is not committed yet."""
+
+
+@dataclass
+class _Progress:
+    """What a leader knows of one follower or learner."""
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_ms: float = float("-inf")  # newest heartbeat sent and answered
+    heard_ms: float = float("-inf")
+    flight_last: int = 0  # last index of the batch on its way, zero when none
+    sent_ms: float = float("-inf")
+
+
+@dataclass
+class Replica:
+    """One replica. ``state`` is the applied state, ``log`` the entries."""
+
+    node_id: str
+    timing: ControlTiming
+    state: ReplicatedState = field(default_factory=ReplicatedState)
+
+    def __post_init__(self) -> None:
+        self.log = MemoryLog(self.state.index, self.state.term)
+        self.term: int = self.state.term
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self.commit_index: int = self.state.index
+        self._voted_for = ""
+        self._votes: set[str] = set()
+        self._progress: dict[str, _Progress] = {}
+        self._learners: dict[str, wire.Member] = {}
+        self._membership: wire.MembershipChange = self.state.membership
+        self._membership_index: int = self.state.index
+        self._heard_leader_ms = float("-inf")
+        self._election_due_ms = float("inf")
+        self._heartbeat_due_ms = float("-inf")
+        self._clock_base_ms = 0.0
+        self._first_index_of_term: int = 0
+        self._actions: list[Action] = []
+
+    # ---- views --------------------------------------------------------------
+
+    @property
+    def voters(self) -> dict[str, wire.Member]:
+        """Voters by node id, as of the newest membership entry."""
+        return {member.node_id: member for member in self._membership.voters}
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this replica votes."""
+        return self.node_id in self.voters
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads its term (see also ``has_lease``)."""
+        return self.role is Role.LEADER
+
+    def has_lease(self, now_ms: float) -> bool:
+        """Tell whether no other leader can exist at ``now_ms``."""
+        if self.role is not Role.LEADER:
+            return False
+        acknowledged = sorted(
+            (self._acknowledged(node_id, now_ms) for node_id in self.voters), reverse=True
+        )
+        quorum_ms = acknowledged[self._majority() - 1]
+        return now_ms < quorum_ms + self.timing.leader_lease_ms
+
+    def ready(self) -> bool:
+        """Tell whether a leader has applied an entry of its own term.
+
+        Before that its state may lack commands that earlier leaders committed.
+        """
+        return self.is_leader and self.state.index >= self._first_index_of_term
+
+    def silent_for_ms(self, node_id: str, now_ms: float) -> float:
+        """Return how long a leader has not heard from a voter or learner."""
+        progress = self._progress.get(node_id)
+        return now_ms - progress.heard_ms if progress else float("inf")
+
+    @property
+    def learner_ids(self) -> list[str]:
+        """Nodes that are replicated to and do not vote."""
+        return list(self._learners)
+
+    def caught_up_learners(self) -> list[wire.Member]:
+        """Return learners whose log nearly equals the leader's."""
+        return [
+            member
+            for node_id, member in self._learners.items()
+            if self._progress[node_id].match_index + LEARNER_SLACK >= self.log.last_index
+            and self._progress[node_id].match_index > 0
+        ]
+
+    def membership_settled(self) -> bool:
+        """Tell whether the newest membership entry is committed."""
+        return self._membership_index <= self.commit_index
+
+    # ---- events -------------------------------------------------------------
+
+    def start(self, now_ms: float) -> list[Action]:
+        """Begin; a voter of the initial membership may stand for election."""
+        self._reset_election(now_ms)
+        return self._take_actions()
+
+    def bootstrap(self, membership: wire.MembershipChange, now_ms: float) -> list[Action]:
+        """Found a cell of which this replica is the only voter.
+
+        The caller has won the epoch by compare-and-set on the platform.
+        """
+        self._membership = membership
+        self.state.membership = membership
+        self._become_candidate(now_ms, transfer=False)
+        self._append(membership, now_ms)
+        self._advance_commit(now_ms)
+        return self._take_actions()
+
+    def refound(self, membership: wire.MembershipChange, now_ms: float) -> list[Action]:
+        """Found the next epoch as the only voter that survived the last one.
+
+        Entries not known to be committed are kept: the dead leader may have
+        acknowledged them after this replica's answer.
+        """
+        self.commit_index = self.log.last_index
+        self._apply_committed()
+        return self.bootstrap(membership, now_ms)
+
+    def tick(self, now_ms: float) -> list[Action]:
+        """Let time pass."""
+        if self.role is Role.LEADER:
+            self._tick_leader(now_ms)
+        elif self.is_voter and now_ms >= self._election_due_ms:
+            self._become_pre_candidate(now_ms)
+        return self._take_actions()
+
+    def receive(self, sender: str, message: Any, now_ms: float) -> list[Action]:
+        """Handle a message of another replica."""
+        match message:
+            case wire.VoteRequest():
+                self._on_vote_request(sender, message, now_ms)
+            case wire.VoteReply():
+                self._on_vote_reply(sender, message, now_ms)
+            case wire.AppendRequest():
+                self._on_append_request(sender, message, now_ms)
+            case wire.AppendReply():
+                self._on_append_reply(sender, message, now_ms)
+            case wire.SnapshotRequest():
+                self._on_snapshot_request(sender, message, now_ms)
+            case wire.TimeoutNow():
+                self._on_timeout_now(message, now_ms)
+        return self._take_actions()
+
+    def propose(self, commands: Iterable[Command], now_ms: float) -> tuple[list[int], list[Action]]:
+        """Append commands to the log.
+
+        :returns: their indices, and actions.
+        :raises NotLeaderError: when this replica does not lead.
+        """
+        if not self.is_leader:
+            raise NotLeaderError(self.leader_id)
+        indices = [self._append(command, now_ms) for command in commands]
+        self._replicate_all(now_ms)
+        self._advance_commit(now_ms)
+        return indices, self._take_actions()
+
+    def propose_membership(
+        self, voters: list[wire.Member], now_ms: float
+    ) -> tuple[list[int], list[Action]]:
+        """Change the voters by at most one member.
+
+        :raises MembershipPendingError: while an earlier change is open, or
+            before an entry of this term is committed.
+        """
+        if not self.membership_settled() or self.commit_index < self._first_index_of_term:
+            raise MembershipPendingError
+        change = wire.MembershipChange(epoch=self._membership.epoch, voters=voters)
+        return self.propose([change], now_ms)
+
+    def add_learner(self, member: wire.Member, now_ms: float) -> list[Action]:
+        """Start replicating to a node that may become a voter."""
+        if self.is_leader and member.node_id not in self._progress:
+            self._learners[member.node_id] = member
+            self._progress[member.node_id] = _Progress(self.log.last_index + 1, heard_ms=now_ms)
+            self._replicate(member.node_id, now_ms)
+        return self._take_actions()
+
+    def drop_learner(self, node_id: str) -> None:
+        """Stop replicating to a learner."""
+        if self._learners.pop(node_id, None):
+            self._progress.pop(node_id, None)
+
+    def transfer_leadership(self, now_ms: float) -> list[Action]:
+        """Hand leadership to the voter with the longest log, and step down.
+
+        Stepping down before the message leaves keeps the lease rule: this
+        replica no longer acts as leader when the other is elected.
+        """
+        others = [node_id for node_id in self.voters if node_id != self.node_id]
+        if not self.is_leader or not others:
+            return []
+        best = max(others, key=lambda node_id: self._progress[node_id].match_index)
+        term = self.term
+        self._step_down(self.term, now_ms)
+        self._actions.append(Send(best, wire.TimeoutNow(term=term)))
+        return self._take_actions()
+
+    # ---- elections ----------------------------------------------------------
+
+    def _jitter(self) -> float:
+        """Return a fraction in [0, 1) that differs by node and term."""
+        digest = xxhash.xxh3_64_intdigest(f"{self.node_id}/{self.term}/{len(self._votes)}".encode())
+        return float((digest % 1000) / 1000)
+
+    def _reset_election(self, now_ms: float) -> None:
+        self._election_due_ms = now_ms + self.timing.election_ms * (1 + self._jitter())
+
+    def _become_pre_candidate(self, now_ms: float) -> None:
+        self.role = Role.PRE_CANDIDATE
+        self.leader_id = ""
+        self._votes = {self.node_id}
+        self._reset_election(now_ms)
+        self._ask_votes(self.term + 1, pre_vote=True, transfer=False)
+        if len(self._votes) >= self._majority():
+            self._become_candidate(now_ms, transfer=False)
+
+    def _become_candidate(self, now_ms: float, transfer: bool) -> None:
+        self.role = Role.CANDIDATE
+        self.term += 1
+        self._voted_for = self.node_id
+        self.leader_id = ""
+        self._votes = {self.node_id}
+        self._reset_election(now_ms)
+        self._ask_votes(self.term, pre_vote=False, transfer=transfer)
+        if len(self._votes) >= self._majority():
+            self._become_leader(now_ms)
+
+    def _ask_votes(self, term: int, pre_vote: bool, transfer: bool) -> None:
+        for node_id in self.voters:
+            if node_id == self.node_id:
+                continue
+            request = wire.VoteRequest(
+                term=term,
+                pre_vote=pre_vote,
+                last_index=self.log.last_index,
+                last_term=self.log.last_term,
+                transfer=transfer,
+            )
+            self._actions.append(Send(node_id, request))
+
+    def _on_vote_request(self, sender: str, request: wire.VoteRequest, now_ms: float) -> None:
+        # A voter that still hears its leader ignores the request, term
+        # included: the leader's lease rests on this promise.
+        follows_leader = now_ms - self._heard_leader_ms < self.timing.election_ms
+        if not request.transfer and (follows_leader or self.has_lease(now_ms)):
+            return
+        if request.pre_vote:
+            granted = request.term > self.term and self._is_current(request)
+            reply = wire.VoteReply(term=request.term, pre_vote=True, granted=granted)
+            self._actions.append(Send(sender, reply))
+            return
+        if request.term > self.term:
+            self._step_down(request.term, now_ms)
+        granted = (
+            request.term == self.term
+            and self._voted_for in {"", sender}
+            and self._is_current(request)
+        )
+        if granted:
+            self._voted_for = sender
+            self._reset_election(now_ms)
+        self._actions.append(Send(sender, wire.VoteReply(term=self.term, granted=granted)))
+
+    def _is_current(self, request: wire.VoteRequest) -> bool:
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (self.log.last_term, self.log.last_index)
+
+    def _on_vote_reply(self, sender: str, reply: wire.VoteReply, now_ms: float) -> None:
+        if not reply.pre_vote and reply.term > self.term:
+            self._step_down(reply.term, now_ms)
+            return
+        expected = self.term + 1 if reply.pre_vote else self.term
+        role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+        if not reply.granted or self.role is not role or reply.term != expected:
+            return
+        self._votes.add(sender)
+        if len(self._votes & set(self.voters)) < self._majority():
+            return
+        if reply.pre_vote:
+            self._become_candidate(now_ms, transfer=False)
+        else:
+            self._become_leader(now_ms)
+
+    def _on_timeout_now(self, message: wire.TimeoutNow, now_ms: float) -> None:
+        if message.term == self.term and self.is_voter and not self.is_leader:
+            self._become_candidate(now_ms, transfer=True)
+
+    def _become_leader(self, now_ms: float) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.node_id
+        self._learners = {}
+        self._progress = {
+            node_id: _Progress(self.log.last_index + 1, heard_ms=now_ms)
+            for node_id in self.voters
+            if node_id != self.node_id
+        }
+        self._clock_base_ms = self._newest_clock() - now_ms
+        self._first_index_of_term = self._append(None, now_ms)
+        self._actions.append(RoleChanged(True, self.term))
+        self._heartbeat_due_ms = now_ms
+        self._tick_leader(now_ms)
+        self._advance_commit(now_ms)
+
+    def _newest_clock(self) -> float:
+        """Return the newest replicated clock value in the log or state."""
+        newest = self.log.slice(self.log.last_index, 1)
+        return float(max(self.state.clock_ms, newest[0].clock_ms if newest else 0))
+
+    def _step_down(self, term: int, now_ms: float) -> None:
+        was_leader = self.role is Role.LEADER
+        if term > self.term:
+            self.term = term
+            self._voted_for = ""
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self._reset_election(now_ms)
+        if was_leader:
+            self._learners = {}
+            self._progress = {}
+            self._actions.append(RoleChanged(False, self.term))
+
+    # ---- replication, as leader ---------------------------------------------
+
+    def _majority(self) -> int:
+        return len(self.voters) // 2 + 1
+
+    def _acknowledged(self, node_id: str, now_ms: float) -> float:
+        if node_id == self.node_id:
+            return now_ms
+        progress = self._progress.get(node_id)
+        return progress.acknowledged_ms if progress else float("-inf")
+
+    def _append(self, command: Command, now_ms: float) -> int:
+        index = self.log.last_index + 1
+        clock_ms = max(0, int(self._clock_base_ms + now_ms))
+        self.log.append(make_entry(index, self.term, clock_ms, command))
+        if isinstance(command, wire.MembershipChange):
+            self._adopt_membership(index, command)
+        return index
+
+    def _adopt_membership(self, index: int, change: wire.MembershipChange) -> None:
+        self._membership = change
+        self._membership_index = index
+        if not self.is_leader:
+            return
+        for node_id in self.voters:
+            self._learners.pop(node_id, None)
+            if node_id != self.node_id:
+                self._progress.setdefault(node_id, _Progress(self.log.last_index + 1))
+        keep = set(self.voters) | set(self._learners)
+        self._progress = {key: value for key, value in self._progress.items() if key in keep}
+
+    def _tick_leader(self, now_ms: float) -> None:
+        if now_ms < self._heartbeat_due_ms:
+            return
+        self._heartbeat_due_ms = now_ms + self.timing.heartbeat_ms
+        for node_id in list(self._progress):
+            self._replicate(node_id, now_ms, heartbeat=True)
+        if self._lost_quorum(now_ms):
+            self._step_down(self.term, now_ms)
+
+    def _lost_quorum(self, now_ms: float) -> bool:
+        """Check-quorum: a leader that a majority left silent resigns."""
+        limit_ms = 2 * self.timing.election_ms
+        heard = sum(
+            node_id == self.node_id or self.silent_for_ms(node_id, now_ms) < limit_ms
+            for node_id in self.voters
+        )
+        return heard < self._majority()
+
+    def _replicate_all(self, now_ms: float) -> None:
+        for node_id in list(self._progress):
+            self._replicate(node_id, now_ms)
+
+    def _replicate(self, node_id: str, now_ms: float, heartbeat: bool = False) -> None:
+        """Send what a follower lacks; one batch at a time, heartbeats always."""
+        progress = self._progress[node_id]
+        stalled = now_ms - progress.sent_ms > self.timing.heartbeat_ms
+        if progress.flight_last and not stalled and not heartbeat:
+            return
+        previous = progress.next_index - 1
+        previous_term = self.log.term_at(previous)
+        if previous_term is None:
+            self._send_snapshot(node_id, progress, now_ms)
+            return
+        send_entries = not progress.flight_last or stalled
+        count = MAX_ENTRIES_PER_APPEND if send_entries else 0
+        entries = self.log.slice(progress.next_index, count)
+        request = wire.AppendRequest(
+            term=self.term,
+            previous_index=previous,
+            previous_term=previous_term,
+            commit_index=self.commit_index,
+            sent_ms=int(now_ms),
+            entries=entries,
+        )
+        if entries:
+            progress.flight_last = entries[-1].index
+            progress.sent_ms = now_ms
+        self._actions.append(Send(node_id, request))
+
+    def _send_snapshot(self, node_id: str, progress: _Progress, now_ms: float) -> None:
+        if progress.flight_last and now_ms - progress.sent_ms < self.timing.election_ms:
+            return
+        progress.flight_last = self.state.index
+        progress.sent_ms = now_ms
+        request = wire.SnapshotRequest(
+            term=self.term, sent_ms=int(now_ms), snapshot=self.state.snapshot()
+        )
+        self._actions.append(Send(node_id, request))
+
+    def _on_append_reply(self, sender: str, reply: wire.AppendReply, now_ms: float) -> None:
+        if reply.term > self.term:
+            self._step_down(reply.term, now_ms)
+            return
+        progress = self._progress.get(sender)
+        if not self.is_leader or reply.term != self.term or progress is None:
+            return
+        progress.heard_ms = now_ms
+        progress.acknowledged_ms = max(progress.acknowledged_ms, float(reply.echo_ms))
+        if reply.success:
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            if progress.match_index >= progress.flight_last:
+                progress.flight_last = 0
+            self._advance_commit(now_ms)
+        else:
+            progress.flight_last = 0
+            progress.next_index = max(1, min(progress.next_index - 1, reply.match_index + 1))
+        if self.is_leader and progress.next_index <= self.log.last_index:
+            self._replicate(sender, now_ms)
+
+    def _advance_commit(self, now_ms: float) -> None:
+        matches = sorted(
+            (
+                self.log.last_index
+                if node_id == self.node_id
+                else self._progress[node_id].match_index
+                for node_id in self.voters
+            ),
+            reverse=True,
+        )
+        candidate = matches[self._majority() - 1]
+        # Only entries of the own term are committed by counting replicas.
+        if candidate <= self.commit_index or self.log.term_at(candidate) != self.term:
+            return
+        self.commit_index = candidate
+        if self._apply_committed():
+            self._announce_commit(now_ms)
+        if not self.is_voter and self.membership_settled():
+            self.role = Role.FOLLOWER
+            self.leader_id = ""
+            self._actions.append(RoleChanged(False, self.term))
+
+    def _announce_commit(self, now_ms: float) -> None:
+        """Tell followers at once, since observers take entries from them."""
+        for node_id in list(self._progress):
+            self._replicate(node_id, now_ms, heartbeat=True)
+
+    # ---- replication, as follower -------------------------------------------
+
+    def _follow(self, sender: str, term: int, now_ms: float) -> None:
+        if term > self.term or self.role is not Role.FOLLOWER:
+            self._step_down(term, now_ms)
+        self.leader_id = sender
+        self._heard_leader_ms = now_ms
+        self._reset_election(now_ms)
+
+    def _on_append_request(self, sender: str, request: wire.AppendRequest, now_ms: float) -> None:
+        if request.term < self.term:
+            self._actions.append(Send(sender, wire.AppendReply(term=self.term)))
+            return
+        self._follow(sender, request.term, now_ms)
+        known = self.log.term_at(request.previous_index)
+        compacted = request.previous_index < self.log.base_index
+        if not compacted and known != request.previous_term:
+            hint = min(self.log.last_index, request.previous_index - 1)
+            self._reply_append(sender, request.sent_ms, False, max(hint, self.log.base_index))
+            return
+        self._store(request.entries)
+        match_index = request.previous_index + len(request.entries)
+        self._commit_through(min(request.commit_index, match_index))
+        self._reply_append(sender, request.sent_ms, True, match_index)
+
+    def _store(self, entries: list[wire.LogEntry]) -> None:
+        last_before = self.log.last_index
+        dropped = self.log.merge(entries)
+        if not dropped and self.log.last_index == last_before:
+            return
+        newest = self.log.newest_membership()
+        if newest is not None:
+            self._adopt_membership(*newest)
+        elif dropped:
+            self._adopt_membership(self.state.index, self.state.membership)
+
+    def _reply_append(self, sender: str, echo_ms: int, success: bool, match_index: int) -> None:
+        reply = wire.AppendReply(
+            term=self.term, success=success, match_index=match_index, echo_ms=echo_ms
+        )
+        self._actions.append(Send(sender, reply))
+
+    def _on_snapshot_request(
+        self, sender: str, request: wire.SnapshotRequest, now_ms: float
+    ) -> None:
+        if request.term < self.term:
+            self._actions.append(Send(sender, wire.AppendReply(term=self.term)))
+            return
+        self._follow(sender, request.term, now_ms)
+        snapshot = request.snapshot
+        if snapshot.index > self.commit_index:
+            self.state = restore(snapshot)
+            self.log = MemoryLog(snapshot.index, snapshot.term)
+            self.commit_index = snapshot.index
+            self._adopt_membership(snapshot.index, snapshot.membership)
+            self._actions.append(Restored(snapshot))
+        self._reply_append(sender, request.sent_ms, True, snapshot.index)
+
+    def _commit_through(self, index: int) -> None:
+        if index > self.commit_index:
+            self.commit_index = min(index, self.log.last_index)
+            self._apply_committed()
+
+    def _apply_committed(self) -> bool:
+        """Apply entries up to the commit index.
+
+        :returns: whether one of them concerns observers.
+        """
+        public = False
+        pending = self.commit_index - self.state.index
+        for entry in self.log.slice(self.state.index + 1, pending):
+            result = self.state.apply(entry)
+            public = public or entry.kind not in RECORD_KINDS
+            self._actions.append(Applied(entry, result))
+        if self.log.last_index - self.log.base_index > COMPACT_AFTER:
+            self.log.compact(max(self.log.base_index, self.state.index - KEEP_AFTER_COMPACTION))
+        return public
+
+    def _take_actions(self) -> list[Action]:
+        actions, self._actions = self._actions, []
+        return actions
--- /dev/null
+++ b/ploverhatch/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the back ends."""
--- /dev/null
+++ b/ploverhatch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes belong to a cell and which of them vote."""
--- /dev/null
+++ b/ploverhatch/membership/voters.py
@@ -0,0 +1,124 @@
+"""Which nodes vote: one per zone, healed as machines are replaced. Pure."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from ploverhatch.transport import wire
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A node that reports to the leader."""
+
+    member: wire.Member
+    leaving: bool
+
+
+@dataclass(frozen=True)
+class VoterView:
+    """What the leader knows when it looks after the voters.
+
+    ``lost`` are voters that were silent too long, ``caught_up`` learners whose
+    log is complete, ``recorded`` the voters that the platform's cell object
+    names.
+    """
+
+    leader_id: str
+    wanted: int
+    voters: dict[str, wire.Member]
+    nodes: dict[str, Candidate]
+    lost: frozenset[str]
+    learners: frozenset[str]
+    caught_up: frozenset[str]
+    recorded: frozenset[str]
+
+
+@dataclass(frozen=True)
+class AddLearner:
+    """Start replicating to a node."""
+
+    member: wire.Member
+
+
+@dataclass(frozen=True)
+class ChangeVoters:
+    """Commit a new set of voters, different in one member."""
+
+    voters: tuple[wire.Member, ...]
+
+
+VoterAction = AddLearner | ChangeVoters | None
+
+
+def recovery_stays_safe(voters: Collection[str], recorded: Collection[str]) -> bool:
+    """Tell whether all recorded voters being dead means the quorum is lost.
+
+    A new epoch may be founded when every voter that the platform records is
+    proven dead, so voters the platform does not know must be a minority.
+    """
+    unknown = set(voters) - set(recorded)
+    return len(unknown) < len(voters) // 2 + 1
+
+
+def choose_voters(view: VoterView) -> VoterAction:
+    """Return the next step towards healthy voters, or ``None``."""
+    failing = [
+        node_id
+        for node_id in view.voters
+        if node_id in view.lost or (node_id in view.nodes and view.nodes[node_id].leaving)
+    ]
+    healthy = [node_id for node_id in view.voters if node_id not in failing]
+    if len(view.voters) > view.wanted:
+        return _remove(view, failing or _spare(view, healthy))
+    if len(healthy) < view.wanted:
+        step = _admit(view, healthy)
+        if step is not None:
+            return step
+    leaving = [node_id for node_id in failing if node_id not in view.lost]
+    if leaving and len(healthy) >= 1:
+        return _remove(view, leaving)
+    return None
+
+
+def _spare(view: VoterView, healthy: list[str]) -> list[str]:
+    """Return a voter whose zone has another one; never the leader."""
+    zones = [view.voters[node_id].zone for node_id in healthy]
+    return [
+        node_id
+        for node_id in healthy
+        if node_id != view.leader_id and zones.count(view.voters[node_id].zone) > 1
+    ]
+
+
+def _admit(view: VoterView, healthy: list[str]) -> VoterAction:
+    covered = {view.voters[node_id].zone for node_id in healthy}
+    candidates = [
+        candidate.member
+        for node_id, candidate in sorted(view.nodes.items())
+        if node_id not in view.voters
+        and not candidate.leaving
+        and candidate.member.zone not in covered
+    ]
+    if not candidates:
+        return None
+    ready = [member for member in candidates if member.node_id in view.caught_up]
+    if ready:
+        return _change(view, [*view.voters.values(), ready[0]])
+    if any(member.node_id in view.learners for member in candidates):
+        return None
+    return AddLearner(candidates[0])
+
+
+def _remove(view: VoterView, removable: list[str]) -> VoterAction:
+    others = sorted(removable, key=lambda node_id: node_id == view.leader_id)
+    if not others:
+        return None
+    gone = others[0]
+    return _change(view, [member for member in view.voters.values() if member.node_id != gone])
+
+
+def _change(view: VoterView, voters: list[wire.Member]) -> VoterAction:
+    names = [member.node_id for member in voters]
+    if not recovery_stays_safe(names, view.recorded):
+        return None
+    return ChangeVoters(tuple(voters))
--- /dev/null
+++ b/ploverhatch/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of a node process; each owns its sockets and state."""
--- /dev/null
+++ b/ploverhatch/node/bootstrap.py
@@ -0,0 +1,166 @@
+"""Bootstrap task: finds the cell, or founds an epoch of it.
+
+A node asks the seeds, the voters that the platform records and the machine
+list for a living cell. It founds an epoch only by compare-and-set on the
+platform's cell object, under the rules of ``membership.recovery``.
+"""
+
+import gevent
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.membership.recovery import CellRecord, Evidence, RecoveryWatch
+from ploverhatch.node.control import ControlTask, FoundCell
+from ploverhatch.node.platform_sync import KIND_CELL, cell_body
+from ploverhatch.node.view import StateView
+from ploverhatch.platform.interface import (
+    ChangeUnknownError,
+    PlatformStore,
+    StoredObject,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from ploverhatch.transport import wire
+from ploverhatch.transport.peers import PeerNetwork, PeerRefusedError, PeerUnreachableError
+
+LOG = PartLogger("bootstrap")
+
+ASK_TIMEOUT_S = 0.5
+PAUSE_S = 0.2
+LEADERLESS_MS = 3000.0
+
+Address = tuple[str, int]
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class BootstrapTask:
+    """Runs until the node belongs to a cell, and again when it has no leader."""
+
+    def __init__(
+        self,
+        member: wire.Member,
+        cell: str,
+        seeds: tuple[str, ...],
+        store: PlatformStore,
+        network: PeerNetwork,
+        control: ControlTask,
+        view: StateView,
+    ) -> None:
+        self._member = member
+        self._cell = cell
+        self._seeds = [parse_address(seed) for seed in seeds]
+        self._store = store
+        self._network = network
+        self._control = control
+        self._view = view
+        self._watch: RecoveryWatch | None = None
+
+    def find_cell(self) -> list[wire.Member]:
+        """Return voters of the living cell, or nothing after one round.
+
+        A round without a cell may found one; then this node is its voter.
+        """
+        record = self._read_record()
+        addresses = self._candidate_addresses(record)
+        for address in addresses:
+            reply = self._ask(address)
+            if reply is not None and reply.voters and reply.leader_id:
+                return list(reply.voters)
+        if record is not None:
+            self._consider_founding(record)
+        return []
+
+    def recover_leaderless(self) -> None:
+        """Found an epoch as the surviving voter, if all others are dead."""
+        record = self._read_record()
+        if record is not None:
+            self._consider_founding(record)
+
+    # ---- looking around --------------------------------------------------------
+
+    def _read_record(self) -> StoredObject | None:
+        """Return the cell object (version 0: absent), ``None`` if unreadable."""
+        try:
+            found = self._store.get(KIND_CELL, self._cell)
+        except StoreUnavailableError:
+            return None
+        return found or StoredObject(KIND_CELL, self._cell, 0, {"epoch": 0, "voters": []})
+
+    def _candidate_addresses(self, record: StoredObject | None) -> list[Address]:
+        addresses = list(self._seeds)
+        if record is not None:
+            addresses += [(row["host"], row["port"]) for row in record.body["voters"]]
+        mine = (self._member.host, self._member.port)
+        return [address for address in dict.fromkeys(addresses) if address != mine]
+
+    def _ask(self, address: Address, recipient: str = "") -> wire.StatusReply | None:
+        try:
+            _, reply = self._network.request(
+                address, recipient, wire.WhoRequest(ask=True), ASK_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return None
+        return reply if isinstance(reply, wire.StatusReply) else None
+
+    def _evidence(self, row: dict[str, object]) -> Evidence:
+        address = (str(row["host"]), int(str(row["port"])))
+        try:
+            envelope, _ = self._network.request(
+                address, "", wire.WhoRequest(ask=True), ASK_TIMEOUT_S
+            )
+        except PeerRefusedError:
+            return Evidence.REFUSED
+        except PeerUnreachableError:
+            return Evidence.SILENT
+        return Evidence.ALIVE if envelope.sender == row["node_id"] else Evidence.REPLACED
+
+    # ---- founding --------------------------------------------------------------
+
+    def _consider_founding(self, record: StoredObject) -> None:
+        rows = record.body["voters"]
+        cell_record = CellRecord(
+            record.version,
+            int(record.body["epoch"]),
+            tuple(str(row["node_id"]) for row in rows),
+        )
+        if self._watch is None or self._watch.record != cell_record:
+            self._watch = RecoveryWatch(self._member.node_id, cell_record)
+        evidence = {
+            str(row["node_id"]): self._evidence(row)
+            for row in rows
+            if row["node_id"] != self._member.node_id
+        }
+        if self._watch.observe(evidence, elapsed_ms()):
+            self._found(record, cell_record)
+
+    def _found(self, record: StoredObject, cell_record: CellRecord) -> None:
+        membership = wire.MembershipChange(epoch=cell_record.epoch + 1, voters=[self._member])
+        operation = f"found/{self._member.node_id}/{membership.epoch}"
+        try:
+            self._store.put(KIND_CELL, self._cell, cell_body(membership), record.version, operation)
+        except VersionConflictError:
+            return
+        except ChangeUnknownError:
+            if not self._won(operation):
+                return
+        except StoreUnavailableError:
+            return
+        survived = self._member.node_id in cell_record.voter_ids
+        LOG.info("Founding an epoch.", epoch=membership.epoch, survived=survived)
+        self._control.post(FoundCell(membership, survived))
+
+    def _won(self, operation: str) -> bool:
+        """Resolve a lost answer by reading the object back."""
+        for _ in range(20):
+            try:
+                current = self._store.get(KIND_CELL, self._cell)
+            except StoreUnavailableError:
+                gevent.sleep(PAUSE_S)
+                continue
+            return current is not None and current.operation == operation
+        return False
--- /dev/null
+++ b/ploverhatch/node/observer.py
@@ -0,0 +1,118 @@
+"""Observer task: keeps the view current from a parent node's stream.
+
+Parents form a tree: a node that feeds its limit of observers redirects a new
+one to them, so no node feeds more than a bounded number and the leader hears
+nothing of the tree's lower levels.
+"""
+
+import random
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.node.view import StateView
+from ploverhatch.transport import wire
+from ploverhatch.transport.peers import PeerNetwork, PeerUnreachableError
+
+LOG = PartLogger("observer")
+
+SILENCE_MS = 1500.0
+REQUEST_TIMEOUT_S = 0.5
+RETRY_PAUSE_S = 0.1
+MAX_REDIRECTS = 8
+
+
+class ObserverTask:
+    """Subscribes to one parent at a time while the node is no replica."""
+
+    def __init__(self, member: wire.Member, view: StateView, network: PeerNetwork) -> None:
+        self._member = member
+        self._view = view
+        self._network = network
+        self._random = random.Random(member.node_id)
+        self._parent = ""
+        self._heard_ms = 0.0
+        self._broken = Event()
+        self.known: dict[str, wire.Member] = {}
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop the task."""
+        if self._task is not None:
+            self._task.kill()
+
+    def learn(self, members: list[wire.Member]) -> None:
+        """Note nodes that may serve as parents."""
+        self.known = {item.node_id: item for item in members}
+
+    def update(self, sender: str, update: wire.StreamUpdate) -> None:
+        """Handle a batch of the stream."""
+        if sender != self._parent:
+            return
+        self._heard_ms = elapsed_ms()
+        if update.has_snapshot:
+            accepted = self._view.take_snapshot(update.snapshot)
+        else:
+            accepted = self._view.take_update(update)
+        if not accepted:
+            self._broken.set()
+
+    def _run(self) -> None:
+        while True:
+            if self._replicates():
+                gevent.sleep(SILENCE_MS / 1000)
+                continue
+            if not self._subscribe():
+                gevent.sleep(RETRY_PAUSE_S)
+                continue
+            self._follow_parent()
+
+    def _replicates(self) -> bool:
+        voters = {item.node_id for item in self._view.state.membership.voters}
+        return self._member.node_id in voters
+
+    def _follow_parent(self) -> None:
+        self._broken.clear()
+        while elapsed_ms() - self._heard_ms < SILENCE_MS:
+            if self._broken.wait(SILENCE_MS / 3000):
+                return
+            if self._replicates():
+                return
+
+    def _subscribe(self) -> bool:
+        """Find a parent: voters of the own zone first, then any voter."""
+        candidates = [item for item in self.known.values() if item.node_id != self._member.node_id]
+        self._random.shuffle(candidates)
+        candidates.sort(key=lambda item: item.zone != self._member.zone)
+        return any(self._subscribe_to(candidate) for candidate in candidates)
+
+    def _subscribe_to(self, parent: wire.Member) -> bool:
+        for _ in range(MAX_REDIRECTS):
+            answer = self._ask(parent)
+            if isinstance(answer, wire.StreamAck):
+                return True
+            if not isinstance(answer, wire.Redirect) or not answer.nodes:
+                return False
+            parent = self._random.choice(answer.nodes)
+            if parent.node_id == self._member.node_id:
+                return False
+        return False
+
+    def _ask(self, parent: wire.Member) -> Any:
+        state = self._view.state
+        request = wire.Subscribe(from_index=state.index, epoch=state.epoch, member=self._member)
+        self._parent = parent.node_id
+        self._heard_ms = elapsed_ms()
+        try:
+            address = (parent.host, parent.port)
+            _, answer = self._network.request(address, parent.node_id, request, REQUEST_TIMEOUT_S)
+        except PeerUnreachableError:
+            return None
+        return answer
--- /dev/null
+++ b/ploverhatch/node/router.py
@@ -0,0 +1,529 @@
+"""Router task: serves callers' requests.
+
+Each request runs in its own greenlet. Decisions come from ``routing`` (pure);
+this module owns the connections to back ends and the waiting.
+"""
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+import xxhash
+from gevent.event import AsyncResult
+
+from ploverhatch.backend.interface import (
+    BackendAnswerLostError,
+    BackendClient,
+    BackendReply,
+    BackendRequest,
+    BackendUnreachableError,
+    Refusal,
+)
+from ploverhatch.common import results
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.keyspace import hash_key
+from ploverhatch.common.problem import (
+    OUTCOME_HEADER,
+    RESULT_HEADER,
+    HttpReply,
+    problem_reply,
+)
+from ploverhatch.common.results import Result
+from ploverhatch.node.metrics import RouterMetrics
+from ploverhatch.node.records_client import RecordsClient, RecordsUnavailableError
+from ploverhatch.node.view import StateView
+from ploverhatch.policy.syntax import Route, matches
+from ploverhatch.policy.table import extract_key
+from ploverhatch.routing.admission import ServerQueue, Ticket
+from ploverhatch.routing.attempts import (
+    AttemptEnd,
+    GiveUp,
+    RequestState,
+    Retry,
+    after_attempt,
+)
+from ploverhatch.routing.budget import RetryBudget
+from ploverhatch.routing.load_meter import LoadMeter
+from ploverhatch.settings.model import LimitsSection
+from ploverhatch.state.assignment import Slice
+from ploverhatch.state.configuration import ServerSpec
+from ploverhatch.state.records import ClaimResult
+from ploverhatch.transport import wire
+from ploverhatch.transport.wsgi import BodyTooLargeError, Environ, read_body, request_headers
+
+DEADLINE_HEADER = "request-deadline-ms"
+IDEMPOTENCY_HEADER = "idempotency-key"
+MAX_IDEMPOTENCY_KEY = 200
+RETRY_AFTER_S = 1.0
+CANCEL_TIMEOUT_S = 0.5
+RELEASE_WAIT_MS = 300.0
+SETTLE_WAIT_MS = 10_000.0
+OWNER_WAIT_SLICE_S = 0.05
+_DROPPED_HEADERS = frozenset(
+    {
+        "host",
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "content-length",
+        "proxy-connection",
+        "proxy-authorization",
+        "expect",
+        "slice-group",
+        "slice-key-hash",
+        "slice-token",
+        "slice-not-after",
+        "request-budget-ms",
+        "request-id",
+    }
+)
+
+
+@dataclass
+class Upstream:
+    """Client, queue and clock reading of one server."""
+
+    spec: ServerSpec
+    client: BackendClient
+    queue: ServerQueue
+    waiters: dict[int, AsyncResult]
+    clock_ms: float = 0.0
+    clock_read_ms: float = 0.0
+
+    def note_clock(self, reply_clock_ms: float, received_ms: float) -> None:
+        """Keep the newest reading of the server's clock."""
+        self.clock_ms = reply_clock_ms
+        self.clock_read_ms = received_ms
+
+    def not_after(self, budget_ms: float, now_ms: float) -> float:
+        """Return the server clock value ``budget_ms`` from now, or earlier."""
+        return self.clock_ms + (now_ms - self.clock_read_ms) + budget_ms
+
+
+@dataclass(frozen=True)
+class Call:
+    """A caller's request after matching."""
+
+    route: Route
+    key: str
+    key_hash: int
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    idempotency_key: str
+    deadline_ms: float
+    give_up_ms: float
+
+
+class RefusedError(Exception):
+    """Ends a request with a result and, maybe, a time to come back."""
+
+    def __init__(self, result: Result, detail: str = "", retry_after_s: float = 0.0) -> None:
+        super().__init__(result.name)
+        self.result = result
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class Router:
+    """The callers' interface of one node."""
+
+    def __init__(
+        self,
+        view: StateView,
+        records: RecordsClient,
+        limits: LimitsSection,
+        open_backend: Callable[[ServerSpec], BackendClient],
+        metrics: RouterMetrics,
+    ) -> None:
+        self._view = view
+        self._records = records
+        self._limits = limits
+        self._open_backend = open_backend
+        self._metrics = metrics
+        self._upstreams: dict[str, Upstream] = {}
+        self._budget = RetryBudget(limits.retry_budget_percent)
+        self.meter = LoadMeter(elapsed_ms())
+
+    # ---- entry ------------------------------------------------------------------
+
+    def handle(self, environ: Environ) -> HttpReply:
+        """Serve one request."""
+        started_ms = elapsed_ms()
+        group = "-"
+        try:
+            call = self._read_call(environ, started_ms)
+            group = call.route.group
+            reply, result = self._run(call)
+        except RefusedError as error:
+            result = error.result
+            reply = self._refusal(error)
+        except BodyTooLargeError:
+            result = results.BODY_TOO_LARGE
+            reply = problem_reply(result)
+        self._metrics.observe(group, result, elapsed_ms() - started_ms)
+        return reply
+
+    def _refusal(self, error: RefusedError) -> HttpReply:
+        retry_after_s = (error.retry_after_s or RETRY_AFTER_S) if error.result.retryable else None
+        return problem_reply(error.result, error.detail, retry_after_s)
+
+    def _read_call(self, environ: Environ, now_ms: float) -> Call:
+        policy = self._view.policy
+        if policy is None:
+            raise RefusedError(results.NOT_READY)
+        path = environ["PATH_INFO"]
+        match = policy.match(environ["REQUEST_METHOD"], path)
+        if match is None:
+            raise RefusedError(results.NO_ROUTE)
+        route = match.route
+        headers = request_headers(environ)
+        query = environ.get("QUERY_STRING", "")
+        key = extract_key(match, query, headers)
+        if not key:
+            raise RefusedError(results.KEY_MISSING, f"{route.key_source} {route.key_name}")
+        idempotency_key = headers.get(IDEMPOTENCY_HEADER, "")
+        if route.once and not 0 < len(idempotency_key) <= MAX_IDEMPOTENCY_KEY:
+            raise RefusedError(results.IDEMPOTENCY_KEY_MISSING)
+        deadline_ms = now_ms + self._deadline(headers, route)
+        target = environ.get("RAW_PATH") or environ.get("REQUEST_URI") or path
+        if query and "?" not in target:
+            target = f"{target}?{query}"
+        return Call(
+            route=route,
+            key=key,
+            key_hash=hash_key(route.group, key),
+            target=target,
+            headers=tuple(item for item in headers.items() if item[0] not in _DROPPED_HEADERS),
+            body=read_body(environ, self._limits.body_bytes),
+            idempotency_key=idempotency_key,
+            deadline_ms=deadline_ms,
+            give_up_ms=min(deadline_ms, now_ms + route.wait_ms),
+        )
+
+    def _deadline(self, headers: dict[str, str], route: Route) -> float:
+        text = headers.get(DEADLINE_HEADER, "")
+        if not text:
+            return float(route.deadline_ms)
+        if not (text.isascii() and text.isdigit() and int(text) > 0):
+            raise RefusedError(results.BAD_REQUEST, f"{DEADLINE_HEADER} is not a number")
+        return float(min(int(text), route.deadline_ms))
+
+    def _run(self, call: Call) -> tuple[HttpReply, Result]:
+        if call.route.once:
+            return self._run_once(call)
+        return self._answer(self._run_attempts(call)), results.OK
+
+    def _answer(self, reply: BackendReply) -> HttpReply:
+        headers = (
+            *reply.headers,
+            ("Content-Length", str(len(reply.body))),
+            (RESULT_HEADER, str(results.OK.code)),
+            (OUTCOME_HEADER, results.OK.outcome.value),
+        )
+        return HttpReply(reply.status, headers, reply.body)
+
+    # ---- requests that run at most once --------------------------------------------
+
+    def _run_once(self, call: Call) -> tuple[HttpReply, Result]:
+        claim = wire.RecordClaim(
+            record_id=f"{call.route.group}/{call.idempotency_key}",
+            claim_id=secrets.token_hex(8),
+            fingerprint=_fingerprint(call),
+        )
+        try:
+            outcome, record = self._records.submit(claim, call.give_up_ms)
+        except RecordsUnavailableError as error:
+            self._settle(wire.RecordRelease(claim.record_id, claim.claim_id))
+            raise RefusedError(results.CONTROL_UNAVAILABLE) from error
+        if outcome is not ClaimResult.CLAIMED:
+            return self._repeat(outcome, record)
+        try:
+            reply = self._run_attempts(call)
+        except RefusedError as error:
+            if error.result.outcome is results.Outcome.NOT_RUN:
+                self._release(claim)
+            raise
+        self._settle(self._completion(claim, reply))
+        return self._answer(reply), results.OK
+
+    def _completion(self, claim: wire.RecordClaim, reply: BackendReply) -> wire.RecordComplete:
+        kept = len(reply.body) <= self._limits.kept_answer_bytes
+        content_types = [value for name, value in reply.headers if name == "content-type"]
+        return wire.RecordComplete(
+            record_id=claim.record_id,
+            claim_id=claim.claim_id,
+            status=reply.status,
+            content_type=content_types[0] if content_types else "",
+            body=reply.body if kept else b"",
+            body_kept=kept,
+        )
+
+    def _repeat(self, outcome: ClaimResult, record: wire.RecordState) -> tuple[HttpReply, Result]:
+        """Answer a repeat of a request that was claimed before."""
+        if outcome is ClaimResult.MISMATCH:
+            raise RefusedError(results.KEY_REUSED)
+        if outcome is ClaimResult.HELD:
+            raise RefusedError(results.RUN_IN_PROGRESS)
+        result = results.REPEATED_ANSWER
+        if not record.body_kept:
+            raise RefusedError(results.ANSWER_NOT_KEPT, f"status {record.status}")
+        headers = (
+            ("Content-Type", record.content_type or "application/octet-stream"),
+            ("Content-Length", str(len(record.body))),
+            (RESULT_HEADER, str(result.code)),
+            (OUTCOME_HEADER, result.outcome.value),
+        )
+        return HttpReply(record.status, headers, record.body), result
+
+    def _release(self, claim: wire.RecordClaim) -> None:
+        """Give a claim back before the caller learns "not-run" and repeats."""
+        release = wire.RecordRelease(record_id=claim.record_id, claim_id=claim.claim_id)
+        try:
+            self._records.submit(release, elapsed_ms() + RELEASE_WAIT_MS)
+        except RecordsUnavailableError:
+            self._settle(release)
+
+    def _settle(self, command: wire.RecordComplete | wire.RecordRelease) -> None:
+        """Commit in the background, for a bounded time."""
+        gevent.spawn(self._settle_task, command)
+
+    def _settle_task(self, command: wire.RecordComplete | wire.RecordRelease) -> None:
+        try:
+            self._records.submit(command, elapsed_ms() + SETTLE_WAIT_MS)
+        except RecordsUnavailableError:
+            self._metrics.unsettled.inc()
+
+    # ---- attempts -------------------------------------------------------------------
+
+    def _run_attempts(self, call: Call) -> BackendReply:
+        state = RequestState(
+            once=call.route.once,
+            deadline_ms=call.deadline_ms,
+            give_up_ms=call.give_up_ms,
+            max_attempts=self._limits.attempts,
+        )
+        self._budget.earn()
+        refused_token = 0
+        while True:
+            owner = self._await_owner(call, refused_token, state)
+            upstream = self._upstream(owner.server)
+            if upstream is None:
+                raise RefusedError(results.NO_OWNER)
+            end, reply = self._attempt_honestly(call, owner, upstream, state)
+            if end is None:
+                assert reply is not None
+                return reply
+            refusal = reply.refusal if reply else Refusal.NONE
+            self._metrics.attempts.labels(end.value, refusal.value).inc()
+            decision = self._decide(state, end, refusal)
+            if isinstance(decision, GiveUp):
+                raise RefusedError(decision.result, refusal.value, self._comeback_s(upstream))
+            state = decision.state
+            refused_token = owner.token if decision.await_owner else 0
+            self._pause(decision)
+
+    def _attempt_honestly(
+        self, call: Call, owner: Slice, upstream: Upstream, state: RequestState
+    ) -> tuple[AttemptEnd | None, BackendReply | None]:
+        """Run one attempt; a "not-run" is not answered after one that may have run."""
+        try:
+            return self._attempt(call, owner, upstream)
+        except RefusedError as error:
+            if not state.may_have_run:
+                raise
+            raise RefusedError(results.ANSWER_LOST, error.result.name) from error
+
+    def _decide(self, state: RequestState, end: AttemptEnd, refusal: Refusal) -> Retry | GiveUp:
+        # Waiting for ownership to settle costs no back end any work.
+        costs = refusal is Refusal.BUSY or end in {AttemptEnd.LOST, AttemptEnd.CANCELLED}
+        budget_left = self._budget.spend() if costs else True
+        return after_attempt(state, end, refusal, elapsed_ms(), budget_left)
+
+    def _pause(self, decision: Retry) -> None:
+        if decision.await_owner:
+            self._view.wait_change(max(decision.pause_ms, 0) / 1000)
+        else:
+            gevent.sleep(max(decision.pause_ms, 0) / 1000)
+
+    def _comeback_s(self, upstream: Upstream) -> float:
+        return upstream.queue.expected_wait_ms() / 1000
+
+    def _await_owner(self, call: Call, refused_token: int, state: RequestState) -> Slice:
+        """Return the key's owner; wait while there is none.
+
+        An owner that refused the token is asked again as well: its lease may
+        have been renewed meanwhile.
+        """
+        while True:
+            owner = self._view.state.assignments.find(call.route.group, call.key_hash)
+            if owner is not None and owner.server:
+                return owner
+            now_ms = elapsed_ms()
+            if now_ms >= call.give_up_ms:
+                result = results.ANSWER_LOST if state.may_have_run else results.NO_OWNER
+                raise RefusedError(result)
+            self._view.wait_change(min(OWNER_WAIT_SLICE_S, (call.give_up_ms - now_ms) / 1000))
+
+    def _attempt(
+        self, call: Call, owner: Slice, upstream: Upstream
+    ) -> tuple[AttemptEnd | None, BackendReply | None]:
+        """Run one attempt; the first value is ``None`` when it was answered."""
+        self.meter.count(call.route.group, owner.range.first, call.key_hash)
+        ticket = self._enter(call, upstream)
+        started_ms = elapsed_ms()
+        shed = False
+        try:
+            # The wait for a slot may have been long, or this process paused.
+            current = self._view.state.assignments.find(call.route.group, call.key_hash)
+            if current is None or current.token != owner.token:
+                return AttemptEnd.NOT_SENT, None
+            if elapsed_ms() >= call.deadline_ms:
+                raise RefusedError(results.DEADLINE_PASSED)
+            end, reply = self._send(call, owner, upstream)
+            shed = reply is not None and reply.refusal is Refusal.BUSY
+            return end, reply
+        finally:
+            upstream.queue.finish(ticket, elapsed_ms() - started_ms, shed)
+            self._wake(upstream)
+
+    def _send(
+        self, call: Call, owner: Slice, upstream: Upstream
+    ) -> tuple[AttemptEnd | None, BackendReply | None]:
+        if call.route.once and not upstream.clock_read_ms and not self._read_clock(upstream):
+            return AttemptEnd.NOT_SENT, None
+        now_ms = elapsed_ms()
+        budget_ms = max(call.deadline_ms - now_ms, 1.0)
+        request = BackendRequest(
+            request_id=secrets.token_hex(8),
+            method=call.route.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            group=call.route.group,
+            key_hash=call.key_hash,
+            token=owner.token,
+            not_after_ms=upstream.not_after(budget_ms, now_ms) if call.route.once else 0.0,
+            budget_ms=budget_ms,
+        )
+        try:
+            reply = upstream.client.send(request)
+        except BackendUnreachableError:
+            return AttemptEnd.NOT_SENT, None
+        except BackendAnswerLostError as error:
+            return self._after_loss(upstream, request, error), None
+        upstream.note_clock(reply.clock_ms, reply.received_ms)
+        if reply.refusal is not Refusal.NONE:
+            return AttemptEnd.REFUSED, reply
+        return None, reply
+
+    def _read_clock(self, upstream: Upstream) -> bool:
+        """Learn the server's clock before the first request that needs it."""
+        try:
+            probe = upstream.client.probe(CANCEL_TIMEOUT_S)
+        except (ConnectionError, ValueError, KeyError):
+            return False
+        upstream.note_clock(probe.clock_ms, probe.received_ms)
+        return True
+
+    def _after_loss(
+        self, upstream: Upstream, request: BackendRequest, error: BackendAnswerLostError
+    ) -> AttemptEnd:
+        """Ask the server whether the request can still be kept from running."""
+        try:
+            cancelled = upstream.client.cancel(request.request_id, CANCEL_TIMEOUT_S)
+        except (ConnectionError, ValueError, KeyError):
+            cancelled = False
+        if cancelled:
+            return AttemptEnd.CANCELLED
+        return AttemptEnd.TIMED_OUT if error.timed_out else AttemptEnd.LOST
+
+    # ---- slots ------------------------------------------------------------------------
+
+    def _upstream(self, server: str) -> Upstream | None:
+        spec = self._view.servers.get(server)
+        known = self._upstreams.get(server)
+        if known is not None and (spec is None or known.spec == spec):
+            return known
+        if spec is None:
+            return None
+        if known is not None:
+            known.client.close()
+        queue = ServerQueue(spec.slots, self._limits.queue_per_server)
+        upstream = Upstream(spec, self._open_backend(spec), queue, {})
+        self._upstreams[server] = upstream
+        return upstream
+
+    def _enter(self, call: Call, upstream: Upstream) -> Ticket:
+        """Wait for a slot of the server.
+
+        :raises RefusedError: at once when the queue is full, or when the
+            caller's wait is over.
+        """
+        now_ms = elapsed_ms()
+        ticket = Ticket(
+            group=call.route.group,
+            priority=self._priority(call.route.group),
+            share=self._share(call.route.group, upstream.spec),
+            enqueued_ms=now_ms,
+            expires_ms=call.give_up_ms,
+        )
+        if not upstream.queue.offer(ticket):
+            raise RefusedError(results.QUEUE_FULL, "", self._comeback_s(upstream))
+        waiter = AsyncResult()
+        upstream.waiters[id(ticket)] = waiter
+        self._wake(upstream)
+        try:
+            if not ticket.started:
+                waiter.get(timeout=max(call.give_up_ms - now_ms, 1.0) / 1000)
+        except gevent.Timeout as error:
+            if not ticket.started:
+                upstream.queue.withdraw(ticket)
+                retry_after_s = self._comeback_s(upstream)
+                raise RefusedError(results.QUEUE_TIMEOUT, "", retry_after_s) from error
+        finally:
+            upstream.waiters.pop(id(ticket), None)
+        return ticket
+
+    def _wake(self, upstream: Upstream) -> None:
+        while (ticket := upstream.queue.start_next(elapsed_ms())) is not None:
+            waiter = upstream.waiters.get(id(ticket))
+            if waiter is not None:
+                waiter.set(True)
+
+    def _priority(self, group: str) -> int:
+        policy = self._view.policy
+        return policy.groups[group].priority if policy and group in policy.groups else 1
+
+    def _share(self, group: str, spec: ServerSpec) -> float:
+        policy = self._view.policy
+        if policy is None or group not in policy.groups:
+            return 1.0
+        draws = policy.groups[group].draws
+        labels = spec.selector_labels
+        return max((d.share for d in draws if matches(d.servers, labels)), default=0.01)
+
+    # ---- for operators ------------------------------------------------------------------
+
+    def queues(self) -> dict[str, dict[str, Any]]:
+        """Return queue figures by server."""
+        return {
+            name: {
+                "running": upstream.queue.running_count,
+                "waiting": upstream.queue.waiting_count,
+                "limit": round(upstream.queue.limit, 2),
+            }
+            for name, upstream in self._upstreams.items()
+        }
+
+
+def _fingerprint(call: Call) -> int:
+    digest = xxhash.xxh3_64()
+    digest.update(f"{call.route.method} {call.target}\n".encode())
+    digest.update(call.body)
+    return int(digest.intdigest())
--- /dev/null
+++ b/ploverhatch/node/view.py
@@ -0,0 +1,189 @@
+"""The node's view of the replicated state, and the feeds to its observers.
+
+On a voter or learner the view shares the replica's state; elsewhere it is
+filled by a stream from another node. An epoch or generation is never taken
+back.
+"""
+
+from collections import deque
+from typing import Any
+
+from gevent.event import Event
+
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.policy.compiler import compile_policy
+from ploverhatch.policy.diagnostics import PolicyError
+from ploverhatch.policy.table import PolicyTable
+from ploverhatch.state.commands import (
+    ASSIGNMENT_KIND,
+    CONFIGURATION_KIND,
+    RECORD_KINDS,
+    decode_command,
+)
+from ploverhatch.state.configuration import ServerSpec
+from ploverhatch.state.replicated import ReplicatedState, restore
+from ploverhatch.transport import wire
+from ploverhatch.transport.peers import Connection
+from ploverhatch.transport.registry import pack
+
+LOG = PartLogger("view")
+
+HISTORY_ENTRIES = 2048
+
+
+class StateView:
+    """Applied state, compiled policy, and the observers fed from here."""
+
+    def __init__(self, node_id: str) -> None:
+        self._node_id = node_id
+        self.state = ReplicatedState()
+        self.policy: PolicyTable | None = None
+        self.servers: dict[str, ServerSpec] = {}
+        self.feeds: dict[Connection, wire.Member] = {}
+        self._compiled_generation = 0
+        self.changes = 0  # slices that changed hands, as seen here
+        self._history: deque[wire.LogEntry] = deque(maxlen=HISTORY_ENTRIES)
+        self._changed = Event()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether requests can be routed."""
+        return self.policy is not None
+
+    def wait_change(self, timeout_s: float) -> bool:
+        """Wait until assignments or configuration change."""
+        return bool(self._changed.wait(timeout_s))
+
+    # ---- taking over state ---------------------------------------------------
+
+    def adopt(self, state: ReplicatedState) -> None:
+        """Replace the state by a replica's or a snapshot's."""
+        self.state = state
+        self._history.clear()
+        self._refresh()
+        for connection in list(self.feeds):
+            self._send_snapshot(connection)
+
+    def take_snapshot(self, snapshot: wire.Snapshot) -> bool:
+        """Take over a snapshot from the stream unless it is older."""
+        mine = (self.state.epoch, self.state.index)
+        theirs = (snapshot.membership.epoch, snapshot.index)
+        if theirs < mine or snapshot.generation < self.state.configuration.generation:
+            return False
+        self.adopt(restore(snapshot))
+        return True
+
+    def take_update(self, update: wire.StreamUpdate) -> bool:
+        """Apply a batch from the stream.
+
+        :returns: false when there is a gap, so a new subscription is needed.
+        """
+        if update.epoch != self.state.epoch or update.previous_index > self.state.index:
+            return False
+        for entry in update.entries:
+            if entry.index > self.state.index:
+                self.state.apply(entry)
+                self.published(entry)
+        self.state.index = max(self.state.index, update.through_index)
+        return True
+
+    def published(self, entry: wire.LogEntry) -> None:
+        """Note that an entry was applied to the state; feed it on."""
+        if entry.kind in RECORD_KINDS:
+            return
+        self._history.append(entry)
+        if entry.kind == ASSIGNMENT_KIND:
+            command = decode_command(entry)
+            assert isinstance(command, wire.AssignmentChange)
+            self.changes += len(command.slices)
+        if entry.kind in {CONFIGURATION_KIND, ASSIGNMENT_KIND}:
+            self._refresh()
+        if self.feeds:
+            self._broadcast([entry], entry.index)
+
+    def _refresh(self) -> None:
+        configuration = self.state.configuration
+        if configuration.generation != self._compiled_generation:
+            self._compiled_generation = configuration.generation
+            self.servers = configuration.servers()
+            self._compile(configuration.policy_source())
+        self._changed.set()
+        self._changed.clear()
+
+    def _compile(self, source: str) -> None:
+        if not source:
+            self.policy = None
+            return
+        try:
+            self.policy = compile_policy(source).table
+        except PolicyError as error:
+            # Changes are checked before they are stored; should a bad policy
+            # come through all the same, the last good one stays in force.
+            LOG.error("Policy refused.", findings=len(error.diagnostics))
+
+    # ---- feeding observers ----------------------------------------------------
+
+    def subscribe(self, connection: Connection, request: wire.Subscribe) -> None:
+        """Start feeding an observer from its index, or with a snapshot."""
+        self.feeds[connection] = request.member
+        oldest = self._history[0].index if self._history else self.state.index + 1
+        continues = request.epoch == self.state.epoch and request.from_index + 1 >= oldest
+        if not continues or request.from_index > self.state.index:
+            self._send_snapshot(connection)
+            return
+        entries = [entry for entry in self._history if entry.index > request.from_index]
+        self._send(connection, self._update(entries, request.from_index))
+
+    def heartbeat(self) -> None:
+        """Tell observers that this node lives, and how far the log is."""
+        self._drop_closed()
+        if self.feeds:
+            self._broadcast([], self.state.index)
+
+    def _drop_closed(self) -> None:
+        for connection in [item for item in self.feeds if item.closed]:
+            del self.feeds[connection]
+
+    def _update(self, entries: list[wire.LogEntry], previous: int) -> wire.StreamUpdate:
+        return wire.StreamUpdate(
+            epoch=self.state.epoch,
+            previous_index=previous,
+            through_index=self.state.index,
+            entries=entries,
+        )
+
+    def _broadcast(self, entries: list[wire.LogEntry], through: int) -> None:
+        """Encode once and queue for every observer."""
+        update = wire.StreamUpdate(
+            epoch=self.state.epoch,
+            previous_index=self._last_public(before=len(entries)),
+            through_index=through,
+            entries=entries,
+        )
+        payload = pack(update, sender=self._node_id)
+        for connection in list(self.feeds):
+            if not connection.send(payload):
+                self.feeds.pop(connection, None)
+
+    def _last_public(self, before: int) -> int:
+        """Return the index of the newest public entry but ``before`` ones.
+
+        Record entries are not fed on, so for observers an entry follows the
+        public entry before it.
+        """
+        position = len(self._history) - before - 1
+        return int(self._history[position].index) if position >= 0 else 0
+
+    def _send_snapshot(self, connection: Connection) -> None:
+        snapshot = self.state.snapshot(with_records=False)
+        update = wire.StreamUpdate(
+            epoch=self.state.epoch,
+            through_index=self.state.index,
+            snapshot=snapshot,
+            has_snapshot=True,
+        )
+        self._send(connection, update)
+
+    def _send(self, connection: Connection, message: Any) -> None:
+        if not connection.send(pack(message, sender=self._node_id)):
+            self.feeds.pop(connection, None)
--- /dev/null
+++ b/ploverhatch/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which server owns which slice: state, placement and leases."""
--- /dev/null
+++ b/ploverhatch/ownership/controller.py
@@ -0,0 +1,422 @@
+"""The control leader's decisions about leases, grants and moves.
+
+One lease per server covers all its grants, so renewals cost one call per
+server and not per slice. The rules that keep ownership exclusive:
+
+* a slice gets a new owner only after the old owner acknowledged its revoke
+  (and has no request of the slice executing), or after the old owner's lease
+  has surely lapsed: ``lease_bound_ms`` after the clock reading on which the
+  newest renewal was based;
+* a new leader does not know its predecessor's renewals, so it counts every
+  server's lease as renewed at the moment it was elected;
+* calls leave only while the replica has its leader lease.
+
+Pure: events carry ``now_ms``; calls and proposals are returned as actions.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ploverhatch.common.keyspace import SliceRange
+from ploverhatch.common.timing import ControlTiming
+from ploverhatch.ownership.messages import Grant, SyncReply, SyncRequest
+from ploverhatch.ownership.placement import (
+    Condition,
+    PlacementLimits,
+    PlacementView,
+    Target,
+    plan,
+    touches,
+)
+from ploverhatch.policy.table import PolicyTable
+from ploverhatch.state.assignment import make_token
+from ploverhatch.state.configuration import ServerSpec
+from ploverhatch.state.replicated import ReplicatedState
+from ploverhatch.transport import wire
+
+BUSY_POLL_MS = 10.0
+CALL_TIMEOUT_MS = 400.0
+REBALANCE_MS = 1000.0
+MOVES_PER_SERVER = 4
+LOAD_FRESH_MS = 5000.0
+
+
+@dataclass(frozen=True)
+class CallServer:
+    """Action: send a sync call to a back end."""
+
+    server: str
+    request: SyncRequest
+    timeout_ms: float
+
+
+@dataclass(frozen=True)
+class ProposeAssignment:
+    """Action: commit a change of ownership to the log."""
+
+    change: wire.AssignmentChange
+
+
+@dataclass
+class ServerSession:
+    """What the leader knows of one server since it was elected."""
+
+    alive_until_ms: float
+    boot_id: str = ""
+    clock_ms: float = 0.0
+    clock_read_ms: float = float("-inf")
+    replied_ms: float = float("-inf")
+    due_ms: float = float("-inf")
+    failures: int = 0
+    needs_full: bool = True
+    draining: bool = False
+    call: SyncRequest | None = None
+    grants: dict[SliceRange, int] = field(default_factory=dict)
+    revokes: set[SliceRange] = field(default_factory=set)
+
+
+@dataclass
+class Move:
+    """A planned change of one range's owner."""
+
+    target: str
+    source: str
+    reason: str
+    proposed: bool = False
+
+
+@dataclass
+class NodeLoads:
+    """Load report of one router."""
+
+    reported_ms: float
+    slices: dict[tuple[str, int], float]
+    keys: dict[tuple[str, int], float]
+
+
+class OwnershipController:
+    """Decisions of one leadership; a new one is made at each election."""
+
+    def __init__(
+        self,
+        timing: ControlTiming,
+        term: int,
+        state: ReplicatedState,
+        now_ms: float,
+        limits: PlacementLimits | None = None,
+    ) -> None:
+        self._timing = timing
+        self._term = term
+        self._state = state
+        self._limits = limits or PlacementLimits()
+        self._lease_floor_ms = now_ms + timing.lease_bound_ms
+        self._sequence = 0
+        self._rebalance_due_ms = now_ms + REBALANCE_MS
+        self._policy: PolicyTable | None = None
+        self._specs: dict[str, ServerSpec] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._loads: dict[str, NodeLoads] = {}
+        self._moved_ms: dict[SliceRange, float] = {}
+        self._owners: set[str] | None = None
+        self.sessions: dict[str, ServerSession] = {}
+        self.moves: dict[SliceRange, Move] = {}
+
+    # ---- events -------------------------------------------------------------
+
+    def configure(
+        self, policy: PolicyTable | None, specs: dict[str, ServerSpec], now_ms: float
+    ) -> None:
+        """Take over a configuration."""
+        self._policy = policy
+        self._specs = specs
+        owners = {item.server for item in self._state.assignments if item.server}
+        for name in set(specs) | owners:
+            self.sessions.setdefault(name, ServerSession(self._lease_floor_ms, due_ms=now_ms))
+
+    def machines_leaving(self, servers: Iterable[str]) -> None:
+        """Note servers that the platform's machine list shows as leaving."""
+        self._leaving = frozenset(servers)
+
+    def report_load(self, node_id: str, loads: NodeLoads) -> None:
+        """Take over a router's measured load."""
+        self._loads[node_id] = loads
+
+    def replied(self, server: str, request: SyncRequest, reply: SyncReply, now_ms: float) -> None:
+        """Handle a server's answer to ``request``."""
+        session = self.sessions.get(server)
+        if session is None or session.call is not request:
+            return
+        session.call = None
+        session.failures = 0
+        session.replied_ms = now_ms
+        session.draining = reply.draining
+        session.clock_ms = reply.clock_ms
+        session.clock_read_ms = now_ms
+        if reply.boot_id != session.boot_id:
+            self._greet(server, session, reply.boot_id, now_ms)
+            return
+        if not reply.accepted:
+            session.needs_full = True
+            session.due_ms = now_ms + BUSY_POLL_MS
+            return
+        self._confirm(server, session, request, reply, now_ms)
+
+    def failed(self, server: str, request: SyncRequest, now_ms: float) -> None:
+        """Note that a call got no answer; it may or may not have arrived."""
+        session = self.sessions.get(server)
+        if session is None or session.call is not request:
+            return
+        session.call = None
+        session.failures += 1
+        session.due_ms = now_ms + self._timing.renew_ms / 2
+
+    def applied(self, change: wire.AssignmentChange, index: int, now_ms: float) -> None:
+        """Hand out the grants of a committed assignment."""
+        token = make_token(self._state.epoch, index)
+        self._owners = None
+        for item in change.slices:
+            span = SliceRange(item.group, item.first, item.last)
+            self.moves.pop(span, None)
+            self._moved_ms[span] = now_ms
+            if item.server:
+                self._queue_grant(item.server, span, token, now_ms)
+
+    def tick(self, now_ms: float, has_lease: bool) -> list[CallServer | ProposeAssignment]:
+        """Plan and emit calls and proposals; nothing without the leader lease."""
+        if not has_lease:
+            return []
+        actions: list[CallServer | ProposeAssignment] = []
+        self._plan(now_ms)
+        change = self._ready_assignments(now_ms)
+        if change.slices:
+            actions.append(ProposeAssignment(change))
+        for name, session in self.sessions.items():
+            if session.call is None and now_ms >= session.due_ms:
+                actions.append(self._call(name, session, now_ms))
+        return actions
+
+    # ---- views --------------------------------------------------------------
+
+    def condition(self, server: str, now_ms: float) -> Condition:
+        """Return what is known of a server at ``now_ms``."""
+        session = self.sessions.get(server)
+        if session is None:
+            return Condition.LOST
+        if self._silent(session, now_ms):
+            lapsed = now_ms >= session.alive_until_ms and session.failures > 0
+            return Condition.LOST if lapsed else Condition.UNCERTAIN
+        spec = self._specs.get(server)
+        leaving = spec is None or spec.drain or server in self._leaving
+        return Condition.DRAINING if leaving or session.draining else Condition.UP
+
+    def _silent(self, session: ServerSession, now_ms: float) -> bool:
+        return not session.boot_id or now_ms - session.replied_ms >= self._timing.lease_ms
+
+    # ---- planning -----------------------------------------------------------
+
+    def _plan(self, now_ms: float) -> None:
+        if self._policy is None:
+            return
+        rebalance = now_ms >= self._rebalance_due_ms
+        conditions = {name: self.condition(name, now_ms) for name in self.sessions}
+        urgent = any(
+            conditions.get(owner) in {Condition.LOST, Condition.DRAINING}
+            for owner in self._current_owners()
+        )
+        unplaced = any(not self._state.assignments.group(name) for name in self._policy.groups)
+        if unplaced and self._state.epoch > 1 and now_ms < self._lease_floor_ms:
+            # The lost log of the last epoch may have granted these slices.
+            return
+        if not (rebalance or urgent or unplaced):
+            return
+        if rebalance:
+            self._rebalance_due_ms = now_ms + REBALANCE_MS
+            self._forget_old_moves(now_ms)
+        for target in plan(self._view(conditions, now_ms), self._limits, now_ms):
+            self._start_move(target, now_ms)
+
+    def _forget_old_moves(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self._limits.hold_ms
+        self._moved_ms = {
+            span: moved_ms for span, moved_ms in self._moved_ms.items() if moved_ms > oldest_ms
+        }
+
+    def _current_owners(self) -> set[str]:
+        if self._owners is None:
+            self._owners = {item.server for item in self._state.assignments}
+        return self._owners
+
+    def _view(self, conditions: dict[str, Condition], now_ms: float) -> PlacementView:
+        assert self._policy is not None
+        loads: dict[tuple[str, int], float] = {}
+        keys: dict[tuple[str, int], float] = {}
+        for report in self._loads.values():
+            if now_ms - report.reported_ms > LOAD_FRESH_MS:
+                continue
+            for slice_identity, rate in report.slices.items():
+                loads[slice_identity] = loads.get(slice_identity, 0.0) + rate
+            for key_identity, rate in report.keys.items():
+                keys[key_identity] = keys.get(key_identity, 0.0) + rate
+        configuration = self._state.configuration
+        return PlacementView(
+            policy=self._policy,
+            servers=self._specs,
+            conditions=conditions,
+            assignments=self._state.assignments,
+            loads=loads,
+            key_loads=keys,
+            key_labels={name: configuration.key_labels(name) for name in self._policy.groups},
+            moved_ms=self._moved_ms,
+            moving=frozenset(self.moves),
+        )
+
+    def _start_move(self, target: Target, now_ms: float) -> None:
+        owners = {
+            item.server for item in self._state.assignments.meeting(target.range) if item.server
+        }
+        # Overlapping moves would take a range from an owner that was never asked.
+        if len(owners) > 1 or touches(target.range, self.moves):
+            return
+        source = next(iter(owners), "")
+        source_lost = not source or self.condition(source, now_ms) is Condition.LOST
+        if not source_lost:
+            started = sum(move.source == source for move in self.moves.values())
+            if started >= MOVES_PER_SERVER:
+                return
+            session = self.sessions[source]
+            session.revokes.add(target.range)
+            session.due_ms = now_ms
+        self.moves[target.range] = Move(target.server, source, target.reason)
+
+    def _ready_assignments(self, now_ms: float) -> wire.AssignmentChange:
+        """Return assignments whose old owner can not execute any more."""
+        items = []
+        for span, move in self.moves.items():
+            if move.proposed or not self._source_gone(span, move, now_ms):
+                continue
+            move.proposed = True
+            self._forget_grants_of(move.source)
+            target_up = self.condition(move.target, now_ms) is Condition.UP
+            items.append(
+                wire.SliceAssignment(
+                    group=span.group,
+                    first=span.first,
+                    last=span.last,
+                    server=move.target if target_up else "",
+                )
+            )
+        return wire.AssignmentChange(slices=items)
+
+    def _forget_grants_of(self, server: str) -> None:
+        """Have the next call replace all grants of a server that lost slices.
+
+        A frozen server that returns still holds its old grants; renewing its
+        lease without replacing them would make it a second owner.
+        """
+        session = self.sessions.get(server)
+        if session is not None:
+            session.needs_full = True
+
+    def _source_gone(self, span: SliceRange, move: Move, now_ms: float) -> bool:
+        if not move.source or self.condition(move.source, now_ms) is Condition.LOST:
+            return True
+        return span not in self.sessions[move.source].revokes
+
+    # ---- calls --------------------------------------------------------------
+
+    def _call(self, server: str, session: ServerSession, now_ms: float) -> CallServer:
+        self._sequence += 1
+        full = session.needs_full
+        grants = self._all_grants(server) if full else dict(session.grants)
+        request = SyncRequest(
+            epoch=self._state.epoch,
+            term=self._term,
+            sequence=self._sequence,
+            boot_id=session.boot_id,
+            expires_clock_ms=session.clock_ms + self._timing.lease_ms,
+            full=full,
+            grants=tuple(Grant(span, token) for span, token in grants.items()),
+            revokes=tuple(session.revokes),
+        )
+        session.call = request
+        if session.boot_id:
+            # The call may extend the lease even when its answer is lost.
+            bound = session.clock_read_ms + self._timing.lease_bound_ms
+            session.alive_until_ms = max(session.alive_until_ms, bound)
+        return CallServer(server, request, CALL_TIMEOUT_MS)
+
+    def _all_grants(self, server: str) -> dict[SliceRange, int]:
+        """Return grants by the log, less ranges whose revoke has begun.
+
+        Revokes travel in the same call and are applied before grants, so a
+        slice that a running move carves is sent in pieces.
+        """
+        moving = [span for span, move in self.moves.items() if move.source == server]
+        grants: dict[SliceRange, int] = {}
+        for item in self._state.assignments.owned_by(server):
+            for span in _subtract(item.range, moving):
+                grants[span] = item.token
+        return grants
+
+    def _queue_grant(self, server: str, span: SliceRange, token: int, now_ms: float) -> None:
+        session = self.sessions.setdefault(
+            server, ServerSession(self._lease_floor_ms, due_ms=now_ms)
+        )
+        session.grants[span] = token
+        session.due_ms = now_ms
+
+    def _greet(self, server: str, session: ServerSession, boot_id: str, now_ms: float) -> None:
+        """A server process was met for the first time; it holds no grants of ours.
+
+        A new boot proves that the previous process is gone, and with it every
+        grant it held, so its pending revokes are fulfilled.
+        """
+        restarted = bool(session.boot_id)
+        session.boot_id = boot_id
+        session.needs_full = True
+        session.due_ms = now_ms
+        if restarted:
+            session.revokes.clear()
+
+    def _confirm(
+        self,
+        server: str,
+        session: ServerSession,
+        request: SyncRequest,
+        reply: SyncReply,
+        now_ms: float,
+    ) -> None:
+        session.needs_full = False
+        for grant in request.grants:
+            if session.grants.get(grant.range) == grant.token:
+                del session.grants[grant.range]
+        busy = set(reply.busy)
+        for span in request.revokes:
+            if span not in busy:
+                session.revokes.discard(span)
+        pending = session.grants or session.revokes
+        if session.revokes:
+            session.due_ms = now_ms + BUSY_POLL_MS
+        elif pending:
+            session.due_ms = now_ms
+        else:
+            session.due_ms = now_ms + self._timing.renew_ms
+
+
+def _subtract(span: SliceRange, holes: Iterable[SliceRange]) -> list[SliceRange]:
+    """Return the parts of a range outside all holes."""
+    parts = [span]
+    for hole in holes:
+        if hole.group != span.group:
+            continue
+        remaining = []
+        for part in parts:
+            if hole.last < part.first or hole.first > part.last:
+                remaining.append(part)
+                continue
+            if part.first < hole.first:
+                remaining.append(SliceRange(part.group, part.first, hole.first - 1))
+            if part.last > hole.last:
+                remaining.append(SliceRange(part.group, hole.last + 1, part.last))
+        parts = remaining
+    return parts
--- /dev/null
+++ b/ploverhatch/ownership/placement.py
@@ -0,0 +1,300 @@
+"""Placement: which server should own each slice.
+
+A pure function of servers, slices with measured load and the compiled
+policy. Loads are requests per second; utilization is load over the slots a
+group may use on a server. A move must gain more than it costs, moves of one
+slice are apart by a hold time, and their number per round is bounded.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ploverhatch.common.keyspace import SliceRange, even_ranges, hash_key
+from ploverhatch.policy.syntax import Draw, Group, matches
+from ploverhatch.policy.table import PolicyTable
+from ploverhatch.state.assignment import AssignmentTable, Slice
+from ploverhatch.state.configuration import ServerSpec
+
+
+class Condition(Enum):
+    """What the control leader knows of a server."""
+
+    UP = "up"
+    DRAINING = "draining"
+    UNCERTAIN = "uncertain"  # silent, its lease may still run
+    LOST = "lost"  # silent, its lease has lapsed
+
+
+@dataclass(frozen=True)
+class PlacementLimits:
+    """Bounds that keep churn low."""
+
+    moves_per_round: int = 8
+    hold_ms: float = 10_000.0
+    imbalance_target: float = 1.08
+    gain_floor: float = 0.02  # least cut of the busiest server, of the mean
+    hot_key_fraction: float = 0.25  # of a server's mean load
+
+
+@dataclass(frozen=True)
+class PlacementView:
+    """Everything placement looks at."""
+
+    policy: PolicyTable
+    servers: dict[str, ServerSpec]
+    conditions: dict[str, Condition]
+    assignments: AssignmentTable
+    loads: dict[tuple[str, int], float] = field(default_factory=dict)  # (group, first)
+    key_loads: dict[tuple[str, int], float] = field(default_factory=dict)  # (group, hash)
+    key_labels: dict[str, dict[str, dict[str, str]]] = field(default_factory=dict)
+    moved_ms: dict[SliceRange, float] = field(default_factory=dict)
+    moving: frozenset[SliceRange] = frozenset()
+
+
+@dataclass(frozen=True)
+class Target:
+    """Wanted: ``range`` owned by ``server``. ``reason`` is for operators."""
+
+    range: SliceRange
+    server: str
+    reason: str
+
+
+class _GroupPlan:
+    """Loads and candidates of one group while a round is planned."""
+
+    def __init__(self, view: PlacementView, group: Group) -> None:
+        self.view = view
+        self.group = group
+        self.general = tuple(draw for draw in group.draws if draw.keys is None)
+        self.slices = view.assignments.group(group.name)
+        known = sum(view.loads.get((group.name, item.range.first), 0.0) for item in self.slices)
+        # Slices without measured load count a little, so that they spread.
+        self.base = max(known, 1.0) * 0.02 / max(len(self.slices), group.slices, 1)
+        self.capacity = self.capacities(self.general)
+        self.load: dict[str, float] = defaultdict(float)
+        for item in self.slices:
+            if item.server:
+                self.load[item.server] += self.slice_load(item.range)
+
+    def capacities(self, draws: tuple[Draw, ...]) -> dict[str, float]:
+        result: dict[str, float] = {}
+        for name, spec in self.view.servers.items():
+            if self.view.conditions.get(name) is not Condition.UP:
+                continue
+            shares = [d.share for d in draws if matches(d.servers, spec.selector_labels)]
+            if shares:
+                result[name] = spec.slots * max(shares)
+        return result
+
+    def slice_load(self, span: SliceRange) -> float:
+        measured = self.view.loads.get((span.group, span.first), 0.0)
+        return measured + self.base
+
+    def utilization(self, server: str, extra: float = 0.0) -> float:
+        return (self.load[server] + extra) / self.capacity[server]
+
+    def least(self, extra: float, among: dict[str, float] | None = None) -> str | None:
+        candidates = among if among is not None else self.capacity
+        if not candidates:
+            return None
+        return min(
+            candidates,
+            key=lambda name: ((self.load[name] + extra) / candidates[name], name),
+        )
+
+    def mean(self) -> float:
+        total = sum(self.load[name] for name in self.capacity)
+        return total / max(sum(self.capacity.values()), 1e-9)
+
+    def shift(self, amount: float, source: str, target: str) -> None:
+        if source:
+            self.load[source] -= amount
+        self.load[target] += amount
+
+
+def plan(view: PlacementView, limits: PlacementLimits, now_ms: float) -> list[Target]:
+    """Return the wanted changes of ownership, most urgent first."""
+    targets: list[Target] = []
+    for group in view.policy.groups.values():
+        targets += _plan_group(_GroupPlan(view, group), limits, now_ms)
+    return targets
+
+
+def _plan_group(plan_: _GroupPlan, limits: PlacementLimits, now_ms: float) -> list[Target]:
+    if not plan_.slices:
+        return _first_placement(plan_)
+    urgent = _replace_lost(plan_)
+    urgent += _leave_drained(plan_)
+    urgent += _labelled_keys(plan_)
+    if urgent:
+        return urgent
+    return _rebalance(plan_, limits, now_ms)
+
+
+def _first_placement(plan_: _GroupPlan) -> list[Target]:
+    targets = []
+    for span in even_ranges(plan_.group.name, plan_.group.slices):
+        server = plan_.least(plan_.base)
+        if server is None:
+            return []
+        plan_.shift(plan_.base, "", server)
+        targets.append(Target(span, server, "first placement"))
+    return targets
+
+
+def _eligible(plan_: _GroupPlan, span: SliceRange) -> dict[str, float]:
+    """Return capacities of servers that may own a slice, by its key's labels."""
+    if span.first != span.last:
+        return plan_.capacity
+    for draws, key_hash in _special_keys(plan_):
+        if key_hash == span.first:
+            return plan_.capacities(draws) or plan_.capacity
+    return plan_.capacity
+
+
+def _replace(plan_: _GroupPlan, item: Slice, reason: str) -> Target | None:
+    amount = plan_.slice_load(item.range)
+    server = plan_.least(amount, _eligible(plan_, item.range))
+    if server is None or server == item.server:
+        return None
+    plan_.shift(amount, item.server, server)
+    return Target(item.range, server, reason)
+
+
+def _replace_lost(plan_: _GroupPlan) -> list[Target]:
+    conditions = plan_.view.conditions
+    found = []
+    for item in plan_.slices:
+        if item.range in plan_.view.moving:
+            continue
+        orphan = not item.server or conditions.get(item.server) is Condition.LOST
+        if orphan:
+            found.append(_replace(plan_, item, "owner lost"))
+    return [target for target in found if target]
+
+
+def _leave_drained(plan_: _GroupPlan) -> list[Target]:
+    conditions = plan_.view.conditions
+    found = []
+    for item in plan_.slices:
+        if item.range in plan_.view.moving:
+            continue
+        condition = conditions.get(item.server)
+        allowed = condition is not Condition.UP or item.server in _eligible(plan_, item.range)
+        if condition is Condition.DRAINING or not allowed and condition is Condition.UP:
+            found.append(_replace(plan_, item, "owner leaves or is not selected"))
+    return [target for target in found if target]
+
+
+def _special_keys(plan_: _GroupPlan) -> list[tuple[tuple[Draw, ...], int]]:
+    """Return keys whose labels match a draw with a key selector."""
+    special = [draw for draw in plan_.group.draws if draw.keys is not None]
+    if not special:
+        return []
+    result = []
+    for key, labels in plan_.view.key_labels.get(plan_.group.name, {}).items():
+        draws = tuple(draw for draw in special if matches(draw.keys, labels))
+        if draws:
+            result.append((draws, hash_key(plan_.group.name, key)))
+    return result
+
+
+def _labelled_keys(plan_: _GroupPlan) -> list[Target]:
+    targets = []
+    for draws, key_hash in _special_keys(plan_):
+        span = SliceRange(plan_.group.name, key_hash, key_hash)
+        owner = plan_.view.assignments.find(plan_.group.name, key_hash)
+        among = plan_.capacities(draws)
+        if owner is None or not among or owner.server in among:
+            continue
+        if any(moving.contains(key_hash) for moving in plan_.view.moving):
+            continue
+        server = plan_.least(plan_.base, among)
+        if server is not None:
+            plan_.shift(plan_.base, owner.server, server)
+            targets.append(Target(span, server, "key label selects other servers"))
+    return targets
+
+
+def _rebalance(plan_: _GroupPlan, limits: PlacementLimits, now_ms: float) -> list[Target]:
+    targets: list[Target] = []
+    taken: set[SliceRange] = set(plan_.view.moving)
+    while len(targets) < limits.moves_per_round and len(plan_.capacity) > 1:
+        target = _best_move(plan_, limits, now_ms, taken)
+        if target is None:
+            break
+        taken.add(target.range)
+        targets.append(target)
+    return targets
+
+
+def _best_move(
+    plan_: _GroupPlan, limits: PlacementLimits, now_ms: float, taken: set[SliceRange]
+) -> Target | None:
+    mean = plan_.mean()
+    busiest = max(plan_.capacity, key=lambda name: (plan_.utilization(name), name))
+    idlest = min(plan_.capacity, key=lambda name: (plan_.utilization(name), name))
+    high, low = plan_.utilization(busiest), plan_.utilization(idlest)
+    if mean <= 0 or high < limits.imbalance_target * mean:
+        return None
+    best: tuple[float, SliceRange, float, str] | None = None
+    for span, amount, reason in _movable(plan_, limits, busiest, now_ms, taken):
+        after = max(high - amount / plan_.capacity[busiest], low + amount / plan_.capacity[idlest])
+        gain = high - after
+        if best is None or gain > best[0]:
+            best = (gain, span, amount, reason)
+    if best is None or best[0] < limits.gain_floor * mean:
+        return None
+    _, span, amount, reason = best
+    plan_.shift(amount, busiest, idlest)
+    return Target(span, idlest, reason)
+
+
+def _movable(
+    plan_: _GroupPlan,
+    limits: PlacementLimits,
+    server: str,
+    now_ms: float,
+    taken: set[SliceRange],
+) -> list[tuple[SliceRange, float, str]]:
+    """Return ranges that may leave a server: whole slices, halves, hot keys."""
+    view = plan_.view
+    hot = _hot_keys(plan_, limits)
+    found: list[tuple[SliceRange, float, str]] = []
+    for item in plan_.slices:
+        span = item.range
+        held = now_ms - view.moved_ms.get(span, float("-inf")) < limits.hold_ms
+        if item.server != server or held or touches(span, taken):
+            continue
+        amount = plan_.slice_load(span)
+        found.append((span, amount, "balance"))
+        inside = [(key, rate) for key, rate in hot if span.contains(key) and span.first < span.last]
+        for key, rate in inside:
+            point = SliceRange(span.group, key, key)
+            found.append((point, min(rate, amount), "hot key"))
+        rest = amount - sum(rate for _, rate in inside)
+        if not inside and span.last > span.first:
+            middle = (span.first + span.last) // 2
+            found.append((SliceRange(span.group, span.first, middle), rest / 2, "split"))
+    return found
+
+
+def touches(span: SliceRange, taken: Iterable[SliceRange]) -> bool:
+    """Tell whether a range overlaps one of others."""
+    return any(
+        other.group == span.group and other.first <= span.last and span.first <= other.last
+        for other in taken
+    )
+
+
+def _hot_keys(plan_: _GroupPlan, limits: PlacementLimits) -> list[tuple[int, float]]:
+    mean_load = sum(plan_.load[name] for name in plan_.capacity) / max(len(plan_.capacity), 1)
+    floor = limits.hot_key_fraction * mean_load
+    return [
+        (key_hash, rate)
+        for (group, key_hash), rate in plan_.view.key_loads.items()
+        if group == plan_.group.name and rate >= floor
+    ]
--- /dev/null
+++ b/ploverhatch/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The policy language and its compiler."""
--- /dev/null
+++ b/ploverhatch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about one request: admission, retries, outcome."""
--- /dev/null
+++ b/ploverhatch/routing/attempts.py
@@ -0,0 +1,118 @@
+"""What to do after an attempt to run a request. Pure.
+
+The rules that keep refusals honest: a request is sent again only when it
+surely did not run, or when it is repeatable; "not-run" is answered only when
+no attempt can have run.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ploverhatch.backend.interface import Refusal
+from ploverhatch.common import results
+from ploverhatch.common.results import Result
+
+FIRST_PAUSE_MS = 5.0
+LONGEST_PAUSE_MS = 100.0
+
+OWNERSHIP_REFUSALS = frozenset({Refusal.NOT_OWNER, Refusal.STALE_TOKEN, Refusal.LAPSED})
+
+
+class AttemptEnd(Enum):
+    """How one attempt ended, as far as running is concerned."""
+
+    REFUSED = "refused"  # the server said it did not run
+    NOT_SENT = "not-sent"
+    CANCELLED = "cancelled"  # sent, then provably cancelled
+    LOST = "lost"  # sent, no whole answer
+    TIMED_OUT = "timed-out"  # sent, the deadline passed
+
+
+_MAY_HAVE_RUN = frozenset({AttemptEnd.LOST, AttemptEnd.TIMED_OUT})
+
+
+@dataclass(frozen=True)
+class RequestState:
+    """A request between attempts; times in elapsed milliseconds."""
+
+    once: bool
+    deadline_ms: float
+    give_up_ms: float  # end of waiting for an owner or a slot
+    attempts: int = 0
+    max_attempts: int = 8
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True)
+class Retry:
+    """Try again after a pause, or as soon as the owner changes."""
+
+    state: RequestState
+    pause_ms: float
+    await_owner: bool
+
+
+@dataclass(frozen=True)
+class GiveUp:
+    """Answer the caller now."""
+
+    result: Result
+
+
+Decision = Retry | GiveUp
+
+
+def after_attempt(
+    state: RequestState,
+    end: AttemptEnd,
+    refusal: Refusal,
+    now_ms: float,
+    budget_left: bool,
+) -> Decision:
+    """Decide how to go on after a failed attempt.
+
+    :param budget_left: whether the retry budget allows another attempt.
+    """
+    may_have_run = state.may_have_run or end in _MAY_HAVE_RUN
+    state = RequestState(
+        once=state.once,
+        deadline_ms=state.deadline_ms,
+        give_up_ms=state.give_up_ms,
+        attempts=state.attempts + 1,
+        max_attempts=state.max_attempts,
+        may_have_run=may_have_run,
+    )
+    if may_have_run and state.once:
+        timed_out = end is AttemptEnd.TIMED_OUT
+        return GiveUp(results.DEADLINE_IN_FLIGHT if timed_out else results.ANSWER_LOST)
+    stop = _stop_result(state, end, refusal, now_ms, budget_left)
+    if stop is not None:
+        return GiveUp(_honest(stop, state))
+    pause_ms = min(FIRST_PAUSE_MS * 2 ** (state.attempts - 1), LONGEST_PAUSE_MS)
+    await_owner = refusal in OWNERSHIP_REFUSALS or end is AttemptEnd.NOT_SENT
+    return Retry(state, min(pause_ms, state.deadline_ms - now_ms), await_owner)
+
+
+def _stop_result(
+    state: RequestState, end: AttemptEnd, refusal: Refusal, now_ms: float, budget_left: bool
+) -> Result | None:
+    if now_ms >= state.deadline_ms:
+        return results.DEADLINE_PASSED
+    unreachable = end in {AttemptEnd.NOT_SENT, AttemptEnd.LOST}
+    cause = results.SERVER_UNREACHABLE if unreachable else results.SERVER_REFUSED
+    # While the owner changes the request is held, not counted as a retry:
+    # the caller's wait bounds it, and no back end works for it.
+    if refusal in OWNERSHIP_REFUSALS or end is AttemptEnd.NOT_SENT:
+        return cause if now_ms >= state.give_up_ms else None
+    if state.attempts >= state.max_attempts or now_ms >= state.give_up_ms:
+        return cause
+    return None if budget_left else results.RETRY_BUDGET_SPENT
+
+
+def _honest(result: Result, state: RequestState) -> Result:
+    """Replace a "not-run" by "unknown" when an earlier attempt may have run."""
+    if not state.may_have_run:
+        return result
+    if result is results.DEADLINE_PASSED:
+        return results.DEADLINE_IN_FLIGHT
+    return results.ANSWER_LOST
--- /dev/null
+++ b/ploverhatch/routing/load_meter.py
@@ -0,0 +1,69 @@
+"""Measured load by slice and by hot key, from the router's own counts.
+
+Heavy hitters come from a sketch of bounded size (Apache DataSketches'
+frequent items), so memory does not depend on the number of keys.
+"""
+
+from collections import Counter
+
+import datasketches
+
+from ploverhatch.transport import wire
+
+SKETCH_SIZE_LOG2 = 10
+HOT_KEYS_REPORTED = 64
+SMOOTHING = 0.4
+FORGET_BELOW = 0.05  # requests per second
+
+
+class LoadMeter:
+    """Counts requests and turns them into decayed rates."""
+
+    def __init__(self, now_ms: float) -> None:
+        self._since_ms = now_ms
+        self._counts: Counter[tuple[str, int]] = Counter()
+        self._sketch = datasketches.frequent_strings_sketch(SKETCH_SIZE_LOG2)
+        self._slices: dict[tuple[str, int], float] = {}
+        self._keys: dict[tuple[str, int], float] = {}
+
+    def count(self, group: str, slice_first: int, key_hash: int) -> None:
+        """Count one request."""
+        self._counts[(group, slice_first)] += 1
+        self._sketch.update(f"{key_hash:016x}{group}")
+
+    def roll(self, now_ms: float) -> tuple[list[wire.SliceLoad], list[wire.KeyLoad]]:
+        """Close the running window and return smoothed rates."""
+        span_s = max(now_ms - self._since_ms, 1.0) / 1000
+        hot = self._sketch.get_frequent_items(
+            datasketches.frequent_items_error_type.NO_FALSE_POSITIVES
+        )
+        keys = {
+            (str(item[0])[16:], int(str(item[0])[:16], 16)): item[1] / span_s
+            for item in hot[:HOT_KEYS_REPORTED]
+        }
+        slices = {identity: count / span_s for identity, count in self._counts.items()}
+        self._slices = _smooth(self._slices, slices)
+        self._keys = _smooth(self._keys, keys)
+        self._counts.clear()
+        self._sketch = datasketches.frequent_strings_sketch(SKETCH_SIZE_LOG2)
+        self._since_ms = now_ms
+        return (
+            [
+                wire.SliceLoad(group=group, first=first, rate=rate)
+                for (group, first), rate in self._slices.items()
+            ],
+            [
+                wire.KeyLoad(group=group, hash=key_hash, rate=rate)
+                for (group, key_hash), rate in self._keys.items()
+            ],
+        )
+
+
+def _smooth(
+    old: dict[tuple[str, int], float], new: dict[tuple[str, int], float]
+) -> dict[tuple[str, int], float]:
+    mixed = {
+        identity: old.get(identity, 0.0) * (1 - SMOOTHING) + new.get(identity, 0.0) * SMOOTHING
+        for identity in set(old) | set(new)
+    }
+    return {identity: rate for identity, rate in mixed.items() if rate >= FORGET_BELOW}
--- /dev/null
+++ b/ploverhatch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings read from TOML files."""
--- /dev/null
+++ b/ploverhatch/settings/loader.py
@@ -0,0 +1,63 @@
+"""Reads TOML files into typed settings and reports every fault at once."""
+
+import tomllib
+from pathlib import Path
+from typing import Any, TypeVar
+
+from pydantic import ValidationError
+
+from ploverhatch.settings.model import Section, Settings
+
+Model = TypeVar("Model", bound=Section)
+
+
+class SettingsError(Exception):
+    """The settings are not usable; the message lists all faults."""
+
+
+def load_model(model: type[Model], path: str | Path) -> Model:
+    """Read a file as ``model``.
+
+    :raises SettingsError: naming file, key and accepted range of each fault.
+    """
+    return validate(model, read_toml(path), str(path))
+
+
+def load_settings(path: str | Path | None, overrides: dict[str, Any]) -> Settings:
+    """Read node settings; flags of the command line override the file.
+
+    :param overrides: ``{"section.key": value}``; ``None`` values are unset.
+    """
+    document = read_toml(path) if path else {}
+    for dotted, value in overrides.items():
+        if value is None:
+            continue
+        section, key = dotted.split(".")
+        document.setdefault(section, {})[key] = value
+    return validate(Settings, document, str(path or "flags"))
+
+
+def read_toml(path: str | Path) -> dict[str, Any]:
+    """Parse a TOML file."""
+    try:
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+
+
+def validate(model: type[Model], document: dict[str, Any], name: str) -> Model:
+    """Check a parsed document against a model."""
+    try:
+        return model.model_validate(document)
+    except ValidationError as error:
+        rows = [_fault(name, dict(item)) for item in error.errors(include_url=False)]
+        raise SettingsError("\n".join(rows)) from error
+
+
+def _fault(name: str, item: dict[str, Any]) -> str:
+    key = ".".join(str(part) for part in item["loc"])
+    given = item.get("input")
+    shown = "" if isinstance(given, dict) else f" (given: {given!r})"
+    return f"{name}: {key}: {item['msg']}{shown}"
--- /dev/null
+++ b/ploverhatch/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The decision code under virtual time and a simulated network."""
--- /dev/null
+++ b/ploverhatch/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state and the commands that change it."""
--- /dev/null
+++ b/ploverhatch/state/configuration.py
@@ -0,0 +1,92 @@
+"""Configuration objects taken over from the platform, at one generation."""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from ploverhatch.transport import wire
+
+KIND_POLICY = "policy"
+KIND_SERVER = "server"
+KIND_KEY_LABELS = "key-labels"
+
+
+@dataclass(frozen=True)
+class ServerSpec:
+    """A back end as operators configured it."""
+
+    name: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    connections: int
+    labels: dict[str, str]
+    drain: bool
+
+    @property
+    def selector_labels(self) -> dict[str, str]:
+        """Labels that selectors see: the operators' and the zone."""
+        return {"zone": self.zone, **self.labels}
+
+
+def parse_server(name: str, body: dict[str, Any]) -> ServerSpec:
+    """Read a server object; absent fields take their defaults."""
+    return ServerSpec(
+        name=name,
+        host=body.get("host", "127.0.0.1"),
+        port=int(body.get("port", 0)),
+        zone=body.get("zone", ""),
+        slots=int(body.get("slots", 1)),
+        connections=int(body.get("connections", 100)),
+        labels=dict(body.get("labels", {})),
+        drain=bool(body.get("drain", False)),
+    )
+
+
+@dataclass
+class ConfigurationState:
+    """Objects by (kind, name). The generation never goes down."""
+
+    generation: int = 0
+    objects: dict[tuple[str, str], wire.ObjectChange] = field(default_factory=dict)
+
+    def apply(self, change: wire.ConfigurationChange) -> bool:
+        """Take a change over; one of an older generation is ignored."""
+        if change.generation <= self.generation:
+            return False
+        if change.replace:
+            self.objects.clear()
+        for item in change.objects:
+            self._put(item)
+        self.generation = change.generation
+        return True
+
+    def _put(self, item: wire.ObjectChange) -> None:
+        identity = (item.kind, item.name)
+        if item.deleted:
+            self.objects.pop(identity, None)
+        else:
+            self.objects[identity] = item
+
+    def policy_source(self) -> str:
+        """Return the policy text, empty when none is configured."""
+        item = self.objects.get((KIND_POLICY, "main"))
+        if item is None:
+            return ""
+        return str(json.loads(item.body).get("source", ""))
+
+    def servers(self) -> dict[str, ServerSpec]:
+        """Return the configured back ends by name."""
+        return {
+            name: parse_server(name, json.loads(item.body))
+            for (kind, name), item in self.objects.items()
+            if kind == KIND_SERVER
+        }
+
+    def key_labels(self, group: str) -> dict[str, dict[str, str]]:
+        """Return labels by key for one group."""
+        item = self.objects.get((KIND_KEY_LABELS, group))
+        if item is None:
+            return {}
+        return dict(json.loads(item.body).get("keys", {}))
--- /dev/null
+++ b/ploverhatch/state/records.py
@@ -0,0 +1,95 @@
+"""Completion records of requests that run at most once.
+
+A claim is committed to the log before the request is sent, so no two
+routers can both send it. A record without a completion answers repeats with
+"unknown". Records expire by the replicated clock, which never runs ahead of
+elapsed time.
+"""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from ploverhatch.transport import wire
+
+
+class RecordPhase(IntEnum):
+    """How far the run of a record is known to have come."""
+
+    CLAIMED = 1
+    COMPLETED = 2
+
+
+class ClaimResult(IntEnum):
+    """Answer of the record table, or of the leader, to one command."""
+
+    CLAIMED = 1
+    HELD = 2
+    COMPLETED = 3
+    MISMATCH = 4
+    ABSENT = 5
+    NOT_LEADER = 6
+
+
+@dataclass
+class RecordTable:
+    """Records by idempotency key, in the order in which they were claimed."""
+
+    records: dict[str, wire.RecordState] = field(default_factory=dict)
+
+    def claim(self, command: wire.RecordClaim, clock_ms: int) -> ClaimResult:
+        """Claim a run. Repeating one's own claim succeeds again."""
+        record = self.records.get(command.record_id)
+        if record is None:
+            self.records[command.record_id] = wire.RecordState(
+                record_id=command.record_id,
+                claim_id=command.claim_id,
+                fingerprint=command.fingerprint,
+                phase=RecordPhase.CLAIMED,
+                claimed_ms=clock_ms,
+            )
+            return ClaimResult.CLAIMED
+        if record.fingerprint != command.fingerprint:
+            return ClaimResult.MISMATCH
+        if record.phase == RecordPhase.COMPLETED:
+            return ClaimResult.COMPLETED
+        mine = record.claim_id == command.claim_id
+        return ClaimResult.CLAIMED if mine else ClaimResult.HELD
+
+    def complete(self, command: wire.RecordComplete) -> ClaimResult:
+        """Store the answer of a run."""
+        record = self.records.get(command.record_id)
+        if record is None or record.claim_id != command.claim_id:
+            return ClaimResult.ABSENT
+        self.records[command.record_id] = wire.RecordState(
+            record_id=record.record_id,
+            claim_id=record.claim_id,
+            fingerprint=record.fingerprint,
+            phase=RecordPhase.COMPLETED,
+            claimed_ms=record.claimed_ms,
+            status=command.status,
+            content_type=command.content_type,
+            body=command.body,
+            body_kept=command.body_kept,
+        )
+        return ClaimResult.COMPLETED
+
+    def release(self, command: wire.RecordRelease) -> ClaimResult:
+        """Give a claim back whose request surely did not run."""
+        record = self.records.get(command.record_id)
+        if record is None or record.claim_id != command.claim_id:
+            return ClaimResult.ABSENT
+        if record.phase == RecordPhase.COMPLETED:
+            return ClaimResult.COMPLETED
+        del self.records[command.record_id]
+        return ClaimResult.ABSENT
+
+    def expire(self, before_ms: int) -> int:
+        """Drop records claimed before a point of the replicated clock."""
+        expired = []
+        for record in self.records.values():
+            if record.claimed_ms >= before_ms:
+                break
+            expired.append(record.record_id)
+        for record_id in expired:
+            del self.records[record_id]
+        return len(expired)
--- /dev/null
+++ b/ploverhatch/state/replicated.py
@@ -0,0 +1,106 @@
+"""The state machine that the log replicates; pure and deterministic."""
+
+from dataclasses import dataclass, field
+
+from ploverhatch.common.keyspace import SliceRange
+from ploverhatch.state.assignment import AssignmentTable, Slice, make_token
+from ploverhatch.state.commands import Command, decode_command
+from ploverhatch.state.configuration import ConfigurationState
+from ploverhatch.state.records import ClaimResult, RecordTable
+from ploverhatch.transport import wire
+
+
+@dataclass
+class ReplicatedState:
+    """Configuration, assignments, voters and records at one log index."""
+
+    index: int = 0
+    term: int = 0
+    clock_ms: int = 0
+    membership: wire.MembershipChange = field(default_factory=wire.MembershipChange)
+    configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    assignments: AssignmentTable = field(default_factory=AssignmentTable)
+    records: RecordTable = field(default_factory=RecordTable)
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the cell; raised when its log was lost and begun anew."""
+        return int(self.membership.epoch)
+
+    def apply(self, entry: wire.LogEntry) -> ClaimResult | None:
+        """Apply the next committed entry.
+
+        :returns: the result for commands on records, else ``None``.
+        """
+        self.index = entry.index
+        self.term = entry.term
+        self.clock_ms = max(self.clock_ms, entry.clock_ms)
+        return self._apply_command(decode_command(entry))
+
+    def _apply_command(self, command: Command) -> ClaimResult | None:
+        match command:
+            case wire.ConfigurationChange():
+                self.configuration.apply(command)
+            case wire.AssignmentChange():
+                self._apply_assignment(command, make_token(self.epoch, self.index))
+            case wire.MembershipChange():
+                self.membership = command
+            case wire.RecordClaim():
+                return self.records.claim(command, self.clock_ms)
+            case wire.RecordComplete():
+                return self.records.complete(command)
+            case wire.RecordRelease():
+                return self.records.release(command)
+            case wire.RecordExpire():
+                self.records.expire(command.before_ms)
+        return None
+
+    def _apply_assignment(self, change: wire.AssignmentChange, token: int) -> None:
+        for item in change.slices:
+            span = SliceRange(item.group, item.first, item.last)
+            self.assignments.put(Slice(span, item.server, token))
+
+    def snapshot(self, with_records: bool = True) -> wire.Snapshot:
+        """Return the whole state as a message.
+
+        :param with_records: observers get no completion records.
+        """
+        records = list(self.records.records.values()) if with_records else []
+        return wire.Snapshot(
+            index=self.index,
+            term=self.term,
+            clock_ms=self.clock_ms,
+            generation=self.configuration.generation,
+            membership=self.membership,
+            objects=list(self.configuration.objects.values()),
+            slices=[
+                wire.SliceAssignment(
+                    group=item.range.group,
+                    first=item.range.first,
+                    last=item.range.last,
+                    server=item.server,
+                    token=item.token,
+                )
+                for item in self.assignments
+            ],
+            records=records,
+        )
+
+
+def restore(snapshot: wire.Snapshot) -> ReplicatedState:
+    """Build the state that a snapshot describes."""
+    state = ReplicatedState(
+        index=snapshot.index,
+        term=snapshot.term,
+        clock_ms=snapshot.clock_ms,
+        membership=snapshot.membership,
+    )
+    state.configuration.generation = snapshot.generation
+    for item in snapshot.objects:
+        state.configuration.objects[(item.kind, item.name)] = item
+    for part in snapshot.slices:
+        span = SliceRange(part.group, part.first, part.last)
+        state.assignments.put(Slice(span, part.server, part.token))
+    for record in snapshot.records:
+        state.records.records[record.record_id] = record
+    return state
--- /dev/null
+++ b/ploverhatch/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Frames and connections between nodes."""
--- /dev/null
+++ b/ploverhatch/transport/http_client.py
@@ -0,0 +1,146 @@
+"""HTTP client with exact knowledge of whether bytes were sent.
+
+Built on geventhttpclient's connection pool and response parser. Its
+``HTTPClient`` is not used: it sends a request again when a pooled connection
+breaks, which could run a request twice.
+"""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPSocketResponse
+from typing_extensions import override
+
+from ploverhatch.transport.peers import set_no_delay
+
+
+class NotSentError(ConnectionError):
+    """No byte of the request left: no connection could be had."""
+
+
+class AnswerLostError(ConnectionError):
+    """Bytes may have arrived, but no whole answer came back.
+
+    ``timed_out`` tells a deadline from a broken connection.
+    """
+
+    def __init__(self, cause: str, timed_out: bool = False) -> None:
+        super().__init__(cause)
+        self.timed_out = timed_out
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer; header names are in lower case, repeated ones are kept."""
+
+    status: int
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Header fields by name; of a repeated one the last."""
+        return dict(self.fields)
+
+    def json(self) -> Any:
+        """Parse the body as JSON."""
+        return json.loads(self.body)
+
+
+class _NoDelayPool(ConnectionPool):
+    """Pool whose connections send small segments at once."""
+
+    @override
+    def after_connect(self, sock: Any) -> None:
+        set_no_delay(sock)
+
+
+def _encode_head(method: str, target: str, headers: Mapping[str, str], length: int) -> bytes:
+    rows = [f"{method} {target} HTTP/1.1"]
+    rows += [f"{name}: {value}" for name, value in headers.items()]
+    if length or method in {"POST", "PUT", "PATCH"}:
+        rows.append(f"Content-Length: {length}")
+    return ("\r\n".join(rows) + "\r\n\r\n").encode("latin-1")
+
+
+class HttpClient:
+    """Keep-alive connections to one address.
+
+    A connection whose answer was not read to its end is closed, never reused.
+    """
+
+    def __init__(
+        self, host: str, port: int, connections: int, connect_timeout_s: float = 1.0
+    ) -> None:
+        self._host_header = f"{host}:{port}"
+        self._pool = _NoDelayPool(
+            host,
+            port,
+            host,
+            port,
+            size=connections,
+            connection_timeout=connect_timeout_s,
+            network_timeout=None,
+            disable_ipv6=":" not in host,
+        )
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
+
+    def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> HttpAnswer:
+        """Send one request, once, and read the whole answer.
+
+        :raises NotSentError: when no connection was made in time.
+        :raises AnswerLostError: when bytes may have been sent.
+        """
+        sent = False
+        sock = None
+        try:
+            with gevent.Timeout(timeout_s):
+                sock = self._pool.get_socket()
+                head = {"Host": self._host_header, **(headers or {})}
+                data = _encode_head(method, target, head, len(body)) + body
+                sent = True
+                sock.sendall(data)
+                answer = self._read_answer(sock, method)
+        except gevent.Timeout as error:
+            self._discard(sock)
+            if sent:
+                raise AnswerLostError("no answer in time", timed_out=True) from error
+            raise NotSentError("no connection in time") from error
+        except (OSError, ValueError) as error:
+            self._discard(sock)
+            if sent:
+                raise AnswerLostError(str(error)) from error
+            raise NotSentError(str(error)) from error
+        except BaseException:
+            self._discard(sock)
+            raise
+        return answer
+
+    def _read_answer(self, sock: Any, method: str) -> HttpAnswer:
+        response = HTTPSocketResponse(sock, method=method)
+        body = bytes(response.read())
+        fields = tuple((name.lower(), value) for name, value in response.items())
+        answer = HttpAnswer(response.status_code, fields, body)
+        if response.should_close():
+            self._pool.release_socket(sock)
+        else:
+            self._pool.return_socket(sock)
+        return answer
+
+    def _discard(self, sock: Any) -> None:
+        if sock is not None:
+            self._pool.release_socket(sock)
--- /dev/null
+++ b/ploverhatch/transport/wsgi.py
@@ -0,0 +1,67 @@
+"""Small WSGI helpers shared by the HTTP services."""
+
+import http.client
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ploverhatch.common.problem import HttpReply
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+class BodyTooLargeError(ValueError):
+    """The body exceeds the limit."""
+
+
+def send_reply(reply: HttpReply, start_response: StartResponse) -> Iterable[bytes]:
+    """Start a WSGI response."""
+    reason = http.client.responses.get(reply.status, "Unknown")
+    start_response(f"{reply.status} {reason}", list(reply.headers))
+    return [reply.body]
+
+
+def read_body(environ: Environ, limit: int) -> bytes:
+    """Read a whole body.
+
+    :raises BodyTooLargeError: above ``limit`` bytes.
+    """
+    length = environ.get("CONTENT_LENGTH")
+    if length and int(length) > limit:
+        raise BodyTooLargeError(length)
+    if not length and environ.get("HTTP_TRANSFER_ENCODING", "").lower() != "chunked":
+        return b""
+    body: bytes = environ["wsgi.input"].read(limit + 1)
+    if len(body) > limit:
+        raise BodyTooLargeError(str(len(body)))
+    return body
+
+
+def read_json(environ: Environ, limit: int = 4 << 20) -> Any:
+    """Read a JSON body; an empty one is an empty object."""
+    body = read_body(environ, limit)
+    return json.loads(body) if body else {}
+
+
+def request_headers(environ: Environ) -> dict[str, str]:
+    """Return header fields with lower-case names."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    for name in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+        if environ.get(name):
+            headers[name.replace("_", "-").lower()] = environ[name]
+    return headers
+
+
+def as_application(handler: Callable[[Environ], HttpReply]) -> Application:
+    """Wrap a function from environ to reply as a WSGI application."""
+
+    def application(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        return send_reply(handler(environ), start_response)
+
+    return application
