--- a/ploverhatch/node/control.py
+++ b/ploverhatch/node/control.py
@@ -32,6 +32,7 @@
     VoterView,
     choose_voters,
 )
+from ploverhatch.node.columns import from_columns
 from ploverhatch.node.view import StateView
 from ploverhatch.ownership.controller import (
     CallServer,
@@ -40,7 +41,7 @@
     ProposeAssignment,
 )
 from ploverhatch.ownership.messages import SyncReply, SyncRequest
-from ploverhatch.state.commands import Command, decode_command
+from ploverhatch.state.commands import ASSIGNMENT_KIND, Command, decode_command
 from ploverhatch.state.configuration import ServerSpec
 from ploverhatch.state.records import ClaimResult
 from ploverhatch.transport import wire
@@ -288,8 +289,8 @@
         if self.controller is not None:
             loads = NodeLoads(
                 reported_ms=now_ms,
-                slices={(item.group, item.first): item.rate for item in status.slices},
-                keys={(item.group, item.hash): item.rate for item in status.keys},
+                slices=from_columns(status.slices),
+                keys=from_columns(status.keys),
             )
             self.controller.report_load(node_id, loads)
 
@@ -460,10 +461,10 @@
                 proposal.result.set(result)
             else:
                 proposal.result.set_exception(NotLeaderError(self.replica.leader_id))
-        if self.controller is not None:
+        if self.controller is not None and entry.kind == ASSIGNMENT_KIND:
             command = decode_command(entry)
-            if isinstance(command, wire.AssignmentChange):
-                self.controller.applied(command, entry.index, elapsed_ms())
+            assert isinstance(command, wire.AssignmentChange)
+            self.controller.applied(command, entry.index, elapsed_ms())
 
     def _on_role_changed(self, leading: bool, term: int) -> None:
         self.controller = None
--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -18,6 +18,7 @@
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.timing import ControlTiming
 from ploverhatch.node.bootstrap import LEADERLESS_MS, PAUSE_S, BootstrapTask
+from ploverhatch.node.columns import to_columns
 from ploverhatch.node.control import ControlTask, PeerMessage, StatusReceived, StepAside
 from ploverhatch.node.metrics import NodeMetrics
 from ploverhatch.node.observer import ObserverTask
@@ -301,8 +302,8 @@
             applied_index=self.view.state.index,
             generation=self.view.state.configuration.generation,
             leaving=self.leaving,
-            slices=slices,
-            keys=keys,
+            slices=to_columns(slices),
+            keys=to_columns(keys),
         )
 
     def _feed_loop(self) -> None:
--- a/ploverhatch/routing/load_meter.py
+++ b/ploverhatch/routing/load_meter.py
@@ -8,13 +8,13 @@
 
 import datasketches
 
-from ploverhatch.transport import wire
-
 SKETCH_SIZE_LOG2 = 10
 HOT_KEYS_REPORTED = 64
 SMOOTHING = 0.4
 FORGET_BELOW = 0.05  # requests per second
 
+Rates = dict[tuple[str, int], float]  # (group, hash) to requests per second
+
 
 class LoadMeter:
     """Counts requests and turns them into decayed rates."""
@@ -23,16 +23,16 @@
         self._since_ms = now_ms
         self._counts: Counter[tuple[str, int]] = Counter()
         self._sketch = datasketches.frequent_strings_sketch(SKETCH_SIZE_LOG2)
-        self._slices: dict[tuple[str, int], float] = {}
-        self._keys: dict[tuple[str, int], float] = {}
+        self._slices: Rates = {}
+        self._keys: Rates = {}
 
     def count(self, group: str, slice_first: int, key_hash: int) -> None:
         """Count one request."""
         self._counts[(group, slice_first)] += 1
         self._sketch.update(f"{key_hash:016x}{group}")
 
-    def roll(self, now_ms: float) -> tuple[list[wire.SliceLoad], list[wire.KeyLoad]]:
-        """Close the running window and return smoothed rates."""
+    def roll(self, now_ms: float) -> tuple[Rates, Rates]:
+        """Close the running window; return smoothed rates by slice and by key."""
         span_s = max(now_ms - self._since_ms, 1.0) / 1000
         hot = self._sketch.get_frequent_items(
             datasketches.frequent_items_error_type.NO_FALSE_POSITIVES
@@ -47,21 +47,10 @@
         self._counts.clear()
         self._sketch = datasketches.frequent_strings_sketch(SKETCH_SIZE_LOG2)
         self._since_ms = now_ms
-        return (
-            [
-                wire.SliceLoad(group=group, first=first, rate=rate)
-                for (group, first), rate in self._slices.items()
-            ],
-            [
-                wire.KeyLoad(group=group, hash=key_hash, rate=rate)
-                for (group, key_hash), rate in self._keys.items()
-            ],
-        )
+        return self._slices, self._keys
 
 
-def _smooth(
-    old: dict[tuple[str, int], float], new: dict[tuple[str, int], float]
-) -> dict[tuple[str, int], float]:
+def _smooth(old: Rates, new: Rates) -> Rates:
     mixed = {
         identity: old.get(identity, 0.0) * (1 - SMOOTHING) + new.get(identity, 0.0) * SMOOTHING
         for identity in set(old) | set(new)
--- a/ploverhatch/transport/wire.py
+++ b/ploverhatch/transport/wire.py
@@ -174,17 +174,16 @@
 
 
 @dataclass
-class SliceLoad(betterproto.Message):
-    group: str = betterproto.string_field(1)
-    first: int = betterproto.uint64_field(2)
-    rate: float = betterproto.double_field(3)
-
+class LoadColumns(betterproto.Message):
+    """
+    Measured rates in columns: row i is (groups[group[i]], hash[i], rate[i]).
+    Packed scalars cost far less to encode than a message per row.
+    """
 
-@dataclass
-class KeyLoad(betterproto.Message):
-    group: str = betterproto.string_field(1)
-    hash: int = betterproto.uint64_field(2)
-    rate: float = betterproto.double_field(3)
+    groups: List[str] = betterproto.string_field(1)
+    group: List[int] = betterproto.uint32_field(2)
+    hash: List[int] = betterproto.uint64_field(3)
+    rate: List[float] = betterproto.float_field(4)
 
 
 @dataclass
@@ -193,8 +192,8 @@
     applied_index: int = betterproto.uint64_field(2)
     generation: int = betterproto.uint64_field(3)
     leaving: bool = betterproto.bool_field(4)
-    slices: List["SliceLoad"] = betterproto.message_field(5)
-    keys: List["KeyLoad"] = betterproto.message_field(6)
+    slices: "LoadColumns" = betterproto.message_field(5)
+    keys: "LoadColumns" = betterproto.message_field(6)
 
 
 @dataclass
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -79,7 +79,9 @@
         self.tokens.close()
 
     def _start(self):
-        self.tokens = tempfile.NamedTemporaryFile("w", suffix=".tokens")
+        self.tokens = tempfile.NamedTemporaryFile(  # noqa: SIM115 - closed in __exit__
+            "w", suffix=".tokens"
+        )
         self.tokens.write(f"operate {TOKEN}\n")
         self.tokens.flush()
         self.platform = Program("emulator", "platform")
