--- a/ploverhatch/admin/api.py
+++ b/ploverhatch/admin/api.py
@@ -15,7 +15,7 @@
 from ploverhatch.common import results
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.problem import HttpReply, json_reply, problem_reply
-from ploverhatch.transport.wsgi import Environ, read_json
+from ploverhatch.transport.wsgi import Environ, read_json, request_target
 
 if TYPE_CHECKING:
     from ploverhatch.node.process import Node
@@ -36,7 +36,8 @@
 
     def handle(self, environ: Environ) -> HttpReply:
         """Serve one request."""
-        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        path, query = request_target(environ)
+        method = environ["REQUEST_METHOD"]
         public = self._handle_public(path)
         if public is not None:
             return public
@@ -44,7 +45,7 @@
         if role is Role.NONE:
             return problem_reply(results.UNAUTHORIZED, extra=(("WWW-Authenticate", "Bearer"),))
         if method == "GET":
-            return self._read(path, parse_qs(environ.get("QUERY_STRING", "")))
+            return self._read(path, parse_qs(query))
         if role < Role.OPERATE:
             return problem_reply(results.FORBIDDEN)
         try:
--- a/ploverhatch/consensus/replica.py
+++ b/ploverhatch/consensus/replica.py
@@ -109,17 +109,23 @@
     state: ReplicatedState = field(default_factory=ReplicatedState)
 
     def __post_init__(self) -> None:
-        self.log = MemoryLog(self.state.index, self.state.term)
-        self.term: int = self.state.term
+        self._begin(self.state)
+
+    def _begin(self, state: ReplicatedState) -> None:
+        """Set all volatile state to that of a new process with ``state``."""
+        self.state = state
+        self.epoch = state.epoch
+        self.log = MemoryLog(state.index, state.term)
+        self.term: int = state.term
         self.role = Role.FOLLOWER
         self.leader_id = ""
-        self.commit_index: int = self.state.index
+        self.commit_index: int = state.index
         self._voted_for = ""
         self._votes: set[str] = set()
         self._progress: dict[str, _Progress] = {}
         self._learners: dict[str, wire.Member] = {}
-        self._membership: wire.MembershipChange = self.state.membership
-        self._membership_index: int = self.state.index
+        self._membership: wire.MembershipChange = state.membership
+        self._membership_index: int = state.index
         self._heard_leader_ms = float("-inf")
         self._election_due_ms = float("inf")
         self._heartbeat_due_ms = float("-inf")
@@ -196,6 +202,7 @@
 
         The caller has won the epoch by compare-and-set on the platform.
         """
+        self.epoch = membership.epoch
         self._membership = membership
         self.state.membership = membership
         self._become_candidate(now_ms, transfer=False)
@@ -226,7 +233,11 @@
         return self._take_actions()
 
     def receive(self, sender: str, message: Any, now_ms: float) -> list[Action]:
-        """Handle a message of another replica."""
+        """Handle a message of another replica; one of an older epoch is dropped."""
+        if message.epoch < self.epoch:
+            return []
+        if message.epoch > self.epoch:
+            self._enter_epoch(message.epoch)
         match message:
             case wire.VoteRequest():
                 self._on_vote_request(sender, message, now_ms)
@@ -242,6 +253,19 @@
                 self._on_timeout_now(message, now_ms)
         return self._take_actions()
 
+    def _enter_epoch(self, epoch: int) -> None:
+        """Leave an older epoch, log and vote included, for one that replaced it.
+
+        The new epoch was founded because the old one lost its quorum, so
+        nothing that only this replica remembers can be missed.
+        """
+        was_leader = self.role is Role.LEADER
+        if self.epoch:
+            self._begin(ReplicatedState())
+        self.epoch = epoch
+        if was_leader:
+            self._actions.append(RoleChanged(False, self.term))
+
     def propose(self, commands: Iterable[Command], now_ms: float) -> tuple[list[int], list[Action]]:
         """Append commands to the log.
 
@@ -293,7 +317,7 @@
         best = max(others, key=lambda node_id: self._progress[node_id].match_index)
         term = self.term
         self._step_down(self.term, now_ms)
-        self._actions.append(Send(best, wire.TimeoutNow(term=term)))
+        self._post(best, wire.TimeoutNow(term=term))
         return self._take_actions()
 
     # ---- elections ----------------------------------------------------------
@@ -337,7 +361,7 @@
                 last_term=self.log.last_term,
                 transfer=transfer,
             )
-            self._actions.append(Send(node_id, request))
+            self._post(node_id, request)
 
     def _on_vote_request(self, sender: str, request: wire.VoteRequest, now_ms: float) -> None:
         # A voter that still hears its leader ignores the request, term
@@ -348,7 +372,7 @@
         if request.pre_vote:
             granted = request.term > self.term and self._is_current(request)
             reply = wire.VoteReply(term=request.term, pre_vote=True, granted=granted)
-            self._actions.append(Send(sender, reply))
+            self._post(sender, reply)
             return
         if request.term > self.term:
             self._step_down(request.term, now_ms)
@@ -360,7 +384,7 @@
         if granted:
             self._voted_for = sender
             self._reset_election(now_ms)
-        self._actions.append(Send(sender, wire.VoteReply(term=self.term, granted=granted)))
+        self._post(sender, wire.VoteReply(term=self.term, granted=granted))
 
     def _is_current(self, request: wire.VoteRequest) -> bool:
         theirs = (request.last_term, request.last_index)
@@ -498,7 +522,7 @@
         if entries:
             progress.flight_last = entries[-1].index
             progress.sent_ms = now_ms
-        self._actions.append(Send(node_id, request))
+        self._post(node_id, request)
 
     def _send_snapshot(self, node_id: str, progress: _Progress, now_ms: float) -> None:
         if progress.flight_last and now_ms - progress.sent_ms < self.timing.election_ms:
@@ -508,7 +532,7 @@
         request = wire.SnapshotRequest(
             term=self.term, sent_ms=int(now_ms), snapshot=self.state.snapshot()
         )
-        self._actions.append(Send(node_id, request))
+        self._post(node_id, request)
 
     def _on_append_reply(self, sender: str, reply: wire.AppendReply, now_ms: float) -> None:
         if reply.term > self.term:
@@ -569,7 +593,7 @@
 
     def _on_append_request(self, sender: str, request: wire.AppendRequest, now_ms: float) -> None:
         if request.term < self.term:
-            self._actions.append(Send(sender, wire.AppendReply(term=self.term)))
+            self._post(sender, wire.AppendReply(term=self.term))
             return
         self._follow(sender, request.term, now_ms)
         known = self.log.term_at(request.previous_index)
@@ -598,13 +622,13 @@
         reply = wire.AppendReply(
             term=self.term, success=success, match_index=match_index, echo_ms=echo_ms
         )
-        self._actions.append(Send(sender, reply))
+        self._post(sender, reply)
 
     def _on_snapshot_request(
         self, sender: str, request: wire.SnapshotRequest, now_ms: float
     ) -> None:
         if request.term < self.term:
-            self._actions.append(Send(sender, wire.AppendReply(term=self.term)))
+            self._post(sender, wire.AppendReply(term=self.term))
             return
         self._follow(sender, request.term, now_ms)
         snapshot = request.snapshot
@@ -636,6 +660,11 @@
             self.log.compact(max(self.log.base_index, self.state.index - KEEP_AFTER_COMPACTION))
         return public
 
+    def _post(self, recipient: str, message: Any) -> None:
+        """Queue a message, marked with this replica's epoch."""
+        message.epoch = self.epoch
+        self._actions.append(Send(recipient, message))
+
     def _take_actions(self) -> list[Action]:
         actions, self._actions = self._actions, []
         return actions
--- a/ploverhatch/emulator/platform.py
+++ b/ploverhatch/emulator/platform.py
@@ -14,8 +14,8 @@
 from gevent.event import Event
 
 from ploverhatch.common.problem import HttpReply, json_reply
-from ploverhatch.transport.http_server import HttpServer
-from ploverhatch.transport.wsgi import Environ, as_application, read_json
+from ploverhatch.transport.http_server import AbortConnectionError, HttpServer
+from ploverhatch.transport.wsgi import Environ, as_application, read_json, request_target
 
 HISTORY = 1000
 DEFAULT_MAX_READERS = 16
@@ -32,10 +32,6 @@
     max_readers: int = DEFAULT_MAX_READERS
 
 
-class AnswerWithheldError(Exception):
-    """Ends a connection without an answer."""
-
-
 class ObjectStore:
     """Objects with compare-and-set and a bounded history of changes."""
 
@@ -115,7 +111,8 @@
         gevent.spawn_later(self.faults.machine_lag_ms / 1000, self._shown.pop, name, None)
 
     def _handle(self, environ: Environ) -> HttpReply:
-        path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+        path, _ = request_target(environ)
+        method = environ["REQUEST_METHOD"]
         if path.startswith("/v1/faults"):
             return self._handle_faults(path, environ)
         if self.faults.delay_ms:
@@ -166,7 +163,7 @@
             return json_reply({"current": current}, 412)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            raise AnswerWithheldError
+            raise AbortConnectionError
         return json_reply({**item, "revision": self.store.revision})
 
     def _watch(self, environ: Environ) -> HttpReply:
--- a/ploverhatch/membership/recovery.py
+++ b/ploverhatch/membership/recovery.py
@@ -1,11 +1,17 @@
 """When a new epoch of a cell may be founded. Pure.
 
-A cell lives in memory only, so its voters may all be gone. A node founds a
-new epoch by compare-and-set on the platform's cell object, but only when no
-voter of the old epoch can still act: every recorded voter, other than the
-node itself, must be *proven* dead. Silence proves nothing.
+A cell lives in memory only, so its quorum may be lost for good. A node founds
+a new epoch by compare-and-set on the platform's cell object, but only when
+the old epoch can never act again:
+
+* a voter of the old epoch may found when so many other voters are *proven*
+  dead that no quorum is left, and no survivor has a longer log;
+* any other node may found when every recorded voter is proven dead.
+
+Silence proves nothing: a voter that is cut off or frozen may return.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -16,6 +22,7 @@
     """What asking a voter's address showed."""
 
     ALIVE = "alive"
+    ALIVE_AHEAD = "alive-ahead"  # and its log is longer than ours
     REFUSED = "refused"  # nothing listens: the process that did is gone
     REPLACED = "replaced"  # another process lifetime answers there
     SILENT = "silent"
@@ -35,26 +42,42 @@
     voter_ids: tuple[str, ...]
 
 
+def quorum_is_gone(voters: Collection[str], dead: Collection[str]) -> bool:
+    """Tell whether the voters that may still live are too few to decide."""
+    return len(set(voters) - set(dead)) < len(voters) // 2 + 1
+
+
 @dataclass
 class RecoveryWatch:
     """Collects evidence over time for one cell record."""
 
     node_id: str
     record: CellRecord
-    dead_since_ms: float | None = None
+    may_found_since_ms: float | None = None
 
-    def observe(self, evidence: dict[str, Evidence], now_ms: float) -> bool:
+    def observe(
+        self, evidence: dict[str, Evidence], known_voters: Collection[str], now_ms: float
+    ) -> bool:
         """Take over one round of evidence.
 
+        :param known_voters: the voters by this node's own log, if it votes;
+            they may be newer than the record.
         :returns: whether a new epoch may be founded on this record.
         """
         if self.record.version == 0:
             return True
-        others = [node_id for node_id in self.record.voter_ids if node_id != self.node_id]
-        dead = all(evidence.get(node_id, Evidence.SILENT).proves_death for node_id in others)
-        if not dead:
-            self.dead_since_ms = None
+        if not self._epoch_is_over(evidence, known_voters):
+            self.may_found_since_ms = None
+            return False
+        if self.may_found_since_ms is None:
+            self.may_found_since_ms = now_ms
+        return now_ms - self.may_found_since_ms >= PROOF_SPAN_MS
+
+    def _epoch_is_over(self, evidence: dict[str, Evidence], known_voters: Collection[str]) -> bool:
+        dead = {node_id for node_id, found in evidence.items() if found.proves_death}
+        recorded = self.record.voter_ids
+        if self.node_id not in recorded:
+            return dead >= set(recorded)
+        if Evidence.ALIVE_AHEAD in evidence.values():
             return False
-        if self.dead_since_ms is None:
-            self.dead_since_ms = now_ms
-        return now_ms - self.dead_since_ms >= PROOF_SPAN_MS
+        return quorum_is_gone(recorded, dead) and quorum_is_gone(known_voters, dead)
--- a/ploverhatch/node/bootstrap.py
+++ b/ploverhatch/node/bootstrap.py
@@ -11,7 +11,7 @@
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.membership.recovery import CellRecord, Evidence, RecoveryWatch
 from ploverhatch.node.control import ControlTask, FoundCell
-from ploverhatch.node.platform_sync import KIND_CELL, cell_body
+from ploverhatch.node.platform_sync import KIND_CELL, cell_body, member_to_json
 from ploverhatch.node.view import StateView
 from ploverhatch.platform.interface import (
     ChangeUnknownError,
@@ -110,32 +110,38 @@
     def _evidence(self, row: dict[str, object]) -> Evidence:
         address = (str(row["host"]), int(str(row["port"])))
         try:
-            envelope, _ = self._network.request(
+            envelope, reply = self._network.request(
                 address, "", wire.WhoRequest(ask=True), ASK_TIMEOUT_S
             )
         except PeerRefusedError:
             return Evidence.REFUSED
         except PeerUnreachableError:
             return Evidence.SILENT
-        return Evidence.ALIVE if envelope.sender == row["node_id"] else Evidence.REPLACED
+        if envelope.sender != row["node_id"]:
+            return Evidence.REPLACED
+        return self._compare_logs(reply)
+
+    def _compare_logs(self, reply: object) -> Evidence:
+        log = self._control.replica.log
+        mine = (log.last_term, log.last_index)
+        ahead = isinstance(reply, wire.StatusReply) and (reply.last_term, reply.last_index) > mine
+        return Evidence.ALIVE_AHEAD if ahead else Evidence.ALIVE
 
     # ---- founding --------------------------------------------------------------
 
     def _consider_founding(self, record: StoredObject) -> None:
-        rows = record.body["voters"]
-        cell_record = CellRecord(
-            record.version,
-            int(record.body["epoch"]),
-            tuple(str(row["node_id"]) for row in rows),
-        )
+        rows = {str(row["node_id"]): row for row in record.body["voters"]}
+        cell_record = CellRecord(record.version, int(record.body["epoch"]), tuple(rows))
         if self._watch is None or self._watch.record != cell_record:
             self._watch = RecoveryWatch(self._member.node_id, cell_record)
+        known = self._control.replica.voters
+        rows |= {node_id: member_to_json(member) for node_id, member in known.items()}
         evidence = {
-            str(row["node_id"]): self._evidence(row)
-            for row in rows
-            if row["node_id"] != self._member.node_id
+            node_id: self._evidence(row)
+            for node_id, row in rows.items()
+            if node_id != self._member.node_id
         }
-        if self._watch.observe(evidence, elapsed_ms()):
+        if self._watch.observe(evidence, tuple(known), elapsed_ms()):
             self._found(record, cell_record)
 
     def _found(self, record: StoredObject, cell_record: CellRecord) -> None:
--- a/ploverhatch/node/observer.py
+++ b/ploverhatch/node/observer.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -28,7 +29,18 @@
 class ObserverTask:
     """Subscribes to one parent at a time while the node is no replica."""
 
-    def __init__(self, member: wire.Member, view: StateView, network: PeerNetwork) -> None:
+    def __init__(
+        self,
+        member: wire.Member,
+        view: StateView,
+        network: PeerNetwork,
+        votes: Callable[[], bool],
+    ) -> None:
+        """Set up the task.
+
+        :param votes: tells whether the node is a voter, which needs no stream.
+        """
+        self._votes = votes
         self._member = member
         self._view = view
         self._network = network
@@ -66,7 +78,7 @@
 
     def _run(self) -> None:
         while True:
-            if self._replicates():
+            if self._votes():
                 gevent.sleep(SILENCE_MS / 1000)
                 continue
             if not self._subscribe():
@@ -74,16 +86,12 @@
                 continue
             self._follow_parent()
 
-    def _replicates(self) -> bool:
-        voters = {item.node_id for item in self._view.state.membership.voters}
-        return self._member.node_id in voters
-
     def _follow_parent(self) -> None:
         self._broken.clear()
         while elapsed_ms() - self._heard_ms < SILENCE_MS:
             if self._broken.wait(SILENCE_MS / 3000):
                 return
-            if self._replicates():
+            if self._votes():
                 return
 
     def _subscribe(self) -> bool:
--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -116,7 +116,9 @@
         self.router = Router(
             self.view, self.records, settings.limits, open_backend, self.metrics.router
         )
-        self.observer = ObserverTask(self.member, self.view, self.network)
+        self.observer = ObserverTask(
+            self.member, self.view, self.network, lambda: self.control.replica.is_voter
+        )
         self.platform_sync = PlatformSync(
             self.store,
             self.control,
@@ -214,12 +216,15 @@
         return None
 
     def _status_reply(self, accepted: bool) -> wire.StatusReply:
+        log = self.control.replica.log
         return wire.StatusReply(
             leader_id=self._known_leader(),
             voters=list(self.view.state.membership.voters),
             epoch=self.view.state.epoch,
             accepted=accepted,
             children=len(self.view.feeds),
+            last_term=log.last_term,
+            last_index=log.last_index,
         )
 
     def _subscribe(self, connection: Connection, request: wire.Subscribe) -> Any:
--- a/ploverhatch/node/router.py
+++ b/ploverhatch/node/router.py
@@ -51,7 +51,13 @@
 from ploverhatch.state.configuration import ServerSpec
 from ploverhatch.state.records import ClaimResult
 from ploverhatch.transport import wire
-from ploverhatch.transport.wsgi import BodyTooLargeError, Environ, read_body, request_headers
+from ploverhatch.transport.wsgi import (
+    BodyTooLargeError,
+    Environ,
+    read_body,
+    request_headers,
+    request_target,
+)
 
 DEADLINE_HEADER = "request-deadline-ms"
 IDEMPOTENCY_HEADER = "idempotency-key"
@@ -178,13 +184,12 @@
         policy = self._view.policy
         if policy is None:
             raise RefusedError(results.NOT_READY)
-        path = environ["PATH_INFO"]
+        path, query = request_target(environ)
         match = policy.match(environ["REQUEST_METHOD"], path)
         if match is None:
             raise RefusedError(results.NO_ROUTE)
         route = match.route
         headers = request_headers(environ)
-        query = environ.get("QUERY_STRING", "")
         key = extract_key(match, query, headers)
         if not key:
             raise RefusedError(results.KEY_MISSING, f"{route.key_source} {route.key_name}")
@@ -192,14 +197,11 @@
         if route.once and not 0 < len(idempotency_key) <= MAX_IDEMPOTENCY_KEY:
             raise RefusedError(results.IDEMPOTENCY_KEY_MISSING)
         deadline_ms = now_ms + self._deadline(headers, route)
-        target = environ.get("RAW_PATH") or environ.get("REQUEST_URI") or path
-        if query and "?" not in target:
-            target = f"{target}?{query}"
         return Call(
             route=route,
             key=key,
             key_hash=hash_key(route.group, key),
-            target=target,
+            target=f"{path}?{query}" if query else path,
             headers=tuple(item for item in headers.items() if item[0] not in _DROPPED_HEADERS),
             body=read_body(environ, self._limits.body_bytes),
             idempotency_key=idempotency_key,
--- a/ploverhatch/platform/http_store.py
+++ b/ploverhatch/platform/http_store.py
@@ -25,6 +25,7 @@
 
 CONNECTIONS = 8
 CALL_TIMEOUT_S = 2.0
+_REFUSED_STATUSES = frozenset({400, 404, 429, 503})
 
 
 def _stored(item: dict[str, Any]) -> StoredObject:
@@ -108,8 +109,11 @@
         if answer.status == 412:
             current = answer.json().get("current")
             raise VersionConflictError(_stored(current) if current else None)
-        if answer.status != 200:
+        if answer.status in _REFUSED_STATUSES:
             raise StoreUnavailableError(f"status {answer.status}")
+        if answer.status != 200:
+            # Any other failure may have come after the change took effect.
+            raise ChangeUnknownError(f"status {answer.status}")
         return answer
 
 
--- a/ploverhatch/simulation/cluster.py
+++ b/ploverhatch/simulation/cluster.py
@@ -164,6 +164,19 @@
         key = (group, hash_key(group, f"k{chooser.randrange(KEYS_PER_GROUP)}"))
         self._send(key, f"once-{self._requests}" if once else "", MAX_REPEATS)
 
+    def request_every_key(self) -> list[tuple[str, int]]:
+        """Send a request for each key; return the keys."""
+        keys = [
+            (group, hash_key(group, f"k{number}"))
+            for group in ("permits", "reads")
+            for number in range(KEYS_PER_GROUP)
+        ]
+        for group, key_hash in keys:
+            self._requests += 1
+            once = f"once-{self._requests}" if group == "permits" else ""
+            self._send((group, key_hash), once, MAX_REPEATS)
+        return keys
+
     def _send(self, key: tuple[str, int], idempotency_key: str, repeats: int) -> None:
         """Send through some node; repeat with the same key unless it is done."""
         name = self.world.random.choice(list(self.nodes))
--- a/ploverhatch/simulation/faults.py
+++ b/ploverhatch/simulation/faults.py
@@ -195,8 +195,9 @@
     world.faults.loss = world.faults.repeat = world.faults.late = 0.0
     world.run_until(SETTLE_MS + FAULTY_MS + HEAL_MS)
     since_ms = world.now_ms
+    keys = cluster.request_every_key()
     world.run_until(since_ms + QUIET_MS)
-    unserved = sorted(key for key in _all_keys(cluster) if cluster.served.get(key, 0.0) < since_ms)
+    unserved = [key for key in keys if cluster.served.get(key, 0.0) < since_ms]
     return Verdict(
         seed=seed,
         violations=tuple(cluster.checker.violations),
@@ -204,7 +205,3 @@
         runs=len(cluster.checker.runs),
         outcomes=dict(cluster.outcomes),
     )
-
-
-def _all_keys(cluster: Cluster) -> set[tuple[str, int]]:
-    return set(cluster.served) | {run.key for run in cluster.checker.runs}
--- a/ploverhatch/simulation/node.py
+++ b/ploverhatch/simulation/node.py
@@ -119,8 +119,15 @@
             self._watch = RecoveryWatch(self.node_id, record)
         if now_ms - self._leader_heard_ms < LEADERLESS_MS and record.version:
             return
-        evidence = {voter: self._evidence(voter) for voter in record.voter_ids}
-        if self._watch.observe(evidence, now_ms) and platform.found(record.version, self.node_id):
+        known = tuple(self.core.replica.voters)
+        evidence = {
+            voter: self._evidence(voter)
+            for voter in dict.fromkeys((*record.voter_ids, *known))
+            if voter != self.node_id
+        }
+        if self._watch.observe(evidence, known, now_ms) and platform.found(
+            record.version, self.node_id
+        ):
             survived = self.node_id in record.voter_ids
             membership = wire.MembershipChange(epoch=record.epoch + 1, voters=[self.member])
             self.act(self.core.found_cell(membership, survived, now_ms))
@@ -133,9 +140,14 @@
         if (self.zone, current.zone) in cuts or (current.zone, self.zone) in cuts:
             return Evidence.SILENT
         if current.node_id == node_id:
-            return Evidence.SILENT if current.frozen else Evidence.ALIVE
+            return Evidence.SILENT if current.frozen else self._compare_logs(current)
         return Evidence.REPLACED
 
+    def _compare_logs(self, other: "SimulatedNode") -> Evidence:
+        mine, theirs = self.core.replica.log, other.core.replica.log
+        ahead = (theirs.last_term, theirs.last_index) > (mine.last_term, mine.last_index)
+        return Evidence.ALIVE_AHEAD if ahead else Evidence.ALIVE
+
     # ---- messages and actions ----------------------------------------------------------
 
     def take(self, sender: str, message: Any) -> None:
--- a/ploverhatch/transport/http_client.py
+++ b/ploverhatch/transport/http_client.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http.client import HTTPException
 from typing import Any
 
 import gevent
@@ -120,7 +121,7 @@
             if sent:
                 raise AnswerLostError("no answer in time", timed_out=True) from error
             raise NotSentError("no connection in time") from error
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, HTTPException) as error:
             self._discard(sock)
             if sent:
                 raise AnswerLostError(str(error)) from error
--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -19,6 +19,13 @@
 MAX_CONNECTIONS = 10_000
 
 
+TARGET_KEY = "ploverhatch.target"
+
+
+class AbortConnectionError(Exception):
+    """Raised by an application to end the connection without an answer."""
+
+
 class AmbiguousLengthError(ValueError):
     """The header fields do not state one length of the body."""
 
@@ -57,6 +64,20 @@
         )
         return headers
 
+    def get_environ(self) -> dict[str, Any]:
+        """Add the request target as it was sent; ``PATH_INFO`` is decoded."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[TARGET_KEY] = self.path
+        return environ
+
+    def run_application(self) -> None:
+        """Run the application; it may abort the connection."""
+        try:
+            super().run_application()
+        except AbortConnectionError:
+            self.close_connection = True
+            self.socket.close()
+
     def handle_one_response(self) -> None:
         """Serve one request, and note that the connection is busy."""
         server: HttpServer = self.server
--- a/ploverhatch/transport/wire.py
+++ b/ploverhatch/transport/wire.py
@@ -130,6 +130,7 @@
 @dataclass
 class VoteRequest(betterproto.Message):
     term: int = betterproto.uint64_field(1)
+    epoch: int = betterproto.uint64_field(15)
     pre_vote: bool = betterproto.bool_field(2)
     last_index: int = betterproto.uint64_field(3)
     last_term: int = betterproto.uint64_field(4)
@@ -139,6 +140,7 @@
 @dataclass
 class VoteReply(betterproto.Message):
     term: int = betterproto.uint64_field(1)
+    epoch: int = betterproto.uint64_field(15)
     pre_vote: bool = betterproto.bool_field(2)
     granted: bool = betterproto.bool_field(3)
 
@@ -146,6 +148,7 @@
 @dataclass
 class AppendRequest(betterproto.Message):
     term: int = betterproto.uint64_field(1)
+    epoch: int = betterproto.uint64_field(15)
     previous_index: int = betterproto.uint64_field(2)
     previous_term: int = betterproto.uint64_field(3)
     commit_index: int = betterproto.uint64_field(4)
@@ -156,6 +159,7 @@
 @dataclass
 class AppendReply(betterproto.Message):
     term: int = betterproto.uint64_field(1)
+    epoch: int = betterproto.uint64_field(15)
     success: bool = betterproto.bool_field(2)
     match_index: int = betterproto.uint64_field(3)
     echo_ms: int = betterproto.uint64_field(4)
@@ -164,6 +168,7 @@
 @dataclass
 class SnapshotRequest(betterproto.Message):
     term: int = betterproto.uint64_field(1)
+    epoch: int = betterproto.uint64_field(15)
     sent_ms: int = betterproto.uint64_field(2)
     snapshot: "Snapshot" = betterproto.message_field(3)
 
@@ -171,6 +176,7 @@
 @dataclass
 class TimeoutNow(betterproto.Message):
     term: int = betterproto.uint64_field(1)
+    epoch: int = betterproto.uint64_field(15)
 
 
 @dataclass
@@ -203,6 +209,8 @@
     epoch: int = betterproto.uint64_field(3)
     accepted: bool = betterproto.bool_field(4)
     children: int = betterproto.uint32_field(5)
+    last_term: int = betterproto.uint64_field(6)
+    last_index: int = betterproto.uint64_field(7)
 
 
 @dataclass
--- a/ploverhatch/transport/wsgi.py
+++ b/ploverhatch/transport/wsgi.py
@@ -4,8 +4,10 @@
 import json
 from collections.abc import Callable, Iterable
 from typing import Any
+from urllib.parse import urlsplit
 
 from ploverhatch.common.problem import HttpReply
+from ploverhatch.transport.http_server import TARGET_KEY
 
 Environ = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -58,6 +60,16 @@
     return headers
 
 
+def request_target(environ: Environ) -> tuple[str, str]:
+    """Return path and query as they were sent, still percent-encoded."""
+    target = str(environ[TARGET_KEY])
+    if not target.startswith("/"):
+        parts = urlsplit(target)
+        return parts.path or "/", parts.query
+    path, _, query = target.partition("?")
+    return path, query
+
+
 def as_application(handler: Callable[[Environ], HttpReply]) -> Application:
     """Wrap a function from environ to reply as a WSGI application."""
 
