Weigh placement against baselines; keep old grants from coming back

Cause of churn found by the new experiment (fluid model in virtual time over the product's plan()): moves chased the chance in one-second counts. Rates are smoothed over 8 s now and an excess below 3.5 deviations of a Poisson count is left alone.

Only a full call made after the loss fulfils the need now. Ruled out: founding of the epoch, lease arithmetic.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements over separate processes. Figures are ratios within one run."""
--- a/ploverhatch/cli/emulator.py
+++ b/ploverhatch/cli/emulator.py
@@ -4,6 +4,7 @@
 
 from ploverhatch.cli.running import run_until_signal, say_ready, start_logging
 from ploverhatch.emulator.backend import BackendBehaviour, BackendEmulator
+from ploverhatch.emulator.hop import BareHop
 from ploverhatch.emulator.platform import PlatformEmulator
 
 
@@ -37,3 +38,15 @@
     service = BackendEmulator(name, (host, port), behaviour)
     say_ready(name=name, port=service.port)
     run_until_signal(service.close)
+
+
+@emulator.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, show_default=True, help="0: any free port.")
+@click.option("--target-port", type=int, required=True)
+def hop(host: str, port: int, target_port: int) -> None:
+    """Run a hop without any routing, the baseline of `benchmarks/hop.py`."""
+    start_logging(False)
+    service = BareHop((host, port), (host, target_port))
+    say_ready(port=service.port)
+    run_until_signal(service.close)
--- a/ploverhatch/cli/main.py
+++ b/ploverhatch/cli/main.py
@@ -6,6 +6,7 @@
 from ploverhatch.cli.ctl import ctl
 from ploverhatch.cli.demo import demo
 from ploverhatch.cli.emulator import emulator
+from ploverhatch.cli.experiment import experiment
 from ploverhatch.cli.load import load
 from ploverhatch.cli.node import node
 from ploverhatch.cli.policy import policy
@@ -22,5 +23,5 @@
     """
 
 
-for command in (node, policy, ctl, emulator, load, demo, simulate):
+for command in (node, policy, ctl, emulator, load, demo, simulate, experiment):
     main.add_command(command)
--- a/ploverhatch/common/results.py
+++ b/ploverhatch/common/results.py
@@ -94,6 +94,10 @@
     3003, "RUN_IN_PROGRESS", 409, _UNKNOWN, True, "An earlier run has no recorded answer."
 )
 
+RECORDS_LOST = _row(
+    3004, "RECORDS_LOST", 503, _UNKNOWN, True, "Records were lost; an earlier try may have run."
+)
+
 CHANGE_ACCEPTED = _row(4000, "CHANGE_ACCEPTED", 200, _DONE, False, "The change is stored.")
 CHANGE_CONFLICT = _row(
     4001, "CHANGE_CONFLICT", 412, _NOT_RUN, False, "The object changed meanwhile."
--- a/ploverhatch/common/timing.py
+++ b/ploverhatch/common/timing.py
@@ -26,6 +26,7 @@
     execution_grace_ms: float = 100.0
     voter_loss_ms: float = 3000.0
     record_retention_ms: float = 900_000.0
+    repeat_window_ms: float = 60_000.0
 
     @property
     def leader_lease_ms(self) -> float:
--- a/ploverhatch/control/core.py
+++ b/ploverhatch/control/core.py
@@ -209,6 +209,8 @@
         :param survived: it voted in the last epoch and keeps that log.
         """
         self._recorded = frozenset(item.node_id for item in membership.voters)
+        if membership.epoch > FIRST_EPOCH:
+            membership.refuse_claims_ms = int(self._timing.repeat_window_ms)
         if survived:
             actions = self.replica.refound(membership, now_ms)
         else:
--- a/ploverhatch/emulator/backend.py
+++ b/ploverhatch/emulator/backend.py
@@ -42,6 +42,7 @@
     reported_load: float = -1.0  # negative: the true load
     draining: bool = False
     refuse: bool = False
+    open: bool = False  # runs requests without a token, for baselines
 
 
 @dataclass(frozen=True)
@@ -187,6 +188,8 @@
             return self._refuse(Refusal.CANCELLED)
         started_ms = clock_ms()
         verdict = self.book.judge(group, key_hash, token, started_ms, not_after_ms)
+        if self.behaviour.open and not token:
+            verdict = Verdict.EXECUTE
         if verdict is not Verdict.EXECUTE:
             return self._refuse(Refusal(verdict.value))
         self._running.add(request_id)
--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -67,6 +67,7 @@
         lease_ms=timing.lease_ms,
         renew_ms=timing.renew_ms,
         record_retention_ms=timing.record_retention_ms,
+        repeat_window_ms=timing.repeat_window_ms,
     )
 
 
--- a/ploverhatch/node/router.py
+++ b/ploverhatch/node/router.py
@@ -271,6 +271,8 @@
         """Answer a repeat of a request that was claimed before."""
         if outcome is ClaimResult.MISMATCH:
             raise RefusedError(results.KEY_REUSED)
+        if outcome is ClaimResult.LOST:
+            raise RefusedError(results.RECORDS_LOST)
         if outcome is ClaimResult.HELD:
             raise RefusedError(results.RUN_IN_PROGRESS)
         result = results.REPEATED_ANSWER
--- a/ploverhatch/ownership/controller.py
+++ b/ploverhatch/ownership/controller.py
@@ -69,6 +69,7 @@
     due_ms: float = float("-inf")
     failures: int = 0
     needs_full: bool = True
+    full_above: int = 0  # only a full call with a higher sequence will do
     draining: bool = False
     call: SyncRequest | None = None
     grants: dict[SliceRange, int] = field(default_factory=dict)
@@ -356,6 +357,7 @@
         self._founding = False
         for session in self.sessions.values():
             session.needs_full = True
+            session.full_above = self._sequence
 
     def _forget_grants_of(self, server: str, span: SliceRange) -> None:
         """Have the next call replace all grants of a server that loses a slice.
@@ -367,6 +369,9 @@
         session = self.sessions.get(server)
         if session is not None:
             session.needs_full = True
+            # A call on its way may still list the lost slice, or renew without
+            # replacing: its answer does not fulfil the need.
+            session.full_above = self._sequence
             _drop_pending(session, span)
 
     def _source_gone(self, span: SliceRange, move: Move, now_ms: float) -> bool:
@@ -440,7 +445,8 @@
         reply: SyncReply,
         now_ms: float,
     ) -> None:
-        session.needs_full = False
+        if request.full and request.sequence > session.full_above:
+            session.needs_full = False
         for grant in request.grants:
             if session.grants.get(grant.range) == grant.token:
                 del session.grants[grant.range]
--- a/ploverhatch/ownership/placement.py
+++ b/ploverhatch/ownership/placement.py
@@ -17,6 +17,8 @@
 from ploverhatch.state.assignment import AssignmentTable, Slice
 from ploverhatch.state.configuration import ServerSpec
 
+SOURCES_TRIED = 4
+
 
 class Condition(Enum):
     """What the control leader knows of a server."""
@@ -35,6 +37,8 @@
     hold_ms: float = 10_000.0
     imbalance_target: float = 1.08
     gain_floor: float = 0.02  # least cut of the busiest server, of the mean
+    noise_deviations: float = 3.5  # a lesser excess may be chance
+    smoothing_ms: float = 8000.0  # time constant of the measured rates
     hot_key_fraction: float = 0.25  # of a server's mean load
 
 
@@ -164,10 +168,15 @@
     return Target(item.range, server, reason)
 
 
+def _largest_first(plan_: _GroupPlan) -> list[Slice]:
+    """Return slices by load: small ones placed last even the servers out."""
+    return sorted(plan_.slices, key=lambda item: -plan_.slice_load(item.range))
+
+
 def _replace_lost(plan_: _GroupPlan) -> list[Target]:
     conditions = plan_.view.conditions
     found = []
-    for item in plan_.slices:
+    for item in _largest_first(plan_):
         if item.range in plan_.view.moving:
             continue
         orphan = not item.server or conditions.get(item.server) is Condition.LOST
@@ -179,7 +188,7 @@
 def _leave_drained(plan_: _GroupPlan) -> list[Target]:
     conditions = plan_.view.conditions
     found = []
-    for item in plan_.slices:
+    for item in _largest_first(plan_):
         if item.range in plan_.view.moving:
             continue
         condition = conditions.get(item.server)
@@ -234,22 +243,56 @@
 def _best_move(
     plan_: _GroupPlan, limits: PlacementLimits, now_ms: float, taken: set[SliceRange]
 ) -> Target | None:
+    """Return the most useful move from the busiest server that has one.
+
+    A server that is busy with a single hot key can not be relieved, so the
+    next busiest ones are looked at as well.
+    """
     mean = plan_.mean()
-    busiest = max(plan_.capacity, key=lambda name: (plan_.utilization(name), name))
-    idlest = min(plan_.capacity, key=lambda name: (plan_.utilization(name), name))
-    high, low = plan_.utilization(busiest), plan_.utilization(idlest)
-    if mean <= 0 or high < limits.imbalance_target * mean:
+    if mean <= 0:
         return None
+    threshold = max(limits.imbalance_target, 1 + limits.noise_deviations * _noise(plan_, limits))
+    idlest = min(plan_.capacity, key=lambda name: (plan_.utilization(name), name))
+    by_load = sorted(plan_.capacity, key=lambda name: (-plan_.utilization(name), name))
+    for source in by_load[:SOURCES_TRIED]:
+        if plan_.utilization(source) < threshold * mean:
+            return None
+        target = _relieve(plan_, limits, source, idlest, now_ms, taken)
+        if target is not None:
+            return target
+    return None
+
+
+def _noise(plan_: _GroupPlan, limits: PlacementLimits) -> float:
+    """Return the relative deviation of a server's measured load by chance.
+
+    Counts of independent requests vary with their square root; smoothing with
+    time constant T averages over about 2 T.
+    """
+    mean_rate = sum(plan_.load[name] for name in plan_.capacity) / len(plan_.capacity)
+    counted = mean_rate * 2 * limits.smoothing_ms / 1000
+    return float(max(counted, 1.0) ** -0.5)
+
+
+def _relieve(
+    plan_: _GroupPlan,
+    limits: PlacementLimits,
+    source: str,
+    idlest: str,
+    now_ms: float,
+    taken: set[SliceRange],
+) -> Target | None:
+    high, low = plan_.utilization(source), plan_.utilization(idlest)
     best: tuple[float, SliceRange, float, str] | None = None
-    for span, amount, reason in _movable(plan_, limits, busiest, now_ms, taken):
-        after = max(high - amount / plan_.capacity[busiest], low + amount / plan_.capacity[idlest])
+    for span, amount, reason in _movable(plan_, limits, source, now_ms, taken):
+        after = max(high - amount / plan_.capacity[source], low + amount / plan_.capacity[idlest])
         gain = high - after
         if best is None or gain > best[0]:
             best = (gain, span, amount, reason)
-    if best is None or best[0] < limits.gain_floor * mean:
+    if best is None or best[0] < limits.gain_floor * plan_.mean():
         return None
     _, span, amount, reason = best
-    plan_.shift(amount, busiest, idlest)
+    plan_.shift(amount, source, idlest)
     return Target(span, idlest, reason)
 
 
--- a/ploverhatch/routing/load_meter.py
+++ b/ploverhatch/routing/load_meter.py
@@ -4,13 +4,14 @@
 frequent items), so memory does not depend on the number of keys.
 """
 
+import math
 from collections import Counter
 
 import datasketches
 
 SKETCH_SIZE_LOG2 = 10
 HOT_KEYS_REPORTED = 64
-SMOOTHING = 0.4
+SMOOTHING_MS = 8000.0  # time constant of the rates
 FORGET_BELOW = 0.05  # requests per second
 
 Rates = dict[tuple[str, int], float]  # (group, hash) to requests per second
@@ -50,17 +51,23 @@
             for item in hot[:HOT_KEYS_REPORTED]
         }
         slices = {identity: count / span_s for identity, count in self._counts.items()}
-        self._slices = _smooth(self._slices, slices)
-        self._keys = _smooth(self._keys, keys)
+        weight = smoothing_weight(span_s * 1000)
+        self._slices = _smooth(self._slices, slices, weight)
+        self._keys = _smooth(self._keys, keys, weight)
         self._counts.clear()
         self._sketch = datasketches.frequent_strings_sketch(SKETCH_SIZE_LOG2)
         self._since_ms = now_ms
         return self._slices, self._keys
 
 
-def _smooth(old: Rates, new: Rates) -> Rates:
+def smoothing_weight(span_ms: float) -> float:
+    """Return the weight of a new sample that covers ``span_ms``."""
+    return 1 - math.exp(-span_ms / SMOOTHING_MS)
+
+
+def _smooth(old: Rates, new: Rates, weight: float) -> Rates:
     mixed = {
-        identity: old.get(identity, 0.0) * (1 - SMOOTHING) + new.get(identity, 0.0) * SMOOTHING
+        identity: old.get(identity, 0.0) * (1 - weight) + new.get(identity, 0.0) * weight
         for identity in set(old) | set(new)
     }
     return {identity: rate for identity, rate in mixed.items() if rate >= FORGET_BELOW}
--- a/ploverhatch/settings/model.py
+++ b/ploverhatch/settings/model.py
@@ -61,6 +61,7 @@
     heartbeat_ms: float = Field(default=100, ge=5, le=5_000)
     status_ms: float = Field(default=500, ge=50, le=10_000)
     record_retention_ms: float = Field(default=900_000, ge=60_000, le=86_400_000)
+    repeat_window_ms: float = Field(default=60_000, ge=1_000, le=86_400_000)
     drain_limit_ms: float = Field(default=10_000, ge=0, le=600_000)
     drain_linger_ms: float = Field(default=500, ge=0, le=60_000)
 
--- a/ploverhatch/simulation/cluster.py
+++ b/ploverhatch/simulation/cluster.py
@@ -23,6 +23,8 @@
 REQUEST_MS = 40.0
 REPEAT_MS = 500.0
 MAX_REPEATS = 4
+REPEAT_WINDOW_MS = 6000.0
+LONGEST_REQUEST_MS = 2600.0
 POLICY = """
 group reads { slices 4; draw share 0.6 from servers; }
 group permits { priority 1; slices 4; draw share 0.4 from servers; }
@@ -77,7 +79,7 @@
         self.world = World(seed)
         self.checker = Checker()
         self.platform = SimulatedPlatform()
-        self.timing = ControlTiming()
+        self.timing = ControlTiming(repeat_window_ms=REPEAT_WINDOW_MS)
         self.limits = PlacementLimits(hold_ms=2000.0)
         self.nodes: dict[str, SimulatedNode] = {}
         self.routers: dict[str, SimulatedRouter] = {}
@@ -177,8 +179,19 @@
             self._send((group, key_hash), once, MAX_REPEATS)
         return keys
 
-    def _send(self, key: tuple[str, int], idempotency_key: str, repeats: int) -> None:
-        """Send through some node; repeat with the same key unless it is done."""
+    def _send(
+        self,
+        key: tuple[str, int],
+        idempotency_key: str,
+        repeats: int,
+        until_ms: float = 0.0,
+    ) -> None:
+        """Send through some node; repeat with the same key unless it is done.
+
+        Repeats keep to the window in which callers may repeat: after an epoch
+        was lost, claims are refused for as long.
+        """
+        until_ms = until_ms or self.world.now_ms + REPEAT_WINDOW_MS - LONGEST_REQUEST_MS
         name = self.world.random.choice(list(self.nodes))
         node, router = self.nodes[name], self.routers[name]
 
@@ -186,10 +199,10 @@
             self.outcomes[result] += 1
             if outcome is Outcome.DONE:
                 self.served[key] = self.world.now_ms
-            elif idempotency_key and repeats:
+            elif idempotency_key and repeats and self.world.now_ms < until_ms:
                 self.world.after(
                     REPEAT_MS * self.world.random.random(),
-                    lambda: self._send(key, idempotency_key, repeats - 1),
+                    lambda: self._send(key, idempotency_key, repeats - 1, until_ms),
                 )
 
         node.do(lambda: router.serve(key, idempotency_key, answered))
--- a/ploverhatch/state/records.py
+++ b/ploverhatch/state/records.py
@@ -28,6 +28,7 @@
     MISMATCH = 4
     ABSENT = 5
     NOT_LEADER = 6
+    LOST = 7  # an earlier run may have been forgotten with the last epoch
 
 
 @dataclass
@@ -35,10 +36,13 @@
     """Records by idempotency key, in the order in which they were claimed."""
 
     records: dict[str, wire.RecordState] = field(default_factory=dict)
+    refuse_until_ms: int = 0  # on the replicated clock
 
     def claim(self, command: wire.RecordClaim, clock_ms: int) -> ClaimResult:
         """Claim a run. Repeating one's own claim succeeds again."""
         record = self.records.get(command.record_id)
+        if record is None and clock_ms < self.refuse_until_ms:
+            return ClaimResult.LOST
         if record is None:
             self.records[command.record_id] = wire.RecordState(
                 record_id=command.record_id,
--- a/ploverhatch/state/replicated.py
+++ b/ploverhatch/state/replicated.py
@@ -44,7 +44,7 @@
             case wire.AssignmentChange():
                 self._apply_assignment(command, make_token(self.epoch, self.index))
             case wire.MembershipChange():
-                self.membership = command
+                self._apply_membership(command)
             case wire.RecordClaim():
                 return self.records.claim(command, self.clock_ms)
             case wire.RecordComplete():
@@ -55,6 +55,11 @@
                 self.records.expire(command.before_ms)
         return None
 
+    def _apply_membership(self, change: wire.MembershipChange) -> None:
+        self.membership = change
+        if change.refuse_claims_ms:
+            self.records.refuse_until_ms = self.clock_ms + change.refuse_claims_ms
+
     def _apply_assignment(self, change: wire.AssignmentChange, token: int) -> None:
         for item in change.slices:
             span = SliceRange(item.group, item.first, item.last)
@@ -84,6 +89,7 @@
                 for item in self.assignments
             ],
             records=records,
+            refuse_until_ms=self.records.refuse_until_ms,
         )
 
 
@@ -101,6 +107,7 @@
     for part in snapshot.slices:
         span = SliceRange(part.group, part.first, part.last)
         state.assignments.put(Slice(span, part.server, part.token))
+    state.records.refuse_until_ms = snapshot.refuse_until_ms
     for record in snapshot.records:
         state.records.records[record.record_id] = record
     return state
--- a/ploverhatch/transport/wire.py
+++ b/ploverhatch/transport/wire.py
@@ -59,6 +59,9 @@
 class MembershipChange(betterproto.Message):
     epoch: int = betterproto.uint64_field(1)
     voters: List["Member"] = betterproto.message_field(2)
+    # Set when an epoch is founded after another was lost: no claims are taken
+    # for this long, since the lost log may have held them.
+    refuse_claims_ms: int = betterproto.uint64_field(3)
 
 
 @dataclass
@@ -125,6 +128,7 @@
     objects: List["ObjectChange"] = betterproto.message_field(6)
     slices: List["SliceAssignment"] = betterproto.message_field(7)
     records: List["RecordState"] = betterproto.message_field(8)
+    refuse_until_ms: int = betterproto.uint64_field(9)
 
 
 @dataclass
