--- a/ploverhatch/cli/main.py
+++ b/ploverhatch/cli/main.py
@@ -3,6 +3,7 @@
 import click
 
 from ploverhatch import __version__
+from ploverhatch.cli.bench import bench
 from ploverhatch.cli.ctl import ctl
 from ploverhatch.cli.demo import demo
 from ploverhatch.cli.emulator import emulator
@@ -23,5 +24,5 @@
     """
 
 
-for command in (node, policy, ctl, emulator, load, demo, simulate, experiment):
+for command in (node, policy, ctl, emulator, load, demo, simulate, experiment, bench):
     main.add_command(command)
--- a/ploverhatch/membership/recovery.py
+++ b/ploverhatch/membership/recovery.py
@@ -23,6 +23,7 @@
 
     ALIVE = "alive"
     ALIVE_AHEAD = "alive-ahead"  # and its log is longer than ours
+    ALIVE_SAME = "alive-same"  # and it knows the same voters as we do
     REFUSED = "refused"  # nothing listens: the process that did is gone
     REPLACED = "replaced"  # another process lifetime answers there
     SILENT = "silent"
@@ -80,4 +81,6 @@
             return dead >= set(recorded)
         if Evidence.ALIVE_AHEAD in evidence.values():
             return False
-        return quorum_is_gone(recorded, dead) and quorum_is_gone(known_voters, dead)
+        # A survivor that knows our voters does not act under the recorded ones.
+        agreed = {node_id for node_id, found in evidence.items() if found is Evidence.ALIVE_SAME}
+        return quorum_is_gone(known_voters, dead) and quorum_is_gone(recorded, dead | agreed)
--- a/ploverhatch/node/bootstrap.py
+++ b/ploverhatch/node/bootstrap.py
@@ -122,10 +122,14 @@
         return self._compare_logs(reply)
 
     def _compare_logs(self, reply: object) -> Evidence:
-        log = self._control.replica.log
-        mine = (log.last_term, log.last_index)
-        ahead = isinstance(reply, wire.StatusReply) and (reply.last_term, reply.last_index) > mine
-        return Evidence.ALIVE_AHEAD if ahead else Evidence.ALIVE
+        if not isinstance(reply, wire.StatusReply):
+            return Evidence.ALIVE
+        replica = self._control.replica
+        mine = (replica.log.last_term, replica.log.last_index)
+        if (reply.last_term, reply.last_index) > mine:
+            return Evidence.ALIVE_AHEAD
+        same = set(replica.voters) == {member.node_id for member in reply.voters}
+        return Evidence.ALIVE_SAME if same else Evidence.ALIVE
 
     # ---- founding --------------------------------------------------------------
 
--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -220,7 +220,7 @@
         log = self.control.replica.log
         return wire.StatusReply(
             leader_id=self._known_leader(),
-            voters=list(self.view.state.membership.voters),
+            voters=self._known_voters(),
             epoch=self.view.state.epoch,
             accepted=accepted,
             children=len(self.view.feeds),
@@ -228,6 +228,13 @@
             last_index=log.last_index,
         )
 
+    def _known_voters(self) -> list[wire.Member]:
+        """Return the voters by the own log, or as the view shows them."""
+        replica = self.control.replica
+        if replica.is_voter:
+            return list(replica.voters.values())
+        return list(self.view.state.membership.voters)
+
     def _subscribe(self, connection: Connection, request: wire.Subscribe) -> Any:
         if len(self.view.feeds) >= self.settings.cell.children:
             return wire.Redirect(nodes=list(self.view.feeds.values()))
--- a/ploverhatch/simulation/node.py
+++ b/ploverhatch/simulation/node.py
@@ -146,7 +146,10 @@
     def _compare_logs(self, other: "SimulatedNode") -> Evidence:
         mine, theirs = self.core.replica.log, other.core.replica.log
         ahead = (theirs.last_term, theirs.last_index) > (mine.last_term, mine.last_index)
-        return Evidence.ALIVE_AHEAD if ahead else Evidence.ALIVE
+        if ahead:
+            return Evidence.ALIVE_AHEAD
+        same = set(self.core.replica.voters) == set(other.core.replica.voters)
+        return Evidence.ALIVE_SAME if same else Evidence.ALIVE
 
     # ---- messages and actions ----------------------------------------------------------
 
--- a/ploverhatch/state/configuration.py
+++ b/ploverhatch/state/configuration.py
@@ -50,6 +50,7 @@
 
     generation: int = 0
     objects: dict[tuple[str, str], wire.ObjectChange] = field(default_factory=dict)
+    _servers: dict[str, ServerSpec] = field(default_factory=dict)
 
     def apply(self, change: wire.ConfigurationChange) -> bool:
         """Take a change over; one of an older generation is ignored."""
@@ -57,17 +58,23 @@
             return False
         if change.replace:
             self.objects.clear()
+            self._servers.clear()
         for item in change.objects:
-            self._put(item)
+            self.put(item)
         self.generation = change.generation
         return True
 
-    def _put(self, item: wire.ObjectChange) -> None:
+    def put(self, item: wire.ObjectChange) -> None:
+        """Store or remove one object; servers are parsed once, when stored."""
         identity = (item.kind, item.name)
         if item.deleted:
             self.objects.pop(identity, None)
-        else:
-            self.objects[identity] = item
+            if item.kind == KIND_SERVER:
+                self._servers.pop(item.name, None)
+            return
+        self.objects[identity] = item
+        if item.kind == KIND_SERVER:
+            self._servers[item.name] = parse_server(item.name, json.loads(item.body))
 
     def policy_source(self) -> str:
         """Return the policy text, empty when none is configured."""
@@ -78,11 +85,7 @@
 
     def servers(self) -> dict[str, ServerSpec]:
         """Return the configured back ends by name."""
-        return {
-            name: parse_server(name, json.loads(item.body))
-            for (kind, name), item in self.objects.items()
-            if kind == KIND_SERVER
-        }
+        return dict(self._servers)
 
     def key_labels(self, group: str) -> dict[str, dict[str, str]]:
         """Return labels by key for one group."""
--- a/ploverhatch/state/replicated.py
+++ b/ploverhatch/state/replicated.py
@@ -103,7 +103,7 @@
     )
     state.configuration.generation = snapshot.generation
     for item in snapshot.objects:
-        state.configuration.objects[(item.kind, item.name)] = item
+        state.configuration.put(item)
     for part in snapshot.slices:
         span = SliceRange(part.group, part.first, part.last)
         state.assignments.put(Slice(span, part.server, part.token))
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -77,6 +77,8 @@
     ("a", {"b": DEAD, "c": SILENT}, "abc", False),
     ("a", {"b": DEAD, "c": ALIVE}, "abc", False),
     ("a", {"b": DEAD, "c": DEAD, "d": ALIVE}, "abd", False),  # own log is newer
+    ("a", {"b": Evidence.ALIVE_SAME, "c": DEAD, "d": DEAD}, "abcd", True),
+    ("a", {"b": ALIVE, "c": DEAD, "d": DEAD}, "abcd", False),  # b may act as one of abc
     ("a", {"b": DEAD, "c": DEAD, "d": Evidence.ALIVE_AHEAD}, "abcd", False),
 ]
 
