Tick by role, drive ownership only when it concerns it; measure availability

Cause: an idle node used 3.17% of a core (mean of 6 processes, 8 back ends), over the budget of 2.5%: every node woke 50 times a second, and a leader went through all sessions on each reply. Voters tick every 60 ms now, observers every 200 ms, and replies drive ownership only when a call is due.

The proofs name schedules that need their mechanism, since the timing change had moved three of them off the random seeds; the same schedules are checked to be clean with the mechanism on.

--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -4,6 +4,7 @@
 its /proc entry) do not depend on how busy the callers' process is.
 """
 
+import gc
 import json
 import os
 import time
@@ -18,6 +19,7 @@
 
 CALLERS = 16
 SPAN_S = 3.0
+QUIET_RATE = 100
 POLICY = """
 group weights { slices 12; draw share 1.0 from servers; }
 route GET "/weights/{hive}" to weights { key path hive; deadline 8s; wait 6s; }
@@ -74,6 +76,7 @@
 
 def main():
     """Run the benchmark and print its figures as JSON."""
+    gc.disable()  # pauses of the caller are not the router's
     with Cell(nodes=1, backends={"weights": 2}, policy=POLICY, slots=64, service_ms=0) as cell:
         backend = cell.backends["weights-1"]
         hop = Program("emulator", "hop", "--target-port", str(backend.ready["port"]))
@@ -91,6 +94,7 @@
             figures[target.name] = {"per_cpu_s": round(per_cpu_s), "per_s": round(per_s)}
         half = figures["router"]["per_s"] / 2
         for target in targets:
+            figures[target.name]["quiet_ms"] = target.latency(QUIET_RATE)
             figures[target.name]["half_load_ms"] = target.latency(half)
         hop.kill()
     ratio = figures["router"]["per_cpu_s"] / figures["bare hop"]["per_cpu_s"]
--- a/ploverhatch/cli/bench.py
+++ b/ploverhatch/cli/bench.py
@@ -6,6 +6,7 @@
 import click
 
 from ploverhatch.bench.slopes import MEASUREMENTS
+from ploverhatch.simulation.availability import EVENTS, measure
 
 
 @click.group()
@@ -34,3 +35,17 @@
             f"| {item.name} | {item.slope:.4g} {item.unit} per {item.per} | {item.base:.4g} "
             f"| {100 * item.error:.0f}% | {sizes} | {values} |"
         )
+
+
+@bench.command()
+@click.option("--seeds", default=20, show_default=True, help="Runs per event.")
+def availability(seeds: int) -> None:
+    """Measure how long keys are unavailable after an event, in virtual time."""
+    click.echo("| event | keys | requests failed | median ms | 99 in 100 ms | worst ms |")
+    click.echo("|---|---|---|---|---|---|")
+    for event in EVENTS:
+        found = measure(event, range(seeds))
+        click.echo(
+            f"| {found.event} | {found.keys} | {found.failed} | {found.median:g} "
+            f"| {found.p99:g} | {found.worst:g} |"
+        )
--- a/ploverhatch/cli/running.py
+++ b/ploverhatch/cli/running.py
@@ -1,5 +1,6 @@
 """Shared by commands that run until a signal: logging, readiness, signals."""
 
+import gc
 import json
 import signal
 import sys
@@ -10,6 +11,8 @@
 from absl import logging
 from gevent.event import Event
 
+YOUNG_OBJECTS = 20_000
+
 
 def start_logging(verbose: bool) -> None:
     """Log to standard error; the ready line alone goes to standard output."""
@@ -18,8 +21,19 @@
     logging.set_stderrthreshold("info" if verbose else "warning")
 
 
+def tune_collector() -> None:
+    """Keep full garbage collections rare: they pause all requests.
+
+    What exists after start-up lives on and is not looked at again.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, 20, 100)
+
+
 def say_ready(**fields: object) -> None:
-    """Print one JSON line that tells ports and identities."""
+    """Print one JSON line that tells ports and identities; start-up is over."""
+    tune_collector()
     click.echo(json.dumps({"ready": True, **fields}))
     sys.stdout.flush()
 
--- a/ploverhatch/control/core.py
+++ b/ploverhatch/control/core.py
@@ -34,7 +34,7 @@
 )
 from ploverhatch.ownership.messages import SyncReply, SyncRequest
 from ploverhatch.ownership.placement import PlacementLimits
-from ploverhatch.state.commands import ASSIGNMENT_KIND, Command, decode_command
+from ploverhatch.state.commands import ASSIGNMENT_KIND, RECORD_KINDS, Command, decode_command
 from ploverhatch.state.records import ClaimResult
 from ploverhatch.transport import wire
 
@@ -42,6 +42,8 @@
 NODE_FRESH_MS = 3000.0
 EXPIRE_CHECK_MS = 10_000.0
 FIRST_EPOCH = 1
+VOTER_TICKS = 3
+OBSERVER_TICKS = 10
 
 
 @dataclass(frozen=True)
@@ -152,7 +154,8 @@
     def peer_message(self, sender: str, message: Any, now_ms: float) -> list[CoreAction]:
         """Handle a consensus message of another node."""
         self._absorb(self.replica.receive(sender, message, now_ms), now_ms)
-        self._drive_ownership(now_ms)
+        if self.controller is None or self._concerns_ownership():
+            self._drive_ownership(now_ms)
         return self._take()
 
     def propose(self, proposals: list[Proposal], now_ms: float) -> list[CoreAction]:
@@ -175,7 +178,8 @@
             leadership.failed(server, request, now_ms)
         else:
             leadership.replied(server, request, reply, now_ms)
-        self._drive_ownership(now_ms)
+        if leadership.sessions[server].due_ms <= now_ms:
+            self._drive_ownership(now_ms)
         return self._take()
 
     def node_status(
@@ -239,6 +243,21 @@
             self._care_for_cell(now_ms)
         return self._take()
 
+    def next_tick_ms(self) -> float:
+        """Return how soon time matters to this node: least to mere observers."""
+        if self.replica.is_leader:
+            return self._timing.tick_ms
+        if self.replica.is_voter:
+            return self._timing.tick_ms * VOTER_TICKS
+        return self._timing.tick_ms * OBSERVER_TICKS
+
+    def _concerns_ownership(self) -> bool:
+        """Tell whether entries other than on records were just applied."""
+        return any(
+            isinstance(action, Published) and action.entry.kind not in RECORD_KINDS
+            for action in self._out
+        )
+
     # ---- proposals ----------------------------------------------------------------
 
     def _propose(self, proposals: list[Proposal], now_ms: float) -> None:
--- a/ploverhatch/node/control.py
+++ b/ploverhatch/node/control.py
@@ -116,7 +116,6 @@
         network: PeerNetwork,
         open_backend: Callable[[ServerSpec], BackendClient],
     ) -> None:
-        self._timing = timing
         self._view = view
         self._network = network
         self._open_backend = open_backend
@@ -185,7 +184,7 @@
             if event is not None:
                 self._handle_batch(event)
             if elapsed_ms() >= next_tick_ms:
-                next_tick_ms = elapsed_ms() + self._timing.tick_ms
+                next_tick_ms = elapsed_ms() + self.core.next_tick_ms()
                 self._carry_out(self.core.tick(elapsed_ms()))
 
     def _handle_batch(self, event: Any) -> None:
--- /dev/null
+++ b/ploverhatch/simulation/availability.py
@@ -0,0 +1,172 @@
+"""How long keys are unavailable after one event, in virtual time.
+
+Every key is requested every 10 ms through a node that the event spares; the
+unavailable time of a key is its longest pause between answers around the
+event, less that interval.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import numpy
+
+from ploverhatch.common.results import Outcome
+from ploverhatch.simulation.cluster import Cluster
+from ploverhatch.simulation.faults import cut_zone
+
+EVENT_MS = 4000.0
+END_MS = 11_000.0
+PROBE_MS = 10.0
+
+
+@dataclass(frozen=True)
+class Unavailability:
+    """Unavailable times of the keys that the event touched, in ms."""
+
+    event: str
+    keys: int
+    failed: int
+    median: float
+    p99: float
+    worst: float
+
+
+def _owner_of_most(cluster: Cluster) -> str:
+    leader = next(node for node in cluster.nodes.values() if node.core.replica.is_leader)
+    owners = [item.server for item in leader.core.replica.state.assignments]
+    return max(sorted(set(owners)), key=owners.count)
+
+
+def drain_server(cluster: Cluster) -> set[str]:
+    """Drain a server by configuration."""
+    name = _owner_of_most(cluster)
+    cluster.platform.servers[name]["drain"] = True
+    cluster.platform.generation += 1
+    return {name}
+
+
+def kill_server(cluster: Cluster) -> set[str]:
+    """Kill a server for good."""
+    name = _owner_of_most(cluster)
+    cluster.servers[name].kill()
+    return {name}
+
+
+def freeze_server(cluster: Cluster) -> set[str]:
+    """Freeze a server."""
+    name = _owner_of_most(cluster)
+    cluster.servers[name].freeze()
+    return {name}
+
+
+def kill_leader(cluster: Cluster) -> set[str]:
+    """Kill the control leader for good; all keys count."""
+    name = next(name for name, node in cluster.nodes.items() if node.core.replica.is_leader)
+    cluster.nodes[name].kill()
+    return set(cluster.servers)
+
+
+def kill_leader_and_server(cluster: Cluster) -> set[str]:
+    """Kill the control leader and a server at once."""
+    kill_leader(cluster)
+    return kill_server(cluster)
+
+
+def lose_zone(cluster: Cluster) -> set[str]:
+    """Cut a zone off both ways; the keys of its servers count."""
+    cut_zone(cluster)
+    zone = next(source for source, _ in cluster.world.faults.cuts)
+    isolated = {
+        name
+        for name, server in cluster.servers.items()
+        if all((server.zone, other) in cluster.world.faults.cuts for other in _others(server.zone))
+    }
+    assert zone
+    return isolated
+
+
+def _others(zone: str) -> list[str]:
+    return [other for other in ("zone-a", "zone-b", "zone-c") if other != zone]
+
+
+EVENTS: dict[str, Callable[[Cluster], set[str]]] = {
+    "planned move (drain)": drain_server,
+    "server killed": kill_server,
+    "server frozen": freeze_server,
+    "control leader killed": kill_leader,
+    "leader and server killed": kill_leader_and_server,
+    "zone cut off": lose_zone,
+}
+
+
+def measure(event: str, seeds: range) -> Unavailability:
+    """Run an event once per seed."""
+    gaps: list[float] = []
+    failed = 0
+    for seed in seeds:
+        more, lost = _run(event, seed)
+        gaps += more
+        failed += lost
+    values = numpy.array(gaps or [0.0])
+    return Unavailability(
+        event=event,
+        keys=len(gaps),
+        failed=failed,
+        median=round(float(numpy.percentile(values, 50)), 1),
+        p99=round(float(numpy.percentile(values, 99)), 1),
+        worst=round(float(values.max()), 1),
+    )
+
+
+def _run(event: str, seed: int) -> tuple[list[float], int]:
+    cluster = Cluster(seed, nodes=6, servers=6)
+    world = cluster.world
+    answers: dict[tuple[str, int], list[float]] = {}
+    failed = [0]
+    touched: set[str] = set()
+    owners: dict[tuple[str, int], str] = {}
+
+    def happen() -> None:
+        for key in cluster.all_keys():
+            found = cluster.look_up(key, world.random)
+            owners[key] = found[0] if found else ""
+        touched.update(EVENTS[event](cluster))
+
+    def probe() -> None:
+        world.after(PROBE_MS, probe)
+        for key in cluster.all_keys():
+            _request(cluster, key, answers, failed)
+
+    world.after(EVENT_MS, happen)
+    world.after(EVENT_MS / 2, probe)
+    world.run_until(END_MS)
+    gaps = []
+    for key, moments in answers.items():
+        if owners[key] in touched:
+            around = [moment for moment in sorted(moments) if moment > EVENT_MS - 500]
+            pauses = [later - earlier for earlier, later in zip(around, around[1:], strict=False)]
+            gaps.append(max(0.0, max(pauses) - PROBE_MS))
+    return gaps, failed[0]
+
+
+def _request(
+    cluster: Cluster,
+    key: tuple[str, int],
+    answers: dict[tuple[str, int], list[float]],
+    failed: list[int],
+) -> None:
+    cuts = cluster.world.faults.cuts
+    spared = [
+        name
+        for name, node in cluster.nodes.items()
+        if node.alive and not all((node.zone, other) in cuts for other in _others(node.zone))
+    ]
+    name = cluster.world.random.choice(spared)
+
+    def answered(_result: str, outcome: Outcome) -> None:
+        if outcome is Outcome.DONE:
+            answers.setdefault(key, []).append(cluster.world.now_ms)
+        else:
+            failed[0] += 1
+
+    cluster.nodes[name].do(lambda: cluster.routers[name].serve(key, "", answered))
--- a/ploverhatch/simulation/cluster.py
+++ b/ploverhatch/simulation/cluster.py
@@ -166,13 +166,17 @@
         key = (group, hash_key(group, f"k{chooser.randrange(KEYS_PER_GROUP)}"))
         self._send(key, f"once-{self._requests}" if once else "", MAX_REPEATS)
 
-    def request_every_key(self) -> list[tuple[str, int]]:
-        """Send a request for each key; return the keys."""
-        keys = [
+    def all_keys(self) -> list[tuple[str, int]]:
+        """Return every key that callers use."""
+        return [
             (group, hash_key(group, f"k{number}"))
             for group in ("permits", "reads")
             for number in range(KEYS_PER_GROUP)
         ]
+
+    def request_every_key(self) -> list[tuple[str, int]]:
+        """Send a request for each key; return the keys."""
+        keys = self.all_keys()
         for group, key_hash in keys:
             self._requests += 1
             once = f"once-{self._requests}" if group == "permits" else ""
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -16,7 +16,13 @@
 PAIRS = list(combinations(NAMES, 2))
 # Schedules that once broke a promise; the commits say how.
 FOUND = [181, 183, 240, 414, 1423, 1541, 2887, 3061]
-SEEDS_THAT_BREAK = range(12)  # at least one of them needs the mechanism
+RANDOM_SEEDS = range(12)
+# Faults and seeds whose schedules need a mechanism; others: the random seeds.
+NEEDED_UNDER = {
+    "earlier leaders not fenced": (("freeze_server", "freeze_leader", "lossy_network"), (4, 11)),
+    "leader acts without a quorum": (("cut_zone", "freeze_server"), (2, 4, 5, 6)),
+    "revoke not awaited": (("change_configuration", "lossy_network"), (2,)),
+}
 
 
 @pytest.mark.parametrize("names", [(), *[(name,) for name in NAMES], *PAIRS], ids="+".join)
@@ -26,7 +32,7 @@
     assert verdict.unserved == ()
 
 
-@pytest.mark.parametrize("seed", [*FOUND, *SEEDS_THAT_BREAK])
+@pytest.mark.parametrize("seed", [*FOUND, *RANDOM_SEEDS])
 def test_promises_hold_in_random_schedule(seed):
     verdict = run_seed(seed)
     assert verdict.violations == ()
@@ -37,8 +43,19 @@
     assert run_seed(3) == run_seed(3)
 
 
+def schedules(name):
+    if name not in NEEDED_UNDER:
+        return (run_seed(seed) for seed in RANDOM_SEEDS)
+    faults, seeds = NEEDED_UNDER[name]
+    return (run_faults(seed, faults) for seed in seeds)
+
+
 @pytest.mark.parametrize("name", sorted(MUTATIONS))
 def test_proof_fails_without_the_mechanism(name):
     with mutated(name):
-        moved = run_faults(0, ("change_configuration", "lossy_network"))
-        assert moved.violations or any(run_seed(seed).violations for seed in SEEDS_THAT_BREAK)
+        assert any(verdict.violations for verdict in schedules(name))
+
+
+@pytest.mark.parametrize("name", sorted(NEEDED_UNDER))
+def test_same_schedules_are_clean_with_the_mechanism(name):
+    assert all(verdict.clean for verdict in schedules(name))
