--- a/ploverhatch/ownership/controller.py
+++ b/ploverhatch/ownership/controller.py
@@ -322,7 +322,8 @@
             if move.proposed or not self._source_gone(span, move, now_ms):
                 continue
             move.proposed = True
-            self._forget_grants_of(move.source, span)
+            if self.condition(move.source, now_ms) is Condition.LOST:
+                self._forget_grants_of(move.source, span)
             target_up = self.condition(move.target, now_ms) is Condition.UP
             items.append(
                 wire.SliceAssignment(
