--- a/Makefile
+++ b/Makefile
@@ -15,20 +15,21 @@
 	$(BIN)/ploverhatch demo --settings etc/uplands.toml
 
 test: $(STAMP)
-	PYTHONHASHSEED=0 $(BIN)/pytest -n 4 tests
+	PYTHONHASHSEED=0 $(BIN)/pytest -n 6 tests
 
 sweep: $(STAMP)
 	$(BIN)/ploverhatch simulate --seeds 0:2000
 
 check: $(STAMP)
-	$(BIN)/ruff format --check ploverhatch tests
-	$(BIN)/ruff check ploverhatch tests
+	$(BIN)/ruff format --check ploverhatch tests benchmarks
+	$(BIN)/ruff check ploverhatch tests benchmarks
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
 bench: $(STAMP)
-	$(BIN)/ploverhatch bench hop
 	$(BIN)/ploverhatch bench slopes
+	$(BIN)/python -m benchmarks.hop
+	$(BIN)/python -m benchmarks.control
 
 # Needs `pip install 'betterproto[compiler]==1.2.5' grpcio-tools`; the output is committed.
 protocol: $(STAMP)
