Cut connections of a stopped emulator for real

Cause: the demo's failing back end went on answering on open connections, since closing a socket that a reader still refers to does not end the stream; the demo's longest answer of 130 ms showed it. Shutting the stream down does.

--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -6,7 +6,9 @@
 are counted, so that a planned stop can wait for them.
 """
 
+import contextlib
 import http.client
+import socket
 from typing import Any
 
 import gevent
@@ -30,6 +32,12 @@
     """The header fields do not state one length of the body."""
 
 
+def cut(sock: Any) -> None:
+    """Close a connection at once, though its reader still refers to it."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def check_framing(lengths: list[str], encodings: list[str]) -> None:
     """Refuse header fields from which two parties could read two lengths.
 
@@ -76,7 +84,7 @@
             super().run_application()
         except AbortConnectionError:
             self.close_connection = True
-            self.socket.close()
+            cut(self.socket)
 
     def handle_one_response(self) -> None:
         """Serve one request, and note that the connection is busy."""
@@ -130,7 +138,7 @@
         for handler in list(self.connections):
             sock = getattr(handler, "socket", None)
             if sock is not None:
-                sock.close()
+                cut(sock)
 
     def drain(self, limit_s: float, linger_s: float) -> bool:
         """Stop accepting, and wait for open requests.
