Tell absl that flags are parsed elsewhere

Cause: every log began with 'Logging before flag parsing', since click, not absl, parses the command line. Seen by following the README's separate processes; with the flags marked as parsed the line is gone.

--- a/ploverhatch/cli/running.py
+++ b/ploverhatch/cli/running.py
@@ -8,7 +8,7 @@
 
 import click
 import gevent
-from absl import logging
+from absl import flags, logging
 from gevent.event import Event
 
 YOUNG_OBJECTS = 20_000
@@ -16,6 +16,7 @@
 
 def start_logging(verbose: bool) -> None:
     """Log to standard error; the ready line alone goes to standard output."""
+    flags.FLAGS.mark_as_parsed()  # click parses the command line, not absl
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO if verbose else logging.WARNING)
     logging.set_stderrthreshold("info" if verbose else "warning")
