Spread the pieces of a lost server's slices

Cause of the churn beyond the least on a loss: whole slices went to a few servers, overloaded them, and balancing moved keys a second time. A slice that moves anyway is split so that a piece is about 6% of a server's load, at most 8 pieces, until a group has 16 slices a server.

--- a/ploverhatch/ownership/placement.py
+++ b/ploverhatch/ownership/placement.py
@@ -6,6 +6,7 @@
 slice are apart by a hold time, and their number per round is bounded.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -18,6 +19,9 @@
 from ploverhatch.state.configuration import ServerSpec
 
 SOURCES_TRIED = 4
+PIECE_FRACTION = 0.06  # of a server's mean load
+MAX_PIECES = 8
+MAX_SLICES_PER_SERVER = 16
 
 
 class Condition(Enum):
@@ -159,6 +163,41 @@
     return plan_.capacity
 
 
+def _pieces(plan_: _GroupPlan, item: Slice) -> list[SliceRange]:
+    """Split a slice that moves anyway, so that it can be spread evenly.
+
+    Whole slices of a lost server would overload a few others, and balancing
+    them out again would move keys a second time.
+    """
+    span, servers = item.range, len(plan_.capacity)
+    crowded = len(plan_.slices) >= MAX_SLICES_PER_SERVER * max(servers, 1)
+    mean_load = sum(plan_.load[name] for name in plan_.capacity) / max(servers, 1)
+    if crowded or mean_load <= 0 or span.last - span.first < MAX_PIECES:
+        return [span]
+    unit = PIECE_FRACTION * mean_load
+    count = min(MAX_PIECES, math.ceil(plan_.slice_load(span) / unit))
+    width = (span.last - span.first + 1) // count
+    firsts = [span.first + number * width for number in range(count)]
+    lasts = [*(first - 1 for first in firsts[1:]), span.last]
+    return [SliceRange(span.group, first, last) for first, last in zip(firsts, lasts, strict=True)]
+
+
+def _replace_pieces(plan_: _GroupPlan, item: Slice, reason: str) -> list[Target]:
+    """Give the pieces of a slice to the servers with most room."""
+    pieces = _pieces(plan_, item)
+    if len(pieces) == 1:
+        target = _replace(plan_, item, reason)
+        return [target] if target else []
+    amount = plan_.slice_load(item.range) / len(pieces)
+    targets = []
+    for piece in pieces:
+        server = plan_.least(amount)
+        if server is not None:
+            plan_.shift(amount, item.server, server)
+            targets.append(Target(piece, server, reason))
+    return targets
+
+
 def _replace(plan_: _GroupPlan, item: Slice, reason: str) -> Target | None:
     amount = plan_.slice_load(item.range)
     server = plan_.least(amount, _eligible(plan_, item.range))
@@ -175,14 +214,14 @@
 
 def _replace_lost(plan_: _GroupPlan) -> list[Target]:
     conditions = plan_.view.conditions
-    found = []
+    found: list[Target] = []
     for item in _largest_first(plan_):
-        if item.range in plan_.view.moving:
+        if touches(item.range, plan_.view.moving):
             continue
         orphan = not item.server or conditions.get(item.server) is Condition.LOST
         if orphan:
-            found.append(_replace(plan_, item, "owner lost"))
-    return [target for target in found if target]
+            found += _replace_pieces(plan_, item, "owner lost")
+    return found
 
 
 def _leave_drained(plan_: _GroupPlan) -> list[Target]:
