--- a/ploverhatch/state/replicated.py
+++ b/ploverhatch/state/replicated.py
@@ -4,6 +4,7 @@
 
 from ploverhatch.common.keyspace import SliceRange
 from ploverhatch.state.assignment import AssignmentTable, Slice, make_token
+from ploverhatch.state.columns import from_columns, to_columns
 from ploverhatch.state.commands import Command, decode_command
 from ploverhatch.state.configuration import ConfigurationState
 from ploverhatch.state.records import ClaimResult, RecordTable
@@ -78,16 +79,7 @@
             generation=self.configuration.generation,
             membership=self.membership,
             objects=list(self.configuration.objects.values()),
-            slices=[
-                wire.SliceAssignment(
-                    group=item.range.group,
-                    first=item.range.first,
-                    last=item.range.last,
-                    server=item.server,
-                    token=item.token,
-                )
-                for item in self.assignments
-            ],
+            slices=to_columns(self.assignments),
             records=records,
             refuse_until_ms=self.records.refuse_until_ms,
         )
@@ -104,9 +96,8 @@
     state.configuration.generation = snapshot.generation
     for item in snapshot.objects:
         state.configuration.put(item)
-    for part in snapshot.slices:
-        span = SliceRange(part.group, part.first, part.last)
-        state.assignments.put(Slice(span, part.server, part.token))
+    for assigned in from_columns(snapshot.slices):
+        state.assignments.put(assigned)
     state.records.refuse_until_ms = snapshot.refuse_until_ms
     for record in snapshot.records:
         state.records.records[record.record_id] = record
--- a/ploverhatch/transport/wire.py
+++ b/ploverhatch/transport/wire.py
@@ -118,6 +118,22 @@
     body_kept: bool = betterproto.bool_field(9)
 
 
+@dataclass
+class SliceColumns(betterproto.Message):
+    """
+    Slices in columns: row i is (groups[group[i]], first[i], last[i],
+    servers[server[i]], token[i]).
+    """
+
+    groups: List[str] = betterproto.string_field(1)
+    servers: List[str] = betterproto.string_field(2)
+    group: List[int] = betterproto.uint32_field(3)
+    first: List[int] = betterproto.uint64_field(4)
+    last: List[int] = betterproto.uint64_field(5)
+    server: List[int] = betterproto.uint32_field(6)
+    token: List[int] = betterproto.uint64_field(7)
+
+
 @dataclass
 class Snapshot(betterproto.Message):
     index: int = betterproto.uint64_field(1)
@@ -126,7 +142,7 @@
     generation: int = betterproto.uint64_field(4)
     membership: "MembershipChange" = betterproto.message_field(5)
     objects: List["ObjectChange"] = betterproto.message_field(6)
-    slices: List["SliceAssignment"] = betterproto.message_field(7)
+    slices: "SliceColumns" = betterproto.message_field(7)
     records: List["RecordState"] = betterproto.message_field(8)
     refuse_until_ms: int = betterproto.uint64_field(9)
 
