Answer a router's own fault, and a vanished server, honestly

Cause, found by reading: an unexpected exception left gevent's bare 500 page, without a result code, and a server taken out of the configuration while an earlier attempt may have run was answered NO_OWNER (not-run). The first is 3005 (unknown) now, logged by type; the second 3001. Ruled out for 3005: a not-run outcome, since the fault may come after sending. An unused parameter of the owner lookup is gone. After: functional tests pass, with one new.

--- a/ploverhatch/common/results.py
+++ b/ploverhatch/common/results.py
@@ -98,6 +98,10 @@
     3004, "RECORDS_LOST", 503, _UNKNOWN, True, "Records were lost; an earlier try may have run."
 )
 
+INTERNAL_ERROR = _row(
+    3005, "INTERNAL_ERROR", 500, _UNKNOWN, False, "The router failed; it may have run."
+)
+
 CHANGE_ACCEPTED = _row(4000, "CHANGE_ACCEPTED", 200, _DONE, False, "The change is stored.")
 CHANGE_CONFLICT = _row(
     4001, "CHANGE_CONFLICT", 412, _NOT_RUN, False, "The object changed meanwhile."
--- a/ploverhatch/node/router.py
+++ b/ploverhatch/node/router.py
@@ -23,6 +23,7 @@
 from ploverhatch.common import results
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.keyspace import hash_key
+from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.problem import (
     OUTCOME_HEADER,
     RESULT_HEADER,
@@ -58,6 +59,8 @@
     request_target,
 )
 
+LOG = PartLogger("router")
+
 DEADLINE_HEADER = "request-deadline-ms"
 IDEMPOTENCY_HEADER = "idempotency-key"
 MAX_IDEMPOTENCY_KEY = 200
@@ -150,6 +153,10 @@
         except BodyTooLargeError:
             result = results.BODY_TOO_LARGE
             reply = problem_reply(result)
+        except Exception as error:  # a fault of ours must still be answered honestly
+            LOG.error("Request failed.", cause=type(error).__name__, group=group)
+            result = results.INTERNAL_ERROR
+            reply = problem_reply(result)
         self._metrics.observe(group, result, elapsed_ms() - started_ms)
         return reply
 
@@ -298,12 +305,12 @@
             max_attempts=self._limits.attempts,
         )
         self._budget.earn()
-        refused_token = 0
         while True:
-            owner = self._await_owner(call, refused_token, state)
+            owner = self._await_owner(call, state)
             upstream = self._upstreams.get(owner.server)
             if upstream is None:
-                raise RefusedError(results.NO_OWNER)
+                lost = state.may_have_run
+                raise RefusedError(results.ANSWER_LOST if lost else results.NO_OWNER)
             end, reply = self._attempt_honestly(call, owner, upstream, state)
             if end is None:
                 assert reply is not None
@@ -314,7 +321,6 @@
             if isinstance(decision, GiveUp):
                 raise RefusedError(decision.result, refusal.value, upstream.comeback_s())
             state = decision.state
-            refused_token = owner.token if decision.await_owner else 0
             self._pause(decision)
 
     def _attempt_honestly(
@@ -340,7 +346,7 @@
         else:
             gevent.sleep(max(decision.pause_ms, 0) / 1000)
 
-    def _await_owner(self, call: Call, refused_token: int, state: RequestState) -> Slice:
+    def _await_owner(self, call: Call, state: RequestState) -> Slice:
         """Return the key's owner; wait while there is none.
 
         An owner that refused the token is asked again as well: its lease may
--- a/tests/functional/test_interfaces.py
+++ b/tests/functional/test_interfaces.py
@@ -135,3 +135,18 @@
     result = run_ctl(cell, "put", "key-labels", "permits", path, "--version", "1")
     assert result.returncode == 3
     assert "4001" in result.stderr
+
+
+def test_fault_of_the_router_is_answered_as_unknown():
+    from unittest import mock
+
+    from ploverhatch.node.metrics import NodeMetrics
+    from ploverhatch.node.router import Router
+    from ploverhatch.node.view import StateView
+    from ploverhatch.settings.model import LimitsSection
+
+    router = Router(StateView("n"), None, LimitsSection(), None, NodeMetrics().router)
+    with mock.patch.object(Router, "_read_call", side_effect=TypeError):
+        reply = router.handle({})
+    assert reply.status == 500
+    assert ("Ploverhatch-Outcome", "unknown") in reply.headers
