--- a/ploverhatch/emulator/backend.py
+++ b/ploverhatch/emulator/backend.py
@@ -17,10 +17,10 @@
 from ploverhatch.backend import http_backend
 from ploverhatch.backend.interface import Refusal
 from ploverhatch.common.problem import HttpReply, json_reply
+from ploverhatch.emulator.service import Service
 from ploverhatch.ownership.grant_book import GrantBook, Verdict
 from ploverhatch.ownership.messages import Grant, SyncRequest
-from ploverhatch.transport.http_server import HttpServer
-from ploverhatch.transport.wsgi import Environ, as_application, read_body, read_json
+from ploverhatch.transport.wsgi import Environ, read_body, read_json
 
 MAX_BODY_BYTES = 4 << 20
 CANCELLED_KEPT = 10_000
@@ -65,7 +65,7 @@
     return time.monotonic() * 1000
 
 
-class BackendEmulator:
+class BackendEmulator(Service):
     """One back end process, or one of several inside a process."""
 
     def __init__(
@@ -80,18 +80,7 @@
         self._waiting = 0
         self._running: set[str] = set()
         self._cancelled: dict[str, None] = {}
-        self.server = HttpServer(address, as_application(self._handle))
-        self.server.start()
-
-    @property
-    def port(self) -> int:
-        """Port that is listened on."""
-        return self.server.port
-
-    def close(self) -> bool:
-        """Stop serving at once; open connections are cut."""
-        self.server.abort()
-        return True
+        super().__init__(address, self._handle)
 
     def _handle(self, environ: Environ) -> HttpReply:
         path = environ["PATH_INFO"]
--- a/ploverhatch/emulator/hop.py
+++ b/ploverhatch/emulator/hop.py
@@ -4,11 +4,10 @@
 """
 
 from ploverhatch.common.problem import HttpReply
+from ploverhatch.emulator.service import Service
 from ploverhatch.transport.http_client import HttpClient
-from ploverhatch.transport.http_server import HttpServer
 from ploverhatch.transport.wsgi import (
     Environ,
-    as_application,
     read_body,
     request_headers,
     request_target,
@@ -20,23 +19,12 @@
 _HOP_HEADERS = frozenset({"host", "connection", "content-length", "transfer-encoding", "date"})
 
 
-class BareHop:
+class BareHop(Service):
     """Forwards every request to one address."""
 
     def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
         self._client = HttpClient(*target, CONNECTIONS)
-        self.server = HttpServer(address, as_application(self._handle))
-        self.server.start()
-
-    @property
-    def port(self) -> int:
-        """Port that is listened on."""
-        return self.server.port
-
-    def close(self) -> bool:
-        """Stop serving at once."""
-        self.server.abort()
-        return True
+        super().__init__(address, self._handle)
 
     def _handle(self, environ: Environ) -> HttpReply:
         path, query = request_target(environ)
--- a/ploverhatch/emulator/platform.py
+++ b/ploverhatch/emulator/platform.py
@@ -14,8 +14,9 @@
 from gevent.event import Event
 
 from ploverhatch.common.problem import HttpReply, json_reply
-from ploverhatch.transport.http_server import AbortConnectionError, HttpServer
-from ploverhatch.transport.wsgi import Environ, as_application, read_json, request_target
+from ploverhatch.emulator.service import Service
+from ploverhatch.transport.http_server import AbortConnectionError
+from ploverhatch.transport.wsgi import Environ, read_json, request_target
 
 HISTORY = 1000
 DEFAULT_MAX_READERS = 16
@@ -75,7 +76,7 @@
         return [item for item in self.history if item["version"] > after]
 
 
-class PlatformEmulator:
+class PlatformEmulator(Service):
     """HTTP service around an :class:`ObjectStore` and a machine list."""
 
     def __init__(self, address: tuple[str, int]) -> None:
@@ -84,19 +85,13 @@
         self.readers = 0
         self._machines: dict[str, dict[str, Any]] = {}
         self._shown: dict[str, dict[str, Any]] = {}
-        self.server = HttpServer(address, as_application(self._handle))
-        self.server.start()
+        super().__init__(address, self._handle)
 
     @property
     def url(self) -> str:
         """Base URL of the service."""
         return f"http://{self.server.server_host}:{self.server.port}"
 
-    def close(self) -> bool:
-        """Stop serving at once; open connections are cut."""
-        self.server.abort()
-        return True
-
     def set_machine(self, name: str, host: str, port: int, state: str) -> None:
         """Set a row of the machine list; readers see it after the lag."""
         row = {"name": name, "host": host, "port": port, "state": state}
