Take out settings and code that did nothing

Found by reading: cell.zones, the emulator's connection_ms, the peers' set of blocked addresses, an error and a limit were defined and never used; an operator setting cell.zones would have changed nothing. Functional, settings and document tests pass.

--- a/ploverhatch/cli/ctl.py
+++ b/ploverhatch/cli/ctl.py
@@ -180,7 +180,7 @@
         if nodes and not behind:
             click.echo(f"in force on {len(nodes)} nodes")
             return
-        time.sleep(0.1)
+        time.sleep(0.1)  # pause between polls, bounded by WAIT_LIMIT_S
     click.echo(f"behind: {', '.join(behind) or 'no leader is known'}", err=True)
     sys.exit(EXIT_FAILURE)
 
--- a/ploverhatch/emulator/backend.py
+++ b/ploverhatch/emulator/backend.py
@@ -36,7 +36,6 @@
     service_ms: float = 2.0
     cold_ms: float = 0.0  # extra service time, fading over cold_span_ms
     cold_span_ms: float = 5000.0
-    connection_ms: float = 0.0
     probe_ms: float = 0.0
     healthy: bool = True  # what the probe says, true or not
     reported_load: float = -1.0  # negative: the true load
--- a/ploverhatch/emulator/deployment.py
+++ b/ploverhatch/emulator/deployment.py
@@ -37,7 +37,6 @@
     return BackendBehaviour(
         slots=upstream.slots,
         service_ms=upstream.service_ms,
-        connection_ms=upstream.connection_ms,
         probe_ms=upstream.probe_ms,
     )
 
--- a/ploverhatch/settings/deployment.py
+++ b/ploverhatch/settings/deployment.py
@@ -1,7 +1,8 @@
 """Description of a whole deployment, for the demo, load and experiments.
 
 It names zones, back ends by group and the policy file; the emulators and the
-load tool are set up from it. Nodes themselves do not read it.
+load tool are set up from it. Nodes themselves do not read it. The delays and
+``connection_ms`` describe a site; the emulators do not impose them yet.
 """
 
 from pydantic import Field
--- a/ploverhatch/settings/model.py
+++ b/ploverhatch/settings/model.py
@@ -30,7 +30,6 @@
     seeds: tuple[str, ...] = ()  # host:port of nodes to ask first
     voters: int = Field(default=3, ge=1, le=7)
     children: int = Field(default=16, ge=1, le=256)  # observers that a node feeds
-    zones: int = Field(default=3, ge=1, le=64)
 
 
 class PlatformSection(Section):
--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -18,9 +18,6 @@
 from ploverhatch.common.problem import problem_body
 from ploverhatch.transport.peers import set_no_delay
 
-MAX_CONNECTIONS = 10_000
-
-
 TARGET_KEY = "ploverhatch.target"
 
 
--- a/ploverhatch/transport/peers.py
+++ b/ploverhatch/transport/peers.py
@@ -38,10 +38,6 @@
     """Nothing listens at the address: the connection was refused."""
 
 
-class WrongRecipientError(PeerUnreachableError):
-    """Another process lifetime answers at the address."""
-
-
 def set_no_delay(sock: Any) -> None:
     """Send small segments at once (no Nagle delay)."""
     sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
@@ -146,7 +142,6 @@
     def __init__(self, node_id: str, address: Address, handler: Handler) -> None:
         self.node_id = node_id
         self.counters: Counter[str] = Counter()
-        self.blocked: set[Address] = set()
         self._handler = handler
         self._correlations = itertools.count(1)
         self._outgoing: dict[Address, Connection] = {}
@@ -233,8 +228,6 @@
         known = self._outgoing.get(address)
         if known is not None and not known.closed:
             return known
-        if address in self.blocked:
-            raise PeerUnreachableError("blocked")
         try:
             sock = socket.create_connection(address, timeout=CONNECT_TIMEOUT_S)
         except ConnectionRefusedError as error:
