--- a/ploverhatch/admin/changes.py
+++ b/ploverhatch/admin/changes.py
@@ -13,13 +13,6 @@
 
 from ploverhatch.common import results
 from ploverhatch.common.results import Result
-from ploverhatch.platform.interface import (
-    ChangeUnknownError,
-    PlatformStore,
-    StoredObject,
-    StoreUnavailableError,
-    VersionConflictError,
-)
 from ploverhatch.policy.compiler import ServerLabels, compile_policy
 from ploverhatch.policy.diagnostics import PolicyError
 from ploverhatch.state.configuration import (
@@ -28,6 +21,13 @@
     KIND_SERVER,
     parse_server,
 )
+from ploverhatch.store.interface import (
+    ChangeUnknownError,
+    PlatformStore,
+    StoredObject,
+    StoreUnavailableError,
+    VersionConflictError,
+)
 
 RESOLVE_ATTEMPTS = 5
 RESOLVE_PAUSE_S = 0.2
--- /dev/null
+++ b/ploverhatch/cli/platform_gateway.py
@@ -0,0 +1,45 @@
+"""Runs a gateway process on the users' platform.
+
+This entry point leaves ``click`` out: memory is priced on these machines, and
+the platform passes no arguments. ``ploverhatch gateway`` is the same by hand.
+"""
+
+import gc
+import os
+import sys
+
+from ploverhatch.common import log_output
+from ploverhatch.gateway.process import Gateway
+from ploverhatch.platform import names
+from ploverhatch.platform.dialect import PlatformDialect
+from ploverhatch.platform.documents import PlatformTranslation
+from ploverhatch.platform.settings import SettingsFileError, read_settings
+from ploverhatch.platform.store import PlatformStore
+
+EXIT_WRONG_SETTINGS = 2
+
+
+def run(path: str) -> None:
+    """Run until stopped.
+
+    :raises SettingsFileError: when the settings are wrong.
+    """
+    settings = read_settings(path)
+    log_output.start()
+    gc.freeze()
+    store = PlatformStore(settings.store)
+    Gateway(settings, store, PlatformDialect(), PlatformTranslation()).run()
+
+
+def main() -> None:
+    """Run with the settings file that the platform names."""
+    path = os.environ.get(names.SETTINGS_VARIABLE, "")
+    try:
+        run(path)
+    except SettingsFileError as error:
+        print(f"settings: {error}", file=sys.stderr)
+        sys.exit(EXIT_WRONG_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- a/ploverhatch/common/logs.py
+++ b/ploverhatch/common/logs.py
@@ -3,7 +3,11 @@
 Bodies, tokens of operators and other secrets are never passed as fields.
 """
 
-from absl import logging
+import logging
+
+# absl's own logger by its name: processes that load absl.logging format and
+# filter with it, and a gateway, whose memory is priced, does without.
+_LOGGER = logging.getLogger("absl")
 
 
 class PartLogger:
@@ -17,15 +21,15 @@
 
     def info(self, sentence: str, **fields: object) -> None:
         """Log an event of ordinary operation."""
-        logging.info("%s", self._line(sentence, fields))
+        _LOGGER.info("%s", self._line(sentence, fields))
 
     def warning(self, sentence: str, **fields: object) -> None:
         """Log an event an operator may want to look at."""
-        logging.warning("%s", self._line(sentence, fields))
+        _LOGGER.warning("%s", self._line(sentence, fields))
 
     def error(self, sentence: str, **fields: object) -> None:
         """Log a failure that needs an operator."""
-        logging.error("%s", self._line(sentence, fields))
+        _LOGGER.error("%s", self._line(sentence, fields))
 
     def _line(self, sentence: str, fields: dict[str, object]) -> str:
         tail = "".join(f" {name}={value}" for name, value in fields.items())
--- /dev/null
+++ b/ploverhatch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""A gateway process: takes callers' requests and sends each to one server."""
--- /dev/null
+++ b/ploverhatch/gateway/directory.py
@@ -0,0 +1,88 @@
+"""What a gateway knows: configuration, servers and key maps, as last heard.
+
+The feeds write it, all others read it. Each part only moves forward: an older
+configuration or key map never replaces a newer one within one life.
+"""
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.signal import Signal
+from ploverhatch.routing.route_table import ClientLimits, RouteTable
+from ploverhatch.routing.servers import ServerRecord, ServerSet
+from ploverhatch.sharding.keymap import KeyMap
+
+LOG = PartLogger("directory")
+
+
+class Directory:
+    """The present view; ``changed`` is raised on every change."""
+
+    def __init__(self) -> None:
+        self.changed = Signal()
+        self.servers = ServerSet()
+        self.keymaps: dict[str, KeyMap] = {}
+        self.servers_known = False
+        self.keymaps_known = False
+        self._table: RouteTable | None = None
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The configuration in force, or ``None`` before the first."""
+        return self._table
+
+    def limits(self) -> ClientLimits:
+        """What callers may send."""
+        return self._table.limits if self._table else ClientLimits()
+
+    def take_table(self, table: RouteTable) -> None:
+        """Take a configuration unless a newer one is in force."""
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._table = table
+        LOG.info("Configuration taken.", version=table.version)
+        self.changed.raise_()
+
+    def put_server(self, record: ServerRecord) -> None:
+        """Take a server's record."""
+        known = self.servers.records.get(record.server_id)
+        self.servers.put(record, elapsed_ms())
+        if known is None or known.draining != record.draining:
+            LOG.info(
+                "Server heard of.",
+                server=record.server_id,
+                service=record.service,
+                draining=record.draining,
+            )
+        self.changed.raise_()
+
+    def remove_server(self, server_id: str) -> None:
+        """A server's record is gone."""
+        self.servers.remove(server_id, elapsed_ms())
+        LOG.info("Server record gone.", server=server_id)
+        self.changed.raise_()
+
+    def replace_servers(self, records: list[ServerRecord]) -> None:
+        """Take a whole listing of servers."""
+        self.servers.replace_all(records, elapsed_ms())
+        self.servers_known = True
+        self.changed.raise_()
+
+    def server_ended(self, server_id: str) -> None:
+        """Another server answered at the address: this one has surely ended."""
+        if server_id in self.servers.records:
+            LOG.warning("Address belongs to another server now.", server=server_id)
+            self.servers.forget_address(server_id)
+            self.changed.raise_()
+
+    def put_keymap(self, keymap: KeyMap) -> None:
+        """Take a key map unless a newer one is known."""
+        known = self.keymaps.get(keymap.service)
+        if known is not None and keymap.revision <= known.revision:
+            return
+        self.keymaps[keymap.service] = keymap
+        self.changed.raise_()
+
+    def expire_servers(self) -> None:
+        """Drop vanished servers whose grace is over."""
+        if self.servers.expire(elapsed_ms()):
+            self.changed.raise_()
--- /dev/null
+++ b/ploverhatch/gateway/elector.py
@@ -0,0 +1,208 @@
+"""Task that watches the leader's lease, claims it and renews it."""
+
+import random
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+
+import gevent
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway import keymap_codec
+from ploverhatch.leadership import election
+from ploverhatch.leadership.election import ElectionState, LeaseObject
+from ploverhatch.store import kinds
+from ploverhatch.store.objects import (
+    ObjectStore,
+    OutcomeUnknownError,
+    RevisionConflictError,
+    StoreCallError,
+    VersionedObject,
+)
+
+LOG = PartLogger("elector")
+
+NODE_PREFIX = "node-"
+RETRY_S = 0.25
+RESIGNED_PAUSE_MS = 6000.0
+
+
+class Elector:
+    """Holds this node's part in the election.
+
+    Usage: run :meth:`run` in a task; ask :attr:`state`.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        node: str,
+        life: str,
+        address: str,
+        store_lost: Callable[[], None],
+        store_regained: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._address = address
+        self._store_lost = store_lost
+        self._store_regained = store_regained
+        self._store_away = False
+        self._registered = False
+        self._renewal = 0
+        self._not_before_ms = 0.0
+        self._stopped = False
+        self.state = ElectionState(node, life)
+        self.authority_inherited_until_ms = 0.0
+        self.node_count = 1
+
+    @property
+    def has_authority(self) -> bool:
+        """Whether this node may send grants right now."""
+        return election.has_authority(self.state, elapsed_ms())
+
+    @property
+    def may_change(self) -> bool:
+        """Whether this node may start changes of ownership right now."""
+        return election.may_change(self.state, elapsed_ms())
+
+    @property
+    def leader_address(self) -> str:
+        """Where the leader takes reports; empty when there is none."""
+        return "" if self.state.seen.released else self.state.seen.address
+
+    def run(self) -> None:
+        """Take part until stopped."""
+        while not self._stopped:
+            pause_s = self._round()
+            gevent.sleep(pause_s)
+
+    def _round(self) -> float:
+        try:
+            if self.state.leading:
+                self._renew()
+            else:
+                self._look()
+        except StoreCallError as error:
+            self._note_store(error)
+            return RETRY_S + random.uniform(0.0, RETRY_S)
+        self._note_store(None)
+        return election.RENEW_MS / 1000
+
+    def _note_store(self, error: StoreCallError | None) -> None:
+        if error is not None:
+            if not self._store_away:
+                LOG.warning("Store does not answer.", cause=error)
+            self._store_away = True
+            self._store_lost()
+        elif self._store_away:
+            self._store_away = False
+            LOG.info("Store answers again.")
+            self._store_regained()
+
+    # ---- following --------------------------------------------------------------------
+
+    def _look(self) -> None:
+        listing = self._store.list_all(kinds.LEASES, stale=self._registered)
+        nodes = 0
+        for item in listing.items:
+            if item.name == kinds.LEADER_LEASE:
+                self._observe(keymap_codec.decode_lease(item))
+            elif item.name.startswith(NODE_PREFIX):
+                nodes += 1
+        self.node_count = max(nodes, 1)
+        if not self._registered:
+            self._register()
+        now_ms = elapsed_ms()
+        if now_ms >= self._not_before_ms and election.wants_takeover(self.state, now_ms):
+            self._claim()
+
+    def _observe(self, lease: LeaseObject) -> None:
+        before = self.state
+        self.state = election.observe(before, lease, elapsed_ms())
+        if before.leading and not self.state.leading:
+            LOG.warning("Leadership lost.", to=lease.node)
+
+    def _register(self) -> None:
+        """Add this node to those that share the budgets."""
+        with suppress(RevisionConflictError):  # an earlier life of this node did
+            self._store.create(kinds.LEASES, NODE_PREFIX + self.state.node, None)
+        self._registered = True
+
+    def _claim(self) -> None:
+        current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
+        if current is not None:
+            self._observe(keymap_codec.decode_lease(current))
+        now_ms = elapsed_ms()
+        if not election.wants_takeover(self.state, now_ms):
+            return
+        inherited_ms = now_ms + election.predecessor_authority_ms(self.state, now_ms)
+        predecessor = self.state.seen.node
+        if self._write_lease(current.revision if current else 0):
+            self.authority_inherited_until_ms = inherited_ms
+            LOG.info("Leadership won.", predecessor=predecessor or "-")
+
+    # ---- leading ------------------------------------------------------------------------
+
+    def _renew(self) -> None:
+        if not self._write_lease(self.state.seen.revision):
+            LOG.warning("Lease was taken over.", by=self.state.seen.node)
+
+    def _write_lease(self, revision: int, released: bool = False) -> bool:
+        """Claim or renew by compare-and-set; true when this node holds the lease."""
+        self._renewal += 1
+        lease = LeaseObject(0, self.state.node, self.state.life, self._address, released)
+        content = keymap_codec.encode_lease(lease, self._renewal)
+        sent_ms = elapsed_ms()
+        try:
+            written = self._put(content, revision)
+        except RevisionConflictError as error:
+            return self._settle_conflict(error.current, sent_ms)
+        except OutcomeUnknownError:
+            current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
+            return self._settle_conflict(current, sent_ms)
+        self.state = election.acquired(
+            self.state, replace(lease, revision=written.revision), sent_ms
+        )
+        return True
+
+    def _put(self, content: object, revision: int) -> VersionedObject:
+        if revision:
+            return self._store.replace(kinds.LEASES, kinds.LEADER_LEASE, content, revision)
+        return self._store.create(kinds.LEASES, kinds.LEADER_LEASE, content)
+
+    def _settle_conflict(self, current: VersionedObject | None, sent_ms: float) -> bool:
+        """Learn who holds the lease after a write that did not surely succeed."""
+        if current is None:
+            self.state = election.stepped_down(self.state)
+            return False
+        lease = keymap_codec.decode_lease(current)
+        if (lease.node, lease.life) == self.state.identity and not lease.released:
+            # Our own earlier write arrived: nobody else can have held the lease
+            # since, so it counts from when this one was sent at the latest.
+            renewed_ms = self.state.renewed_ms if self.state.leading else sent_ms
+            self.state = election.acquired(self.state, lease, renewed_ms)
+            return True
+        self._observe(lease)
+        self.state = election.stepped_down(self.state)
+        return False
+
+    def resign(self, pause_ms: float = RESIGNED_PAUSE_MS) -> None:
+        """Give the lease back, so that another node takes it at once."""
+        self._not_before_ms = elapsed_ms() + pause_ms
+        if not self.state.leading:
+            return
+        revision = self.state.seen.revision
+        self.state = election.stepped_down(self.state)
+        LOG.info("Leadership given back.")
+        lease = LeaseObject(0, self.state.node, self.state.life, self._address, True)
+        try:
+            content = keymap_codec.encode_lease(lease, self._renewal + 1)
+            self._store.replace(kinds.LEASES, kinds.LEADER_LEASE, content, revision)
+        except (StoreCallError, RevisionConflictError) as error:
+            LOG.warning("Lease was not given back.", cause=error)
+
+    def stop(self) -> None:
+        """Take no further part."""
+        self._stopped = True
+        self.resign()
--- /dev/null
+++ b/ploverhatch/gateway/forwarder.py
@@ -0,0 +1,313 @@
+"""Sends each caller's request to one server and returns its answer.
+
+Runs in the task of the caller's connection. Decisions come from ``routing``
+(pure); this module waits, sends and keeps the time limits.
+"""
+
+import random
+from dataclasses import dataclass
+
+import gevent
+
+from ploverhatch.common import results
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.results import Result
+from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
+from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.messages import CallerReply, CallerRequest, RequestFacts
+from ploverhatch.gateway.upstreams import NoSlotError, Upstream, UpstreamPool
+from ploverhatch.routing import balancer
+from ploverhatch.routing.attempt_outcome import (
+    AttemptHistory,
+    AttemptResult,
+    NextStep,
+    next_step,
+)
+from ploverhatch.routing.retry_budget import SharedRetryBudget
+from ploverhatch.routing.route_table import Route, ShareSplitter
+from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.transport.http_connection import (
+    AnswerCutError,
+    NotConnectedError,
+    WireAnswer,
+)
+
+LOG = PartLogger("forward")
+
+CONNECT_TIMEOUT_S = 0.3
+OFFER_PART = 0.23  # of the objective: by then a request is offered to a server or refused
+MOVE_PART = 0.6  # of the objective: how long to wait for keys that change hands
+LEAST_ATTEMPT_PART = 0.1  # of the objective: less time than that is no use
+DRAINING_HOLDER_MS = 1000.0  # how long a draining server still gets its keys' requests
+JITTER = 0.15
+RETRY_AFTER_BUSY_S = 0.15
+RETRY_AFTER_MOVE_S = 0.25
+RETRY_AFTER_NO_SERVER_S = 0.5
+RETRY_PAUSE_S = 0.02
+
+
+@dataclass(slots=True)
+class Call:
+    """A request after matching; times are elapsed milliseconds."""
+
+    request: CallerRequest
+    facts: RequestFacts
+    route: Route
+    service: str
+    partitioned: bool
+    deadline_ms: float
+    offer_by_ms: float
+    move_by_ms: float
+
+    @property
+    def left_ms(self) -> float:
+        """Time until the caller's deadline or the route's timeout."""
+        return self.deadline_ms - elapsed_ms()
+
+
+class RefusedError(Exception):
+    """Ends a request with an answer of our own."""
+
+    def __init__(self, result: Result, detail: str = "", retry_after_s: float = 0.0) -> None:
+        super().__init__(result.name)
+        self.result = result
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class Forwarder:
+    """Serves callers' requests of one node."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        pool: UpstreamPool,
+        dialect: Dialect,
+        budget: SharedRetryBudget,
+    ) -> None:
+        self._directory = directory
+        self._pool = pool
+        self._dialect = dialect
+        self._budget = budget
+        self._splitter = ShareSplitter()
+        self.sampled_keys: dict[str, list[int]] = {}
+
+    # ---- entry ----------------------------------------------------------------------
+
+    def handle(self, request: CallerRequest) -> CallerReply:
+        """Serve one request."""
+        facts = None
+        try:
+            facts = self._dialect.facts(request)
+            return self._run(self._match(request, facts))
+        except MalformedRequestError as error:
+            refusal = RefusedError(results.BAD_REQUEST, str(error))
+        except RefusedError as error:
+            refusal = error
+        return self._refuse(refusal, facts)
+
+    def _refuse(self, refusal: RefusedError, facts: RequestFacts | None) -> CallerReply:
+        result = refusal.result
+        LOG.info(
+            "Request refused.",
+            request=(facts.request_id.decode("latin-1") if facts else "-"),
+            result=result.code,
+            detail=refusal.detail or "-",
+        )
+        retry_after_s = refusal.retry_after_s if result.retryable else None
+        headers = self._dialect.refusal_headers(facts, retry_after_s)
+        headers.append((b"Ploverhatch-Result", b"%d" % result.code))
+        return CallerReply(result.status, headers)
+
+    def _match(self, request: CallerRequest, facts: RequestFacts) -> Call:
+        table = self._directory.table
+        if table is None:
+            raise RefusedError(results.NOT_READY, "", RETRY_AFTER_NO_SERVER_S)
+        route = table.match(facts.host, request.path)
+        if route is None:
+            raise RefusedError(results.NO_ROUTE)
+        service = self._splitter.choose(route)
+        known = table.services.get(service)
+        partitioned = known is not None and known.partitioned
+        if partitioned and facts.shard_key is None:
+            raise RefusedError(results.KEY_MISSING)
+        limit_ms = min(route.timeout_ms, facts.deadline_ms or route.timeout_ms)
+        start_ms = request.received_ms
+        return Call(
+            request=request,
+            facts=facts,
+            route=route,
+            service=service,
+            partitioned=partitioned,
+            deadline_ms=start_ms + limit_ms,
+            offer_by_ms=start_ms + min(route.objective_ms * OFFER_PART, limit_ms),
+            move_by_ms=start_ms + min(route.objective_ms * MOVE_PART, limit_ms),
+        )
+
+    # ---- attempts -------------------------------------------------------------------
+
+    def _run(self, call: Call) -> CallerReply:
+        self._budget.earn(call.service, elapsed_ms())
+        if call.partitioned:
+            self._sample(call)
+        history = AttemptHistory()
+        tried: set[str] = set()
+        last_answer: WireAnswer | None = None
+        while True:
+            upstream = self._await_upstream(call, tried, history)
+            result, answer = self._attempt_in_slot(call, upstream, history)
+            if result is AttemptResult.ANSWERED:
+                assert answer is not None
+                return self._pass_on(answer)
+            if result is AttemptResult.SERVER_ERROR:
+                last_answer = answer
+            history = history.after(result)
+            self._learn(upstream, result)
+            step = self._decide(call, history, result)
+            if step is not NextStep.RETRY:
+                return self._give_up(call, step, result, last_answer)
+            if not call.partitioned:
+                tried.add(upstream.record.server_id)
+            elif result in {AttemptResult.NOT_HOLDER, AttemptResult.NOT_CONNECTED}:
+                self._directory.changed.wait(RETRY_PAUSE_S)
+
+    def _sample(self, call: Call) -> None:
+        key = call.facts.shard_key
+        if key is not None:
+            self.sampled_keys.setdefault(call.service, []).append(key)
+
+    def _decide(self, call: Call, history: AttemptHistory, result: AttemptResult) -> NextStep:
+        step = next_step(
+            history,
+            result,
+            call.route.repeatable,
+            call.route.max_attempts,
+            call.left_ms,
+            call.route.objective_ms * LEAST_ATTEMPT_PART,
+        )
+        no_holder = call.partitioned and result is AttemptResult.NOT_CONNECTED
+        if step is NextStep.RETRY and no_holder and elapsed_ms() > call.offer_by_ms:
+            return NextStep.FAIL if history.may_have_run else NextStep.REFUSE
+        # Only an attempt after one that may have arrived counts as a retry.
+        is_retry = step is NextStep.RETRY and history.arrivals > 0
+        if is_retry and not self._budget.spend(call.service, elapsed_ms()):
+            return NextStep.FAIL if history.may_have_run else NextStep.REFUSE
+        return step
+
+    def _give_up(
+        self, call: Call, step: NextStep, result: AttemptResult, last: WireAnswer | None
+    ) -> CallerReply:
+        if last is not None:
+            return self._pass_on(last)  # the server's own failure, unchanged
+        if step is NextStep.REFUSE:
+            raise RefusedError(results.SERVER_REFUSED, result.value, RETRY_AFTER_BUSY_S)
+        if result is AttemptResult.TIMED_OUT:
+            raise RefusedError(results.DEADLINE_IN_FLIGHT, result.value)
+        raise RefusedError(results.ANSWER_LOST, result.value)
+
+    def _pass_on(self, answer: WireAnswer) -> CallerReply:
+        return CallerReply(answer.status, self._dialect.reply_headers(answer), answer.body)
+
+    def _learn(self, upstream: Upstream, result: AttemptResult) -> None:
+        if result is AttemptResult.WRONG_INSTANCE:
+            self._directory.server_ended(upstream.record.server_id)
+        elif result in {AttemptResult.NOT_EXECUTED, AttemptResult.TIMED_OUT}:
+            upstream.overloaded()
+        if result in {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}:
+            upstream.failed()
+
+    def _attempt_in_slot(
+        self, call: Call, upstream: Upstream, history: AttemptHistory
+    ) -> tuple[AttemptResult, WireAnswer | None]:
+        until_ms = call.deadline_ms if history.arrivals else call.offer_by_ms
+        try:
+            with upstream.slot(call.route.priority, (until_ms - elapsed_ms()) / 1000):
+                return self._attempt(call, upstream)
+        except NoSlotError as error:
+            raise self._out_of_time(call, history, results.QUEUE_TIMEOUT) from error
+
+    def _out_of_time(self, call: Call, history: AttemptHistory, result: Result) -> RefusedError:
+        """Return the refusal of a request that found no server in time."""
+        if history.may_have_run:
+            return RefusedError(results.ANSWER_LOST, result.name)
+        retry_after_s = (
+            RETRY_AFTER_BUSY_S if result is results.QUEUE_TIMEOUT else RETRY_AFTER_MOVE_S
+        )
+        return RefusedError(result, call.service, retry_after_s)
+
+    def _attempt(self, call: Call, upstream: Upstream) -> tuple[AttemptResult, WireAnswer | None]:
+        record = upstream.record
+        left_ms = call.left_ms
+        if left_ms <= 0:
+            return AttemptResult.NOT_CONNECTED, None
+        try:
+            connection = upstream.connection(min(CONNECT_TIMEOUT_S, left_ms / 1000))
+        except NotConnectedError:
+            return AttemptResult.NOT_CONNECTED, None
+        sent_ms = elapsed_ms()
+        left_ms = call.deadline_ms - sent_ms
+        if left_ms <= 0:
+            upstream.give_back(connection)
+            return AttemptResult.NOT_CONNECTED, None
+        payload = self._dialect.encode_request(call.request, record.server_id, left_ms)
+        try:
+            with gevent.Timeout(left_ms / 1000):
+                answer = connection.exchange(call.request.method, payload)
+        except gevent.Timeout:
+            return AttemptResult.TIMED_OUT, None
+        except AnswerCutError:
+            return AttemptResult.LOST, None
+        result = self._dialect.judge(call.facts, record.server_id, answer)
+        if result is AttemptResult.LOST:
+            connection.abort()
+            return result, None
+        upstream.give_back(connection)
+        if result is AttemptResult.ANSWERED:
+            upstream.answered(elapsed_ms() - sent_ms)
+        return result, answer
+
+    # ---- choice of the server ---------------------------------------------------------
+
+    def _await_upstream(self, call: Call, tried: set[str], history: AttemptHistory) -> Upstream:
+        """Return the server to send to; wait while keys change hands.
+
+        :raises RefusedError: when there is none in time.
+        """
+        while True:
+            upstream = self._holder(call) if call.partitioned else self._cheapest(call, tried)
+            if upstream is not None:
+                return upstream
+            until_ms = call.move_by_ms if call.partitioned else call.offer_by_ms
+            left_ms = until_ms - elapsed_ms()
+            if left_ms <= 0:
+                raise self._out_of_time(call, history, results.NO_OWNER)
+            self._directory.changed.wait(left_ms / 1000)
+
+    def _holder(self, call: Call) -> Upstream | None:
+        keymap = self._directory.keymaps.get(call.service)
+        key = call.facts.shard_key
+        found = keymap.find(key) if keymap is not None and key is not None else None
+        if found is None or not found.settled:
+            return None
+        server_id = found.holder.server_id
+        draining_ms = self._directory.servers.draining_since.get(server_id)
+        if draining_ms is not None and elapsed_ms() - draining_ms > DRAINING_HOLDER_MS:
+            return None
+        return self._pool.get(server_id)
+
+    def _cheapest(self, call: Call, tried: set[str]) -> Upstream | None:
+        upstreams = [
+            upstream
+            for record in self._directory.servers.of_service(call.service)
+            if self._usable(record, tried) and (upstream := self._pool.get(record.server_id))
+        ]
+        answered = [upstream.mean_ms for upstream in upstreams if upstream.answers]
+        usual_ms = sum(answered) / len(answered) if answered else 100.0
+        loads = [upstream.load(usual_ms) for upstream in upstreams]
+        jitter = {load.server_id: random.uniform(1 - JITTER, 1 + JITTER) for load in loads}
+        chosen = balancer.choose(loads, jitter)
+        return self._pool.get(chosen) if chosen else None
+
+    def _usable(self, record: ServerRecord, tried: set[str]) -> bool:
+        return not record.draining and record.server_id not in tried
--- /dev/null
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -0,0 +1,91 @@
+"""The form of key maps and leases in the store: ours, in our own words."""
+
+import msgspec
+
+from ploverhatch.leadership.election import LeaseObject
+from ploverhatch.sharding.keymap import Holder, KeyMap, KeyRange
+from ploverhatch.store.objects import VersionedObject
+
+
+class _StoredHolder(msgspec.Struct, array_like=True):
+    server: str
+    host: str
+    port: int
+
+
+class _StoredRange(msgspec.Struct, array_like=True):
+    first: int
+    last: int
+    holder: int  # index into the holders
+    token: int
+    settled: bool
+    previous: list[int]
+
+
+class _StoredMap(msgspec.Struct):
+    token: int
+    holders: list[_StoredHolder]
+    ranges: list[_StoredRange]
+
+
+class _StoredLease(msgspec.Struct):
+    node: str
+    life: str
+    address: str
+    renewal: int = 0
+    released: bool = False
+
+
+def encode_keymap(keymap: KeyMap) -> object:
+    """Return the object's content."""
+    holders: dict[Holder, int] = {}
+    ranges = [
+        _StoredRange(
+            item.first,
+            item.last,
+            holders.setdefault(item.holder, len(holders)),
+            item.token,
+            item.settled,
+            [holders.setdefault(holder, len(holders)) for holder in item.previous],
+        )
+        for item in keymap.ranges
+    ]
+    stored = [_StoredHolder(item.server_id, item.host, item.port) for item in holders]
+    return msgspec.to_builtins(_StoredMap(keymap.token, stored, ranges))
+
+
+def decode_keymap(item: VersionedObject) -> KeyMap:
+    """Read a key map.
+
+    :raises ValueError: when the object has another form.
+    """
+    stored = msgspec.convert(item.spec, _StoredMap)
+    holders = [Holder(row.server, row.host, row.port) for row in stored.holders]
+    ranges = tuple(
+        KeyRange(
+            row.first,
+            row.last,
+            holders[row.holder],
+            row.token,
+            row.settled,
+            tuple(holders[index] for index in row.previous),
+        )
+        for row in stored.ranges
+    )
+    return KeyMap(item.name, ranges, stored.token, item.revision)
+
+
+def encode_lease(lease: LeaseObject, renewal: int) -> object:
+    """Return the object's content."""
+    return msgspec.to_builtins(
+        _StoredLease(lease.node, lease.life, lease.address, renewal, lease.released)
+    )
+
+
+def decode_lease(item: VersionedObject) -> LeaseObject:
+    """Read a lease.
+
+    :raises ValueError: when the object has another form.
+    """
+    stored = msgspec.convert(item.spec, _StoredLease)
+    return LeaseObject(item.revision, stored.node, stored.life, stored.address, stored.released)
--- /dev/null
+++ b/ploverhatch/gateway/process.py
@@ -0,0 +1,222 @@
+"""Puts the parts of a gateway process together, and ends it in order."""
+
+import random
+import secrets
+import signal
+
+import gevent
+from gevent.event import Event
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway import keymap_codec
+from ploverhatch.gateway.caller_server import CallerServer
+from ploverhatch.gateway.dialect import Dialect
+from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.elector import Elector
+from ploverhatch.gateway.feeds import Feed, FeedTask
+from ploverhatch.gateway.forwarder import Forwarder
+from ploverhatch.gateway.key_leader import KeyLeader
+from ploverhatch.gateway.load_reports import MAX_KEYS, LoadReport, LoadReporter
+from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.gateway.settings import GatewaySettings
+from ploverhatch.gateway.translation import Translation
+from ploverhatch.gateway.upstreams import UpstreamPool
+from ploverhatch.routing.retry_budget import SharedRetryBudget
+from ploverhatch.store import kinds
+from ploverhatch.store.objects import ObjectChange, ObjectStore, VersionedObject
+from ploverhatch.transport.http_connection import HostPort
+
+LOG = PartLogger("gateway")
+
+HOUSEKEEPING_S = 0.25
+LEADER_POLL_S = 0.1
+READINESS_MISSES_S = 2.6  # until no new connections come after readiness ends
+STOP_MARGIN_S = 0.6  # before the platform kills the process
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: ObjectStore,
+        dialect: Dialect,
+        translation: Translation,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._translation = translation
+        self._draining = False
+        self._stopped = Event()
+        self._leader: KeyLeader | None = None
+        self.directory = Directory()
+        self._pool = UpstreamPool(settings.zone)
+        self._budget = SharedRetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+        )
+        self._forwarder = Forwarder(self.directory, self._pool, dialect, self._budget)
+        peer_address = HostPort(settings.ip, settings.peer_port)
+        self._elector = Elector(
+            store,
+            settings.node,
+            secrets.token_hex(6),
+            f"{settings.ip}:{settings.peer_port}",
+            self._store_lost,
+            store.interrupt,
+        )
+        self._reporter = LoadReporter(
+            peer_address,
+            self._collect_load,
+            lambda: self._elector.leader_address,
+            self._take_load,
+        )
+        self._callers = CallerServer(
+            settings.callers, self._forwarder.handle, self.directory.limits, self._note_rejected
+        )
+        self._readiness = CallerServer(
+            settings.readiness, self._answer_readiness, self.directory.limits
+        )
+
+    # ---- life -------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Serve until stopped by SIGTERM."""
+        gevent.signal_handler(signal.SIGTERM, lambda: gevent.spawn(self._drain))
+        gevent.signal_handler(signal.SIGHUP, lambda: LOG.info("Reload asked for."))
+        self._readiness.start()
+        self._callers.start()
+        for feed in self._feeds():
+            gevent.spawn(FeedTask(self._store, feed, self._store_lost).run)
+        gevent.spawn(self._elector.run)
+        gevent.spawn(self._lead_when_elected)
+        gevent.spawn(self._reporter.send_forever)
+        gevent.spawn(self._reporter.receive_forever)
+        gevent.spawn(self._keep_house)
+        gevent.spawn(self._sync_pool)
+        LOG.info("Started.", node=self._settings.node, zone=self._settings.zone)
+        self._stopped.wait()
+
+    def _drain(self) -> None:
+        """Stop in order: unready first, then idle connections, then the rest."""
+        if self._draining:
+            return
+        self._draining = True
+        self._callers.draining = True
+        start_ms = elapsed_ms()
+        LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
+        gevent.spawn(self._elector.stop)
+        gevent.sleep(READINESS_MISSES_S)
+        limit_s = self._settings.grace_s - STOP_MARGIN_S
+        while (elapsed_ms() - start_ms) / 1000 < limit_s:
+            self._callers.close_idle()
+            if not self._callers.open_connections:
+                break
+            gevent.sleep(0.1)
+        LOG.info("Stopped.", busy=self._callers.busy)
+        self._stopped.set()
+
+    # ---- feeds ------------------------------------------------------------------------
+
+    def _feeds(self) -> list[Feed]:
+        return [
+            Feed(kinds.CONFIGURATION, self._take_configurations, self._change_configuration),
+            Feed(kinds.SERVERS, self._take_servers, self._change_server),
+            Feed(kinds.KEYMAPS, self._take_keymaps, self._change_keymap),
+        ]
+
+    def _take_configurations(self, items: tuple[VersionedObject, ...]) -> None:
+        for item in items:
+            table = self._translation.configuration(item)
+            if table is not None:
+                self.directory.take_table(table)
+
+    def _change_configuration(self, change: ObjectChange) -> None:
+        if not change.gone:
+            self._take_configurations((change.object,))
+
+    def _take_servers(self, items: tuple[VersionedObject, ...]) -> None:
+        records = [self._translation.server(item) for item in items]
+        self.directory.replace_servers([record for record in records if record is not None])
+
+    def _change_server(self, change: ObjectChange) -> None:
+        if change.gone:
+            self.directory.remove_server(change.object.name)
+            return
+        record = self._translation.server(change.object)
+        if record is not None:
+            self.directory.put_server(record)
+
+    def _take_keymaps(self, items: tuple[VersionedObject, ...]) -> None:
+        for item in items:
+            self.directory.put_keymap(keymap_codec.decode_keymap(item))
+        self.directory.keymaps_known = True
+
+    def _change_keymap(self, change: ObjectChange) -> None:
+        if not change.gone:
+            self.directory.put_keymap(keymap_codec.decode_keymap(change.object))
+
+    def _store_lost(self) -> None:
+        self.directory.servers.note_store_failure(elapsed_ms())
+
+    # ---- tasks ------------------------------------------------------------------------
+
+    def _sync_pool(self) -> None:
+        while True:
+            self._pool.sync(self.directory.servers.records)
+            self.directory.changed.wait(HOUSEKEEPING_S)
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            self.directory.expire_servers()
+            self._budget.nodes = self._elector.node_count
+
+    def _lead_when_elected(self) -> None:
+        while True:
+            if self._elector.state.leading and not self._draining:
+                self._leader = KeyLeader(self._store, self.directory, self._elector, self._dialect)
+                self._leader.run()
+                self._leader = None
+            gevent.sleep(LEADER_POLL_S)
+
+    def _collect_load(self) -> LoadReport:
+        sampled, self._forwarder.sampled_keys = self._forwarder.sampled_keys, {}
+        keys = {
+            service: found if len(found) <= MAX_KEYS else random.sample(found, MAX_KEYS)
+            for service, found in sampled.items()
+        }
+        times = {name: round(value, 1) for name, value in self._pool.answer_times().items()}
+        return LoadReport(keys, times)
+
+    def _take_load(self, report: LoadReport) -> None:
+        leader = self._leader
+        if leader is None:
+            return
+        for service, keys in report.keys.items():
+            leader.add_load(service, keys, {})
+        leader.add_load("", [], report.answer_ms)
+
+    # ---- readiness ----------------------------------------------------------------------
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served."""
+        table = self.directory.table
+        if self._draining or table is None or not self.directory.servers_known:
+            return False
+        return all(
+            service.name in self.directory.keymaps
+            for service in table.services.values()
+            if service.partitioned
+        )
+
+    def _answer_readiness(self, request: CallerRequest) -> CallerReply:
+        if request.path != self._translation.readiness_path:
+            return CallerReply(404)
+        return CallerReply(200 if self.ready else 503)
+
+    def _note_rejected(self, status: int) -> None:
+        LOG.info("Request rejected.", status=status)
--- /dev/null
+++ b/ploverhatch/gateway/settings.py
@@ -0,0 +1,31 @@
+"""Settings of a gateway process, in the product's own terms."""
+
+from dataclasses import dataclass
+
+from ploverhatch.transport.http_connection import HostPort
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Where a gateway runs, whom it serves and which bounds it keeps.
+
+    Times end in their unit; addresses are IP numbers.
+    """
+
+    node: str
+    zone: str
+    ip: str
+    callers: HostPort
+    readiness: HostPort
+    peer_port: int  # for messages between nodes, UDP
+    store: HostPort
+    seeds: tuple[HostPort, ...] = ()
+    drain_ms: float = 2000.0
+    grace_s: float = 6.0
+    config_apply_ms: float = 2000.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    lease_max_ms: float = 10_000.0
+    max_descriptors: int = 1024
+    first_start: bool = False
--- /dev/null
+++ b/ploverhatch/gateway/upstreams.py
@@ -0,0 +1,192 @@
+"""Connections to servers, and what this node learned of each while using it."""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import AsyncResult
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.routing.balancer import ServerLoad
+from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.transport.http_connection import HostPort, HttpConnection
+
+DEFAULT_IDLE_S = 4.0  # where a server does not state how long it keeps idle connections
+IDLE_MARGIN_S = 1.0
+DEFAULT_ANSWER_MS = 100.0
+SMOOTHING = 0.15
+FAILING_MS = 1000.0
+FORGET_MS = 3000.0  # unused for so long, an old answer time counts half
+LEAST_LIMIT = 1.0
+
+
+class NoSlotError(Exception):
+    """No slot came free within the time given."""
+
+
+@dataclass(order=True, slots=True)
+class _Waiter:
+    priority: int
+    order: int
+    wake: AsyncResult = field(compare=False)
+
+
+class Upstream:
+    """One life of a server, as this node uses it."""
+
+    def __init__(self, record: ServerRecord, same_zone: bool) -> None:
+        self.record = record
+        self.same_zone = same_zone
+        self.mean_ms = DEFAULT_ANSWER_MS
+        self.answers = 0
+        self.failing_until_ms = 0.0
+        self.cold_until_ms = elapsed_ms() + record.cold_remaining_ms
+        self.limit = float(max(2, record.slots))
+        self._most = float(record.slots * 2)
+        self._under_way: dict[int, float] = {}
+        self._used_ms = elapsed_ms()
+        self._idle: list[HttpConnection] = []
+        self._waiters: list[_Waiter] = []
+        self._order = itertools.count()
+
+    # ---- admission ------------------------------------------------------------------
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that this node has under way at the server."""
+        return len(self._under_way)
+
+    @contextmanager
+    def slot(self, priority: int, wait_s: float) -> Iterator[None]:
+        """Hold one of this node's slots at the server.
+
+        :raises NoSlotError: when none came free in time.
+        """
+        if self.in_flight >= int(self.limit):
+            self._await_slot(priority, wait_s)
+        ticket = next(self._order)
+        self._under_way[ticket] = elapsed_ms()
+        try:
+            yield
+        finally:
+            del self._under_way[ticket]
+            self._wake_next()
+
+    def _await_slot(self, priority: int, wait_s: float) -> None:
+        waiter = _Waiter(priority, next(self._order), AsyncResult())
+        heapq.heappush(self._waiters, waiter)
+        try:
+            waiter.wake.get(timeout=max(wait_s, 0.0))
+        except gevent.Timeout as error:
+            raise NoSlotError from error
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+                heapq.heapify(self._waiters)
+
+    def _wake_next(self) -> None:
+        if self._waiters and self.in_flight < int(self.limit):
+            heapq.heappop(self._waiters).wake.set(None)
+
+    # ---- what was learned -----------------------------------------------------------
+
+    def answered(self, took_ms: float) -> None:
+        """A whole answer came."""
+        self.answers += 1
+        if self.answers == 1:
+            self.mean_ms = took_ms
+        self.mean_ms += SMOOTHING * (took_ms - self.mean_ms)
+        self.limit = min(self._most, self.limit + 1.0 / max(self.limit, 1.0))
+        self.failing_until_ms = 0.0
+        self._used_ms = elapsed_ms()
+
+    def overloaded(self) -> None:
+        """The server refused for want of room, or did not answer in time."""
+        self.limit = max(LEAST_LIMIT, self.limit / 2)
+
+    def failed(self) -> None:
+        """No connection, or a broken one."""
+        self.failing_until_ms = elapsed_ms() + FAILING_MS
+
+    def load(self, usual_ms: float) -> ServerLoad:
+        """Return what the balancer needs to know."""
+        now_ms = elapsed_ms()
+        mean_ms = self.mean_ms if self.answers else usual_ms
+        if now_ms - self._used_ms > FORGET_MS:
+            mean_ms = (mean_ms + usual_ms) / 2
+        oldest_ms = now_ms - min(self._under_way.values()) if self._under_way else 0.0
+        return ServerLoad(
+            server_id=self.record.server_id,
+            slots=self.record.slots,
+            in_flight=self.in_flight + len(self._waiters),
+            mean_ms=mean_ms,
+            oldest_ms=oldest_ms,
+            same_zone=self.same_zone,
+            cold=now_ms < self.cold_until_ms,
+            failing=now_ms < self.failing_until_ms,
+        )
+
+    # ---- connections ----------------------------------------------------------------
+
+    def connection(self, timeout_s: float) -> HttpConnection:
+        """Return a connection without a request on it.
+
+        :raises NotConnectedError: when none can be made.
+        """
+        now_s = elapsed_ms() / 1000
+        while self._idle:
+            connection = self._idle.pop()
+            limit_s = (connection.idle_limit_s or DEFAULT_IDLE_S) - IDLE_MARGIN_S
+            if now_s - connection.idle_since_s < limit_s and connection.is_quiet():
+                return connection
+            connection.close()
+        connection = HttpConnection(HostPort(self.record.host, self.record.port))
+        connection.open(timeout_s)
+        return connection
+
+    def give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection for the next request if it may be reused."""
+        if not connection.reusable:
+            connection.close()
+            return
+        connection.idle_since_s = elapsed_ms() / 1000
+        self._idle.append(connection)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+
+class UpstreamPool:
+    """All servers that this node knows, by id."""
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._upstreams: dict[str, Upstream] = {}
+
+    def sync(self, records: dict[str, ServerRecord]) -> None:
+        """Take the present records."""
+        for server_id in [known for known in self._upstreams if known not in records]:
+            self._upstreams.pop(server_id).close()
+        for server_id, record in records.items():
+            known = self._upstreams.get(server_id)
+            if known is None:
+                self._upstreams[server_id] = Upstream(record, record.zone == self._zone)
+            else:
+                known.record = record
+
+    def get(self, server_id: str) -> Upstream | None:
+        """Return a server's state, or ``None`` when it is not known."""
+        return self._upstreams.get(server_id)
+
+    def answer_times(self) -> dict[str, float]:
+        """Return the answer time of each server that answered, by id."""
+        return {
+            server_id: upstream.mean_ms
+            for server_id, upstream in self._upstreams.items()
+            if upstream.answers
+        }
--- /dev/null
+++ b/ploverhatch/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Leadership by a lease object in a store with compare-and-set."""
--- /dev/null
+++ b/ploverhatch/leadership/election.py
@@ -0,0 +1,94 @@
+"""Decisions about the leader's lease. Pure; times are elapsed milliseconds.
+
+The lease object holds the leader's identity and a number that rises with each
+renewal. A candidate that sees the same object for ``takeover_ms`` replaces it
+by compare-and-set, which only one can win. Nobody reads a wall clock.
+
+A leader may act on its own until ``authority_ms`` after it *sent* the last
+renewal that the store acknowledged; this is longer than ``takeover_ms``, so
+that grants are renewed while the store is away. A new leader therefore treats
+grants of its predecessor as renewable until that time is over, unless a server
+confirms otherwise.
+"""
+
+from dataclasses import dataclass, replace
+
+RENEW_MS = 1000.0
+TAKEOVER_MS = 2600.0
+AUTHORITY_MS = 8000.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseObject:
+    """The lease as it lies in the store; ``revision`` 0 means there is none."""
+
+    revision: int = 0
+    node: str = ""
+    life: str = ""  # one start of the node's process
+    address: str = ""
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ElectionState:
+    """What a node believes about the lease."""
+
+    node: str
+    life: str
+    seen: LeaseObject = LeaseObject()
+    seen_since_ms: float = 0.0
+    leading: bool = False
+    renewed_ms: float = -1e12  # when the last acknowledged renewal was sent
+
+    @property
+    def identity(self) -> tuple[str, str]:
+        """Node and life."""
+        return self.node, self.life
+
+
+def observe(state: ElectionState, lease: LeaseObject, now_ms: float) -> ElectionState:
+    """Take a reading of the lease object, which may be old."""
+    if lease.revision <= state.seen.revision:
+        return state
+    lost = state.leading and (lease.node, lease.life) != state.identity
+    return replace(state, seen=lease, seen_since_ms=now_ms, leading=state.leading and not lost)
+
+
+def wants_takeover(state: ElectionState, now_ms: float) -> bool:
+    """Whether the lease may be claimed: free, released, our own, or silent too long."""
+    if state.leading:
+        return False
+    lease = state.seen
+    if lease.revision == 0 or lease.released:
+        return True
+    if lease.node == state.node:  # an earlier life of this node has surely ended
+        return True
+    return now_ms - state.seen_since_ms >= TAKEOVER_MS
+
+
+def predecessor_authority_ms(state: ElectionState, now_ms: float) -> float:
+    """Return how long the lease's present holder may still act, if it lives."""
+    lease = state.seen
+    if lease.revision == 0 or lease.released or lease.node == state.node:
+        return 0.0
+    return max(0.0, AUTHORITY_MS - (now_ms - state.seen_since_ms))
+
+
+def acquired(state: ElectionState, lease: LeaseObject, sent_ms: float) -> ElectionState:
+    """The store acknowledged a claim or renewal that was sent at ``sent_ms``."""
+    return replace(state, seen=lease, seen_since_ms=sent_ms, leading=True, renewed_ms=sent_ms)
+
+
+def stepped_down(state: ElectionState) -> ElectionState:
+    """Stop acting as the leader."""
+    return replace(state, leading=False, renewed_ms=-1e12)
+
+
+def has_authority(state: ElectionState, now_ms: float) -> bool:
+    """Whether the leader may send grants; checked right before each send."""
+    return state.leading and now_ms - state.renewed_ms < AUTHORITY_MS
+
+
+def may_change(state: ElectionState, now_ms: float) -> bool:
+    """Whether the leader may start changes of ownership."""
+    return state.leading and now_ms - state.renewed_ms < TAKEOVER_MS
--- a/ploverhatch/node/bootstrap.py
+++ b/ploverhatch/node/bootstrap.py
@@ -13,7 +13,7 @@
 from ploverhatch.node.control import ControlTask, FoundCell
 from ploverhatch.node.platform_sync import KIND_CELL, cell_body, member_to_json
 from ploverhatch.node.view import StateView
-from ploverhatch.platform.interface import (
+from ploverhatch.store.interface import (
     ChangeUnknownError,
     PlatformStore,
     StoredObject,
--- a/ploverhatch/node/platform_sync.py
+++ b/ploverhatch/node/platform_sync.py
@@ -14,7 +14,7 @@
 from ploverhatch.consensus.actions import NotLeaderError
 from ploverhatch.node.control import CellRecorded, ControlTask, EpochLost, MachinesLeaving
 from ploverhatch.node.view import StateView
-from ploverhatch.platform.interface import (
+from ploverhatch.store.interface import (
     HistoryCompactedError,
     ObjectList,
     PlatformStore,
--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -27,11 +27,11 @@
 from ploverhatch.node.report import cluster_report
 from ploverhatch.node.router import Router
 from ploverhatch.node.view import StateView
-from ploverhatch.platform.http_store import HttpPlatformStore
-from ploverhatch.platform.interface import PlatformStore
 from ploverhatch.settings.model import Settings
 from ploverhatch.state.commands import RecordCommand, decode_payload
 from ploverhatch.state.configuration import ServerSpec
+from ploverhatch.store.http_store import HttpPlatformStore
+from ploverhatch.store.interface import PlatformStore
 from ploverhatch.transport import wire
 from ploverhatch.transport.http_server import HttpServer
 from ploverhatch.transport.peers import Connection, PeerNetwork, PeerUnreachableError
--- a/ploverhatch/platform/__init__.py
+++ b/ploverhatch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform's object store and machine list."""
+"""Translation between ploverhatch and the users' platform, and nothing else."""
--- /dev/null
+++ b/ploverhatch/platform/dialect.py
@@ -0,0 +1,175 @@
+"""The platform's header fields and control calls."""
+
+import msgspec
+from typing_extensions import override
+
+from ploverhatch.gateway.dialect import (
+    Dialect,
+    GrantCall,
+    GrantRefusedError,
+    MalformedRequestError,
+    ReleaseCall,
+)
+from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
+from ploverhatch.platform import names
+from ploverhatch.routing.attempt_outcome import AttemptResult
+from ploverhatch.transport.http_connection import WireAnswer
+
+KEY_LIMIT = 65_536
+_SINGLE_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+_REPLACED = frozenset({names.DEADLINE, names.EXPECT_INSTANCE})
+_SERVER_FAULTS = frozenset({500, 502, 504})
+
+
+class PlatformDialect(Dialect):
+    """Header fields as PROTOCOL.md states them."""
+
+    @override
+    def facts(self, request: CallerRequest) -> RequestFacts:
+        found: dict[bytes, bytes] = {}
+        for name, value in request.headers:
+            found.setdefault(name.lower(), value)
+        return RequestFacts(
+            host=_bare_host(found.get(b"host", b"")),
+            request_id=found.get(names.REQUEST_ID, b""),
+            deadline_ms=_number(found.get(names.DEADLINE), "deadline"),
+            shard_key=_key(found.get(names.SHARD_KEY)),
+        )
+
+    @override
+    def encode_request(self, request: CallerRequest, server_id: str, remaining_ms: float) -> bytes:
+        dropped = _SINGLE_HOP | _REPLACED | _named_by_connection(request.headers)
+        rows = [request.method + b" " + request.target + b" HTTP/1.1"]
+        rows += [
+            name + b": " + value for name, value in request.headers if name.lower() not in dropped
+        ]
+        rows.append(b"Request-Deadline-Ms: %d" % max(1, int(remaining_ms)))
+        rows.append(b"Expect-Instance: " + server_id.encode())
+        if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
+            rows.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(rows) + b"\r\n\r\n" + request.body
+
+    @override
+    def judge(self, facts: RequestFacts, server_id: str, answer: WireAnswer) -> AttemptResult:
+        status = answer.status
+        answered_id = answer.get(names.REQUEST_ID)
+        if answered_id is not None and answered_id != facts.request_id:
+            return AttemptResult.LOST  # an answer to some other request
+        if status == 421:
+            return self._judge_misdirected(server_id, answer)
+        if answer.get(names.NOT_EXECUTED) is not None:
+            return AttemptResult.NOT_EXECUTED
+        if 200 <= status < 300:
+            sealed = answer.get(names.SEAL) is not None and answered_id is not None
+            return AttemptResult.ANSWERED if sealed else AttemptResult.LOST
+        if answer.get(names.SEAL) is None or answered_id is None:
+            return AttemptResult.LOST
+        if status in _SERVER_FAULTS:
+            return AttemptResult.SERVER_ERROR
+        return AttemptResult.ANSWERED
+
+    def _judge_misdirected(self, server_id: str, answer: WireAnswer) -> AttemptResult:
+        instance = answer.get(names.INSTANCE)
+        if instance is not None and instance != server_id.encode():
+            return AttemptResult.WRONG_INSTANCE
+        return AttemptResult.NOT_HOLDER
+
+    @override
+    def reply_headers(self, answer: WireAnswer) -> HeaderList:
+        dropped = _SINGLE_HOP | _named_by_connection(answer.headers)
+        return [(name, value) for name, value in answer.headers if name.lower() not in dropped]
+
+    @override
+    def refusal_headers(
+        self, facts: RequestFacts | None, retry_after_s: float | None
+    ) -> HeaderList:
+        headers: HeaderList = []
+        if facts is not None and facts.request_id:
+            headers.append((b"Request-Id", facts.request_id))
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
+        return headers
+
+    @override
+    def encode_grant(self, call: GrantCall, host: str) -> bytes:
+        document: dict[str, object] = {
+            "from": call.first,
+            "target_version": call.last,
+            "fence": call.token,
+            "hold_ms": int(call.hold_ms),
+        }
+        if call.handover:
+            document["handover"] = call.handover
+        return _post(names.GRANT_PATH, host, document)
+
+    @override
+    def encode_release(self, call: ReleaseCall, host: str) -> bytes:
+        document = {"from": call.first, "target_version": call.last, "fence": call.token}
+        return _post(names.RELEASE_PATH, host, document)
+
+    @override
+    def read_grant(self, answer: WireAnswer) -> None:
+        if answer.status == 409:
+            raise GrantRefusedError
+        if answer.status != 200:
+            raise ValueError(f"status {answer.status}")
+
+    @override
+    def read_release(self, answer: WireAnswer) -> str:
+        if answer.status != 200:
+            raise ValueError(f"status {answer.status}")
+        return (answer.get(names.HANDOVER) or b"").decode("latin-1")
+
+
+def _post(path: bytes, host: str, document: object) -> bytes:
+    data = msgspec.json.encode(document)
+    head = (
+        b"POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
+        b"Content-Length: %d\r\n\r\n" % (path, host.encode(), len(data))
+    )
+    return head + data
+
+
+def _bare_host(value: bytes) -> bytes:
+    return value.strip().lower().partition(b":")[0]
+
+
+def _number(value: bytes | None, name: str) -> float | None:
+    if value is None:
+        return None
+    if not value.isdigit():
+        raise MalformedRequestError(f"{name} is not a number")
+    return float(value)
+
+
+def _key(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    if not value.isdigit() or int(value) >= KEY_LIMIT:
+        raise MalformedRequestError("key is not a number below 65536")
+    return int(value)
+
+
+def _named_by_connection(headers: HeaderList) -> frozenset[bytes]:
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return frozenset(named) if named else _NONE
+
+
+_NONE: frozenset[bytes] = frozenset()
--- /dev/null
+++ b/ploverhatch/platform/documents.py
@@ -0,0 +1,176 @@
+"""Translates the platform's objects into the product's model."""
+
+import msgspec
+from typing_extensions import override
+
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.translation import Translation
+from ploverhatch.platform import names
+from ploverhatch.routing.route_table import (
+    ClientLimits,
+    Route,
+    RouteTable,
+    Service,
+    ServiceShare,
+)
+from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.store.objects import VersionedObject
+from ploverhatch.transport.http_connection import HostPort
+
+LOG = PartLogger("platform")
+
+
+class DocumentError(ValueError):
+    """An object of the platform does not have the form its pages state."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    max_attempts: int
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str = ""
+    weighted_split: list[_Split] = msgspec.field(default_factory=list)
+
+
+class _VirtualHost(msgspec.Struct):
+    host: str
+    route_paths: list[_Route]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+    sharded: bool = False
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 64 << 20
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: str
+    services: list[_Service]
+    virtual_hosts: list[_VirtualHost]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _ServerInfo(msgspec.Struct):
+    service: str
+    zone: str = ""
+    slots: int = 1
+
+
+class _ServerStatus(msgspec.Struct):
+    state: str = "ready"
+    cold_remaining_ms: float = 0.0
+
+
+class _Server(msgspec.Struct):
+    address: str
+    info: _ServerInfo
+    status: _ServerStatus = msgspec.field(default_factory=_ServerStatus)
+
+
+def route_table(spec: object) -> RouteTable:
+    """Translate the configuration.
+
+    :raises DocumentError: when it has another form.
+    """
+    try:
+        document = msgspec.convert(spec, _Configuration, strict=False)
+        version = int(document.version, 16)
+    except ValueError as error:
+        raise DocumentError(str(error)) from error
+    limits = document.limits
+    return RouteTable(
+        version=version,
+        hosts={
+            entry.host.lower().encode(): tuple(_route(item) for item in entry.route_paths)
+            for entry in document.virtual_hosts
+        },
+        services={
+            item.name: Service(item.name, item.sharded, item.max_connections)
+            for item in document.services
+        },
+        limits=ClientLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_ms=limits.header_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _route(item: _Route) -> Route:
+    shares = [ServiceShare(part.service, part.weight) for part in item.weighted_split]
+    return Route(
+        name=item.name,
+        path_prefix=item.path_prefix.encode(),
+        shares=tuple(shares) or (ServiceShare(item.service, 1.0),),
+        repeatable=item.kind == names.KIND_SAFE,
+        timeout_ms=item.timeout_ms,
+        objective_ms=item.target_latency_ms,
+        max_attempts=item.max_attempts,
+        priority=item.priority,
+    )
+
+
+def server_record(item: VersionedObject) -> ServerRecord:
+    """Translate a server's registration.
+
+    :raises DocumentError: when it has another form.
+    """
+    merged = {**(item.spec or {}), **(item.status or {})}
+    if isinstance(item.status, dict) and "status" not in merged:
+        merged["status"] = item.status
+    try:
+        document = msgspec.convert(merged, _Server, strict=False)
+        address = HostPort.parse(document.address)
+    except ValueError as error:
+        raise DocumentError(f"{item.name}: {error}") from error
+    return ServerRecord(
+        server_id=item.name,
+        service=document.info.service,
+        host=address.host,
+        port=address.port,
+        zone=document.info.zone,
+        slots=max(1, document.info.slots),
+        draining=document.status.state == names.STATE_DRAINING,
+        cold_remaining_ms=document.status.cold_remaining_ms,
+    )
+
+
+class PlatformTranslation(Translation):
+    """Reads the platform's objects; what can't be read is logged and left out."""
+
+    readiness_path = names.READINESS_PATH
+
+    @override
+    def configuration(self, item: VersionedObject) -> RouteTable | None:
+        if item.name != names.CONFIG_NAME:
+            return None
+        try:
+            return route_table(item.spec)
+        except DocumentError as error:
+            LOG.error("Configuration not understood.", cause=error)
+            return None
+
+    @override
+    def server(self, item: VersionedObject) -> ServerRecord | None:
+        try:
+            return server_record(item)
+        except DocumentError as error:
+            LOG.error("Server record not understood.", cause=error)
+            return None
--- /dev/null
+++ b/ploverhatch/platform/names.py
@@ -0,0 +1,25 @@
+"""Names of the users' platform; source: its page PROTOCOL.md."""
+
+SETTINGS_VARIABLE = "PLOVERHATCH_NODE_FILE"
+
+KIND_CONFIG = "config"
+CONFIG_NAME = "main"
+KIND_SERVERS = "servers"
+
+OBJECTS_PATH = "/ploverhatch/objects"
+READINESS_PATH = b"/ploverhatch/readiness"
+GRANT_PATH = b"/ploverhatch/grant"
+RELEASE_PATH = b"/ploverhatch/release"
+
+STATE_DRAINING = "draining"
+KIND_SAFE = "safe"
+
+# Header fields, in lower case as they are compared.
+REQUEST_ID = b"request-id"
+DEADLINE = b"request-deadline-ms"
+SEAL = b"response-seal"
+EXPECT_INSTANCE = b"expect-instance"
+NOT_EXECUTED = b"not-executed"
+INSTANCE = b"instance-id"
+SHARD_KEY = b"shard-key"
+HANDOVER = b"handover"
--- /dev/null
+++ b/ploverhatch/platform/settings.py
@@ -0,0 +1,109 @@
+"""Reads the platform's settings file into the product's settings."""
+
+import msgspec
+
+from ploverhatch.gateway.settings import GatewaySettings
+from ploverhatch.transport.http_connection import HostPort
+
+
+class SettingsFileError(ValueError):
+    """The settings file is missing, unreadable or wrong; the text says where."""
+
+
+class _Limits(msgspec.Struct):
+    max_fds: int = 1024
+
+
+class _SelfNode(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bootstrap: bool = False
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Network(msgspec.Struct):
+    internal_ports: tuple[int, int]
+    listen_addrs: _Listen
+    seed_nodes: list[str] = msgspec.field(default_factory=list)
+
+
+class _StoreSection(msgspec.Struct):
+    address: str
+
+
+class _PlatformSection(msgspec.Struct):
+    platform: _StoreSection
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: float = 2000.0
+    grace_s: float = 6.0
+    config_apply_ms: float = 2000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    retry_slack: float = 50.0
+    hold_max_ms: float = 10_000.0
+
+
+class _Terms(msgspec.Struct):
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+class _SettingsFile(msgspec.Struct):
+    self_node: _SelfNode
+    network: _Network
+    platform: _PlatformSection
+    terms: _Terms = msgspec.field(default_factory=_Terms)
+
+
+def read_settings(path: str) -> GatewaySettings:
+    """Read and check a settings file; unknown fields are skipped.
+
+    :raises SettingsFileError: with the field that is wrong.
+    """
+    try:
+        with open(path, "rb") as source:
+            return parse_settings(source.read())
+    except OSError as error:
+        raise SettingsFileError(f"{path}: {error.strerror}") from error
+
+
+def parse_settings(text: bytes) -> GatewaySettings:
+    """Check the text of a settings file.
+
+    :raises SettingsFileError: with the field that is wrong.
+    """
+    try:
+        file = msgspec.toml.decode(text, type=_SettingsFile)
+        return _translate(file)
+    except (ValueError, msgspec.DecodeError) as error:
+        raise SettingsFileError(str(error)) from error
+
+
+def _translate(file: _SettingsFile) -> GatewaySettings:
+    bounds = file.terms.bounds
+    return GatewaySettings(
+        node=file.self_node.node,
+        zone=file.self_node.zone,
+        ip=file.self_node.ip,
+        callers=HostPort.parse(file.network.listen_addrs.front),
+        readiness=HostPort.parse(file.network.listen_addrs.ready),
+        peer_port=file.network.internal_ports[0],
+        store=HostPort.parse(file.platform.platform.address),
+        seeds=tuple(HostPort.parse(seed) for seed in file.network.seed_nodes),
+        drain_ms=bounds.drain_ms,
+        grace_s=bounds.grace_s,
+        config_apply_ms=bounds.config_apply_ms,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.retry_slack,
+        retry_window_s=bounds.budget_window_s,
+        lease_max_ms=bounds.hold_max_ms,
+        max_descriptors=file.self_node.limits.max_fds,
+        first_start=file.self_node.bootstrap,
+    )
--- /dev/null
+++ b/ploverhatch/platform/store.py
@@ -0,0 +1,235 @@
+"""The platform's metadata store behind the product's :class:`ObjectStore`."""
+
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import gevent
+import msgspec
+from typing_extensions import override
+
+from ploverhatch.platform import names
+from ploverhatch.store import kinds
+from ploverhatch.store.objects import (
+    ChangeBatch,
+    HistoryDroppedError,
+    Listing,
+    ObjectChange,
+    ObjectStore,
+    OutcomeUnknownError,
+    RevisionConflictError,
+    StoreCallError,
+    VersionedObject,
+)
+from ploverhatch.transport.http_connection import (
+    AnswerCutError,
+    HostPort,
+    HttpConnection,
+    NotConnectedError,
+    WireAnswer,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 1.5
+WATCH_SLACK_S = 1.5
+MAX_IDLE = 3
+T = TypeVar("T")
+_KIND_PATHS = {kinds.CONFIGURATION: names.KIND_CONFIG, kinds.SERVERS: names.KIND_SERVERS}
+
+
+class _Metadata(msgspec.Struct):
+    name: str = ""
+    revision: int = 0
+    finalizers: list[str] = []
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+    def typed(self) -> VersionedObject:
+        return VersionedObject(self.metadata.name, self.metadata.revision, self.spec, self.status)
+
+
+class _Page(msgspec.Struct):
+    items: list[_Object]
+    at: int
+    more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    gone: bool = False
+
+
+class _Events(msgspec.Struct):
+    events: list[_Event]
+    at: int
+
+
+class PlatformStore(ObjectStore):
+    """Calls on kept connections; each watched kind has a connection of its own."""
+
+    def __init__(self, address: HostPort) -> None:
+        self._address = address
+        self._host = f"{address.host}:{address.port}"
+        self._idle: list[HttpConnection] = []
+        self._watching: set[HttpConnection] = set()
+        self._watch_idle: dict[str, HttpConnection] = {}
+
+    # ---- interface --------------------------------------------------------------
+
+    @override
+    def list_all(self, kind: str, stale: bool = False) -> Listing:
+        items: list[VersionedObject] = []
+        query = ["stale=1"] if stale else []
+        first_revision = None
+        after = ""
+        while True:
+            parts = [*query, f"after={quote(after, safe='')}"] if after else query
+            answer = self._call("GET", _path(kind), parts)
+            self._expect(answer, 200)
+            page = _decode(answer, _Page)
+            if first_revision is None:
+                first_revision = page.at
+            items += [item.typed() for item in page.items]
+            if not page.more or not page.items:
+                # Changes during later pages are reported by a watch from here.
+                return Listing(tuple(items), first_revision)
+            after = page.items[-1].metadata.name
+
+    @override
+    def get(self, kind: str, name: str) -> VersionedObject | None:
+        answer = self._call("GET", _path(kind, name))
+        if answer.status == 404:
+            return None
+        self._expect(answer, 200)
+        return _decode(answer, _Object).typed()
+
+    @override
+    def watch(self, kind: str, after: int, wait_s: float) -> ChangeBatch:
+        parts = [f"watch={after}", f"wait_ms={int(wait_s * 1000)}"]
+        connection = self._watch_idle.pop(kind, None)
+        if connection is not None and not connection.is_quiet():
+            connection.close()
+            connection = None
+        if connection is None:
+            connection = self._open()
+        self._watching.add(connection)
+        try:
+            answer = self._exchange(connection, "GET", _path(kind), parts, None, wait_s)
+        finally:
+            self._watching.discard(connection)
+        if connection.reusable:
+            self._watch_idle[kind] = connection
+        else:
+            connection.close()
+        if answer.status == 410:
+            raise HistoryDroppedError(kind)
+        self._expect(answer, 200)
+        batch = _decode(answer, _Events)
+        changes = tuple(ObjectChange(item.object.typed(), item.gone) for item in batch.events)
+        return ChangeBatch(changes, batch.at)
+
+    @override
+    def create(self, kind: str, name: str, spec: Any) -> VersionedObject:
+        body = {"metadata": {"name": name}, "spec": spec}
+        return self._change("POST", _path(kind), body)
+
+    @override
+    def replace(self, kind: str, name: str, spec: Any, revision: int) -> VersionedObject:
+        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
+        return self._change("PUT", _path(kind, name), body)
+
+    @override
+    def interrupt(self) -> None:
+        for connection in list(self._watching):
+            connection.abort()
+        for connection in self._watch_idle.values():
+            connection.abort()
+        self._watch_idle.clear()
+        while self._idle:
+            self._idle.pop().abort()
+
+    # ---- calls --------------------------------------------------------------------
+
+    def _change(self, method: str, path: str, body: object) -> VersionedObject:
+        answer = self._call(method, path, body=body)
+        if answer.status == 409:
+            current = _decode(answer, _Object).typed() if answer.body else None
+            raise RevisionConflictError(current)
+        if answer.status == 404:
+            raise RevisionConflictError(None)
+        self._expect(answer, 200, 201)
+        return _decode(answer, _Object).typed()
+
+    def _call(
+        self, method: str, path: str, query: list[str] | None = None, body: object = None
+    ) -> WireAnswer:
+        connection = self._take()
+        answer = self._exchange(connection, method, path, query or [], body, 0.0)
+        if connection.reusable and len(self._idle) < MAX_IDLE:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return answer
+
+    def _take(self) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet():
+                return connection
+            connection.close()
+        return self._open()
+
+    def _open(self) -> HttpConnection:
+        connection = HttpConnection(self._address)
+        try:
+            connection.open(CONNECT_TIMEOUT_S)
+        except NotConnectedError as error:
+            raise StoreCallError(str(error)) from error
+        return connection
+
+    def _exchange(
+        self,
+        connection: HttpConnection,
+        method: str,
+        path: str,
+        query: list[str],
+        body: object,
+        extra_s: float,
+    ) -> WireAnswer:
+        payload = self._encode(method, path, query, body)
+        limit_s = extra_s + (WATCH_SLACK_S if extra_s else CALL_TIMEOUT_S)
+        failure = StoreCallError if method == "GET" else OutcomeUnknownError
+        try:
+            with gevent.Timeout(limit_s):
+                return connection.exchange(method.encode(), payload)
+        except gevent.Timeout as error:
+            raise failure("no answer in time") from error
+        except AnswerCutError as error:
+            raise failure(str(error)) from error
+
+    def _encode(self, method: str, path: str, query: list[str], body: object) -> bytes:
+        target = f"{path}?{'&'.join(query)}" if query else path
+        data = b"" if body is None else msgspec.json.encode(body)
+        head = f"{method} {target} HTTP/1.1\r\nHost: {self._host}\r\n"
+        if body is not None:
+            head += f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+        return head.encode() + b"\r\n" + data
+
+    def _expect(self, answer: WireAnswer, *statuses: int) -> None:
+        if answer.status not in statuses:
+            raise StoreCallError(f"status {answer.status}")
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"{names.OBJECTS_PATH}/{_KIND_PATHS.get(kind, kind)}"
+    return f"{path}/{quote(name, safe='')}" if name else path
+
+
+def _decode(answer: WireAnswer, form: type[T]) -> T:
+    try:
+        return msgspec.json.decode(answer.body, type=form)
+    except ValueError as error:
+        raise StoreCallError(f"not the expected form: {error}") from error
--- /dev/null
+++ b/ploverhatch/sharding/__init__.py
@@ -0,0 +1,1 @@
+"""Which server holds which range of keys."""
--- /dev/null
+++ b/ploverhatch/sharding/keymap.py
@@ -0,0 +1,152 @@
+"""The map from ranges of keys to the servers that hold them. Pure.
+
+A map covers all keys with ranges in order. A range is *settled* when its
+holder acknowledged the grant; while it moves, ``previous`` names the servers
+that may still hold it. Fencing tokens rise within a map and are never reused,
+since every change of the map is a compare-and-set in the store.
+"""
+
+from bisect import bisect_right
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from functools import cached_property
+
+KEY_COUNT = 65_536
+LAST_KEY = KEY_COUNT - 1
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """A server that holds or may hold keys, and where it is."""
+
+    server_id: str
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRange:
+    """Keys ``first`` to ``last``, both inside, and who holds them."""
+
+    first: int
+    last: int
+    holder: Holder
+    token: int
+    settled: bool
+    previous: tuple[Holder, ...] = ()
+
+    @property
+    def width(self) -> int:
+        """Number of keys."""
+        return self.last - self.first + 1
+
+
+@dataclass(frozen=True)
+class KeyMap:
+    """All ranges of one service, in order and without gaps."""
+
+    service: str
+    ranges: tuple[KeyRange, ...] = ()
+    token: int = 0  # highest token ever given out
+    revision: int = 0  # of the object in the store; 0: not stored yet
+
+    @cached_property
+    def _starts(self) -> list[int]:
+        return [item.first for item in self.ranges]
+
+    def find(self, key: int) -> KeyRange | None:
+        """Return the range of a key, or ``None`` before the first assignment."""
+        index = bisect_right(self._starts, key) - 1
+        if index < 0 or key > self.ranges[index].last:
+            return None
+        return self.ranges[index]
+
+    def held_by(self, server_id: str) -> list[KeyRange]:
+        """Return the ranges whose holder is ``server_id``."""
+        return [item for item in self.ranges if item.holder.server_id == server_id]
+
+    @property
+    def moving(self) -> list[KeyRange]:
+        """Ranges that are not settled."""
+        return [item for item in self.ranges if not item.settled]
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A wish to give the keys ``first`` to ``last`` to ``target``."""
+
+    first: int
+    last: int
+    target: Holder
+
+
+def _cut(ranges: Iterable[KeyRange], at: int) -> list[KeyRange]:
+    """Split the range that ``at`` lies inside of, so that one starts there."""
+    result = []
+    for item in ranges:
+        if item.first < at <= item.last:
+            result.append(replace(item, last=at - 1))
+            result.append(replace(item, first=at))
+        else:
+            result.append(item)
+    return result
+
+
+def begin_moves(keymap: KeyMap, moves: Iterable[Move]) -> KeyMap:
+    """Return the map with ranges under way to new holders, at new tokens."""
+    ranges = list(keymap.ranges)
+    token = keymap.token
+    for move in moves:
+        ranges = _cut(_cut(ranges, move.first), move.last + 1)
+        token += 1
+        ranges = [
+            _redirect(item, move.target, token)
+            if move.first <= item.first and item.last <= move.last
+            else item
+            for item in ranges
+        ]
+    return replace(keymap, ranges=tuple(ranges), token=token)
+
+
+def _redirect(item: KeyRange, target: Holder, token: int) -> KeyRange:
+    earlier = {holder.server_id: holder for holder in item.previous}
+    earlier[item.holder.server_id] = item.holder
+    earlier.pop(target.server_id, None)
+    previous = tuple(earlier.values())
+    return replace(item, holder=target, token=token, settled=False, previous=previous)
+
+
+def first_assignment(keymap: KeyMap, pieces: Iterable[Move]) -> KeyMap:
+    """Return a map that deals all keys out for the first time."""
+    token = keymap.token + 1
+    ranges = tuple(
+        KeyRange(piece.first, piece.last, piece.target, token, settled=False) for piece in pieces
+    )
+    return replace(keymap, ranges=ranges, token=token)
+
+
+def settle(keymap: KeyMap, done: Callable[[KeyRange], bool]) -> KeyMap:
+    """Return the map with the moving ranges that ``done`` accepts settled."""
+    ranges = tuple(
+        replace(item, settled=True, previous=()) if not item.settled and done(item) else item
+        for item in keymap.ranges
+    )
+    return replace(keymap, ranges=ranges)
+
+
+def merge_neighbours(keymap: KeyMap) -> KeyMap:
+    """Return the map with settled neighbours of one holder and token joined."""
+    merged: list[KeyRange] = []
+    for item in keymap.ranges:
+        last = merged[-1] if merged else None
+        if (
+            last is not None
+            and last.settled
+            and item.settled
+            and last.holder == item.holder
+            and last.token == item.token
+        ):
+            merged[-1] = replace(last, last=item.last)
+        else:
+            merged.append(item)
+    return replace(keymap, ranges=tuple(merged))
--- /dev/null
+++ b/ploverhatch/sharding/planner.py
@@ -0,0 +1,205 @@
+"""Decides which keys should go to which server. Pure.
+
+A server's *utilisation* is its requests per second times its answer time over
+its slots. Keys of servers that leave go to the least utilised ones; a server
+that is far busier than the idlest gives up the narrowest range that evens
+them out, since a hot range is usually narrow and keys that change hands cost.
+"""
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from ploverhatch.sharding.keymap import KEY_COUNT, Holder, KeyMap, KeyRange, Move
+
+HIGH_UTILISATION = 0.55  # below it, a server is not worth relieving
+LEAST_GAP = 0.25  # between the busiest and the idlest
+MAX_MOVES = 6  # in one round
+MAX_RANGES = 400  # of one map
+PIECES_OF_LOST = 4  # a lost range is dealt out in at most so many pieces
+KEY_WEIGHT = 0.2  # utilisation that holding all keys counts for, to spread idle keys
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A server that may hold keys."""
+
+    holder: Holder
+    slots: int
+    answer_ms: float
+
+    def utilisation(self, rate: float) -> float:
+        """Return the part of the server that ``rate`` requests a second take."""
+        return rate * self.answer_ms / 1000 / self.slots
+
+
+@dataclass(slots=True)
+class _Share:
+    """What one candidate holds while a plan is being made."""
+
+    candidate: Candidate
+    rate: float = 0.0
+    keys: int = 0
+
+    @property
+    def utilisation(self) -> float:
+        return self.candidate.utilisation(self.rate)
+
+    @property
+    def pressure(self) -> float:
+        """Utilisation, with idle keys counted a little."""
+        return self.utilisation + KEY_WEIGHT * self.keys / KEY_COUNT
+
+
+def initial_pieces(candidates: Sequence[Candidate]) -> list[Move]:
+    """Deal all keys out in equal parts per slot."""
+    total = sum(candidate.slots for candidate in candidates)
+    pieces = []
+    start = 0
+    dealt = 0
+    for candidate in candidates:
+        dealt += candidate.slots
+        end = KEY_COUNT * dealt // total
+        if end > start:
+            pieces.append(Move(start, end - 1, candidate.holder))
+        start = end
+    return pieces
+
+
+class _Plan:
+    """Shares and moves while one round is planned."""
+
+    def __init__(
+        self, keymap: KeyMap, candidates: Sequence[Candidate], rates: Mapping[int, float]
+    ) -> None:
+        self.keys = sorted(rates)
+        self.rates = rates
+        self.shares = {item.holder.server_id: _Share(item) for item in candidates}
+        self.moves: list[Move] = []
+        for item in keymap.ranges:
+            share = self.shares.get(item.holder.server_id)
+            if share is not None:
+                share.rate += self.rate_of(item.first, item.last)
+                share.keys += item.width
+
+    def keys_within(self, first: int, last: int) -> list[int]:
+        return self.keys[bisect_left(self.keys, first) : bisect_right(self.keys, last)]
+
+    def rate_of(self, first: int, last: int) -> float:
+        return sum(self.rates[key] for key in self.keys_within(first, last))
+
+    def idlest(self) -> _Share:
+        return min(self.shares.values(), key=lambda share: share.pressure)
+
+    def busiest(self) -> _Share:
+        return max(self.shares.values(), key=lambda share: share.utilisation)
+
+    def give(self, first: int, last: int, target: _Share, source: _Share | None = None) -> None:
+        rate = self.rate_of(first, last)
+        target.rate += rate
+        target.keys += last - first + 1
+        if source is not None:
+            source.rate -= rate
+            source.keys -= last - first + 1
+        self.moves.append(Move(first, last, target.candidate.holder))
+
+
+def plan_moves(
+    keymap: KeyMap, candidates: Sequence[Candidate], rates: Mapping[int, float]
+) -> list[Move]:
+    """Return the moves of one round.
+
+    :param candidates: servers that may hold keys; holders that are not among
+        them lose their keys.
+    :param rates: requests per second by key.
+    """
+    if not candidates:
+        return []
+    plan = _Plan(keymap, candidates, rates)
+    _rehome(plan, keymap)
+    if not plan.moves and len(keymap.ranges) < MAX_RANGES:
+        _even_out(plan, keymap)
+    return plan.moves
+
+
+def _rehome(plan: _Plan, keymap: KeyMap) -> None:
+    """Deal out the keys of holders that may hold none."""
+    lost = [item for item in keymap.ranges if item.holder.server_id not in plan.shares]
+    for item in sorted(lost, key=lambda item: -plan.rate_of(item.first, item.last)):
+        for first, last in _pieces(plan, item):
+            plan.give(first, last, plan.idlest())
+
+
+def _pieces(plan: _Plan, item: KeyRange) -> list[tuple[int, int]]:
+    """Cut a range into pieces of about equal load, a few at most."""
+    keys = plan.keys_within(item.first, item.last)
+    count = min(PIECES_OF_LOST, len(plan.shares), item.width)
+    total = plan.rate_of(item.first, item.last)
+    if count < 2 or total <= 0 or len(keys) < count:
+        return [(item.first, item.last)]
+    pieces: list[tuple[int, int]] = []
+    first = item.first
+    gathered = 0.0
+    for key in keys:
+        gathered += plan.rates[key]
+        done = len(pieces) + 1
+        if done < count and gathered >= total * done / count and key < item.last:
+            pieces.append((first, key))
+            first = key + 1
+    pieces.append((first, item.last))
+    return pieces
+
+
+def _even_out(plan: _Plan, keymap: KeyMap) -> None:
+    """Move narrow ranges from the busiest server to the idlest."""
+    taken: set[int] = set()
+    for _ in range(MAX_MOVES):
+        busiest = plan.busiest()
+        idlest = plan.idlest()
+        gap = busiest.utilisation - idlest.utilisation
+        if busiest.utilisation < HIGH_UTILISATION or gap < LEAST_GAP:
+            return
+        window = _narrowest_window(plan, keymap, busiest, idlest, gap, taken)
+        if window is None:
+            return
+        taken.update(plan.keys_within(*window))
+        plan.give(window[0], window[1], idlest, busiest)
+
+
+def _narrowest_window(
+    plan: _Plan,
+    keymap: KeyMap,
+    source: _Share,
+    target: _Share,
+    gap: float,
+    taken: set[int],
+) -> tuple[int, int] | None:
+    """Return the narrowest range whose move closes a good part of the gap."""
+    per_request = source.candidate.utilisation(1.0) + target.candidate.utilisation(1.0)
+    wanted = gap / per_request  # the rate that would make both equal
+    best: tuple[int, int] | None = None
+    for item in keymap.held_by(source.candidate.holder.server_id):
+        if not item.settled:
+            continue
+        keys = [key for key in plan.keys_within(item.first, item.last) if key not in taken]
+        window = _window(plan, keys, wanted)
+        if window and (best is None or window[1] - window[0] < best[1] - best[0]):
+            best = window
+    return best
+
+
+def _window(plan: _Plan, keys: list[int], wanted: float) -> tuple[int, int] | None:
+    """Return the narrowest run of keys with between half and all of ``wanted``."""
+    best: tuple[int, int] | None = None
+    start = 0
+    gathered = 0.0
+    for end, key in enumerate(keys):
+        gathered += plan.rates[key]
+        while gathered > wanted and start < end:
+            gathered -= plan.rates[keys[start]]
+            start += 1
+        if wanted / 2 <= gathered <= wanted:
+            window = (keys[start], key)
+            if best is None or window[1] - window[0] < best[1] - best[0]:
+                best = window
+    return best
--- /dev/null
+++ b/ploverhatch/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object store and machine list."""
--- a/ploverhatch/platform/http_store.py
+++ b/ploverhatch/store/http_store.py
@@ -6,7 +6,7 @@
 
 from typing_extensions import override
 
-from ploverhatch.platform.interface import (
+from ploverhatch.store.interface import (
     ChangeUnknownError,
     HistoryCompactedError,
     Machine,
--- /dev/null
+++ b/ploverhatch/store/kinds.py
@@ -0,0 +1,8 @@
+"""Kinds of objects that a gateway reads and writes, in the product's words."""
+
+CONFIGURATION = "configuration"  # written by operators; one object
+SERVERS = "servers"  # written by servers, one object per life
+KEYMAPS = "keymaps"  # written by the leader, one object per service
+LEASES = "leases"  # the leader's lease, and one object per node
+
+LEADER_LEASE = "leader"
--- /dev/null
+++ b/ploverhatch/transport/http_connection.py
@@ -0,0 +1,256 @@
+"""One HTTP/1.1 client connection that serves one request at a time.
+
+It tells exactly how far an exchange got, which decides whether a request may
+be repeated. The parser is llhttp, through ``httptools``.
+"""
+
+import select
+import socket as stdlib_socket
+import struct
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+import gevent
+from gevent import socket
+from httptools import HttpParserError, HttpResponseParser
+
+READ_SIZE = 65_536
+LARGE_PAYLOAD = 32_768  # beyond it, sending and reading go on side by side
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class HostPort(NamedTuple):
+    """A TCP address."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "HostPort":
+        """Read ``host:port``.
+
+        :raises ValueError: when the text has another form.
+        """
+        host, _, port = text.rpartition(":")
+        if not host:
+            raise ValueError(f"no port in {text!r}")
+        return cls(host, int(port))
+
+
+class NotConnectedError(ConnectionError):
+    """No connection was made; no byte of the request left."""
+
+    def __init__(self, cause: str, refused: bool = False) -> None:
+        super().__init__(cause)
+        self.refused = refused
+
+
+class AnswerCutError(ConnectionError):
+    """Bytes were sent, but no whole answer came back."""
+
+
+@dataclass(slots=True)
+class WireAnswer:
+    """A whole answer as it came."""
+
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first field of a name in lower case, or ``None``."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class _AnswerReader:
+    """Callbacks of the parser for one answer."""
+
+    def __init__(self, method: bytes) -> None:
+        self.answer = WireAnswer()
+        self.complete = False
+        self.excess = False  # bytes beyond the answer: the connection is spoilt
+        self.keep_alive = False
+        self._head_only = method == b"HEAD"
+        self._sized = False
+        self._headers_done = False
+        self._body: list[bytes] = []
+        self._parser = HttpResponseParser(self)
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the answer states no length, so that the close ends it."""
+        return self._headers_done and not self._sized and not self.complete
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes.
+
+        :raises AnswerCutError: when they are not an answer.
+        """
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError as error:
+            if not self.complete:
+                raise AnswerCutError(f"not an answer: {error}") from error
+            self.excess = True
+
+    def finish(self) -> None:
+        """Take the end of the connection as the end of the answer."""
+        self.answer.body = b"".join(self._body)
+        self.complete = True
+        self.keep_alive = False
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.excess = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete or self._headers_done:
+            return
+        if name.lower() in {b"content-length", b"transfer-encoding"}:
+            self._sized = True
+        self.answer.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        if self.complete:
+            return
+        self.answer.status = self._parser.get_status_code()
+        self.keep_alive = self._parser.should_keep_alive()
+        self._headers_done = True
+        if self._head_only and self.answer.status >= 200:
+            self.finish()
+
+    def on_body(self, body: bytes) -> None:
+        if not self.complete:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self.complete:
+            return
+        if self.answer.status < 200:  # an interim answer; the final one follows
+            self.answer = WireAnswer()
+            self._headers_done = self._sized = False
+            self._body.clear()
+            return
+        self.answer.body = b"".join(self._body)
+        self.complete = True
+
+
+class HttpConnection:
+    """A connection to one address."""
+
+    def __init__(self, address: HostPort) -> None:
+        self.address = address
+        self.reusable = False
+        self.idle_limit_s = 0.0  # as the last answer stated; 0: not stated
+        self.idle_since_s = 0.0
+        self._socket: Any = None
+
+    def open(self, timeout_s: float) -> None:
+        """Connect.
+
+        :raises NotConnectedError: when that fails or takes too long.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sock
+        sock.settimeout(timeout_s)
+        try:
+            sock.connect(self.address)
+        except OSError as error:
+            self.abort()
+            refused = isinstance(error, ConnectionRefusedError)
+            raise NotConnectedError(str(error) or type(error).__name__, refused) from error
+        except BaseException:
+            self.abort()
+            raise
+        sock.settimeout(None)
+
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is open with nothing to read.
+
+        Bytes that arrive while no request is out belong to no request.
+        """
+        if self._socket is None:
+            return False
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+
+    def exchange(self, method: bytes, payload: bytes) -> WireAnswer:
+        """Send one request and read its answer. Bound it by ``gevent.Timeout``.
+
+        The connection is closed with a reset unless the answer was whole, so
+        that bytes still under way cannot arrive later.
+
+        :raises AnswerCutError: when no whole answer came.
+        """
+        self.reusable = False
+        reader = _AnswerReader(method)
+        try:
+            all_sent = self._send_and_read(reader, payload)
+        except OSError as error:
+            self.abort()
+            if isinstance(error, AnswerCutError):
+                raise
+            raise AnswerCutError(str(error)) from error
+        except BaseException:
+            self.abort()
+            raise
+        self.reusable = all_sent and reader.keep_alive and not reader.excess
+        self._note_idle_limit(reader.answer)
+        return reader.answer
+
+    def _send_and_read(self, reader: _AnswerReader, payload: bytes) -> bool:
+        if len(payload) <= LARGE_PAYLOAD:
+            self._socket.sendall(payload)
+            self._read(reader)
+            return True
+        sender = gevent.spawn(self._send_quietly, payload)
+        try:
+            self._read(reader)
+            return bool(sender.ready() and sender.value)
+        finally:
+            sender.kill(block=False)
+
+    def _send_quietly(self, payload: bytes) -> bool:
+        with suppress(OSError):
+            self._socket.sendall(payload)
+            return True
+        return False
+
+    def _read(self, reader: _AnswerReader) -> None:
+        while not reader.complete:
+            data = self._socket.recv(READ_SIZE)
+            if data:
+                reader.feed(data)
+            elif reader.ends_with_connection:
+                reader.finish()
+            else:
+                raise AnswerCutError("closed before a whole answer")
+
+    def _note_idle_limit(self, answer: WireAnswer) -> None:
+        self.idle_limit_s = 0.0
+        value = answer.get(b"keep-alive") or b""
+        for part in value.split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.isdigit():
+                self.idle_limit_s = float(number)
+
+    def close(self) -> None:
+        """Close in order."""
+        sock, self._socket = self._socket, None
+        if sock is not None:
+            with suppress(OSError):
+                sock.close()
+
+    def abort(self) -> None:
+        """Close with a reset: nothing that is still under way arrives."""
+        sock = self._socket
+        if sock is not None:
+            with suppress(OSError):
+                sock.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.close()
--- a/tests/functional/test_platform_contract.py
+++ b/tests/functional/test_platform_contract.py
@@ -6,8 +6,8 @@
 from ploverhatch.admin.changes import ChangeApplier
 from ploverhatch.common import results
 from ploverhatch.emulator.platform import PlatformEmulator
-from ploverhatch.platform.http_store import HttpPlatformStore
-from ploverhatch.platform.interface import (
+from ploverhatch.store.http_store import HttpPlatformStore
+from ploverhatch.store.interface import (
     ChangeUnknownError,
     HistoryCompactedError,
     StoreUnavailableError,
