Name the server's life in every grant and release

Ruled out: late grants (both came from the live leader, 17.2 s). Change: control calls carry the id they are meant for, as requests do; a 421 proves that the former life has ended, so its keys move without waiting for the lapse.

--- a/ploverhatch/gateway/dialect.py
+++ b/ploverhatch/gateway/dialect.py
@@ -36,6 +36,10 @@
     """The server has seen a higher token on one of the keys."""
 
 
+class OtherInstanceError(Exception):
+    """Another life or another server answered: the one meant has ended."""
+
+
 class Dialect(ABC):
     """Reads and writes header fields and control calls of one platform."""
 
@@ -65,11 +69,11 @@
         """Return header fields of an answer of our own."""
 
     @abstractmethod
-    def encode_grant(self, call: GrantCall, host: str) -> bytes:
+    def encode_grant(self, call: GrantCall, server_id: str, host: str) -> bytes:
         """Return a grant as it goes to a server."""
 
     @abstractmethod
-    def encode_release(self, call: ReleaseCall, host: str) -> bytes:
+    def encode_release(self, call: ReleaseCall, server_id: str, host: str) -> bytes:
         """Return a release as it goes to a server."""
 
     @abstractmethod
@@ -77,6 +81,7 @@
         """Check the answer to a grant.
 
         :raises GrantRefusedError: when a higher token was seen.
+        :raises OtherInstanceError: when another server has the address.
         :raises ValueError: on any other answer but success.
         """
 
@@ -84,5 +89,6 @@
     def read_release(self, answer: WireAnswer) -> str:
         """Return the handover from the answer to a release.
 
+        :raises OtherInstanceError: when another server has the address.
         :raises ValueError: on any answer but success.
         """
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -13,7 +13,13 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway import keymap_codec
-from ploverhatch.gateway.dialect import Dialect, GrantCall, GrantRefusedError, ReleaseCall
+from ploverhatch.gateway.dialect import (
+    Dialect,
+    GrantCall,
+    GrantRefusedError,
+    OtherInstanceError,
+    ReleaseCall,
+)
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
 from ploverhatch.gateway.server_control import ControlCallError, ServerControl
@@ -314,6 +320,9 @@
         except GrantRefusedError:
             LOG.warning("Renewal refused: a higher token was seen.", server=holder.server_id)
             return False
+        except OtherInstanceError:
+            self._note_ended(state, holder)
+            return False
         except ControlCallError as error:
             self._note_unreachable(state, holder, error)
             return False
@@ -325,6 +334,11 @@
         state.held_until_ms = max(state.held_until_ms, lapse_ms)
         state.control.grant(GrantCall(item.first, item.last, item.token, HOLD_MS, handover))
 
+    def _note_ended(self, state: _HolderState, holder: Holder) -> None:
+        """Another life answered at the address: the holder holds nothing any more."""
+        state.held_until_ms = 0.0
+        self._directory.server_ended(holder.server_id)
+
     def _note_unreachable(
         self, state: _HolderState, holder: Holder, error: ControlCallError
     ) -> None:
@@ -350,6 +364,9 @@
             except GrantRefusedError:
                 LOG.warning("Grant refused.", server=item.holder.server_id, token=item.token)
                 gevent.sleep(RETRY_S)
+            except OtherInstanceError:
+                self._note_ended(holder_state, item.holder)
+                return
             except ControlCallError as error:
                 self._note_unreachable(holder_state, item.holder, error)
                 gevent.sleep(RETRY_S)
@@ -364,6 +381,8 @@
             left_s = (state.held_until_ms - elapsed_ms()) / 1000
             try:
                 return state.control.release(call, min(RELEASE_TIMEOUT_S, left_s))
+            except OtherInstanceError:
+                self._note_ended(state, previous)
             except ControlCallError:
                 gevent.sleep(min(RETRY_S, max(left_s, 0.01)))
         return ""
--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -25,6 +25,7 @@
     """Calls to one server; one kept connection, others as needed."""
 
     def __init__(self, holder: Holder, dialect: Dialect) -> None:
+        self._server_id = holder.server_id
         self._address = HostPort(holder.host, holder.port)
         self._host = f"{holder.host}:{holder.port}"
         self._dialect = dialect
@@ -35,8 +36,11 @@
 
         :raises ControlCallError: without an answer.
         :raises GrantRefusedError: when the server has seen a higher token.
+        :raises OtherInstanceError: when another server has the address.
         """
-        answer = self._call(self._dialect.encode_grant(call, self._host), GRANT_TIMEOUT_S)
+        answer = self._call(
+            self._dialect.encode_grant(call, self._server_id, self._host), GRANT_TIMEOUT_S
+        )
         try:
             self._dialect.read_grant(answer)
         except ValueError as error:
@@ -45,9 +49,12 @@
     def release(self, call: ReleaseCall, timeout_s: float) -> str:
         """Take keys back; return the handover.
 
+        :raises OtherInstanceError: when another server has the address.
         :raises ControlCallError: without an answer.
         """
-        answer = self._call(self._dialect.encode_release(call, self._host), timeout_s)
+        answer = self._call(
+            self._dialect.encode_release(call, self._server_id, self._host), timeout_s
+        )
         try:
             return self._dialect.read_release(answer)
         except ValueError as error:
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -8,6 +8,7 @@
     GrantCall,
     GrantRefusedError,
     MalformedRequestError,
+    OtherInstanceError,
     ReleaseCall,
 )
 from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
@@ -105,7 +106,7 @@
         return headers
 
     @override
-    def encode_grant(self, call: GrantCall, host: str) -> bytes:
+    def encode_grant(self, call: GrantCall, server_id: str, host: str) -> bytes:
         document: dict[str, object] = {
             "from": call.first,
             "target_version": call.last,
@@ -114,15 +115,16 @@
         }
         if call.handover:
             document["handover"] = call.handover
-        return _post(names.GRANT_PATH, host, document)
+        return _post(names.GRANT_PATH, server_id, host, document)
 
     @override
-    def encode_release(self, call: ReleaseCall, host: str) -> bytes:
+    def encode_release(self, call: ReleaseCall, server_id: str, host: str) -> bytes:
         document = {"from": call.first, "target_version": call.last, "fence": call.token}
-        return _post(names.RELEASE_PATH, host, document)
+        return _post(names.RELEASE_PATH, server_id, host, document)
 
     @override
     def read_grant(self, answer: WireAnswer) -> None:
+        _check_instance(answer)
         if answer.status == 409:
             raise GrantRefusedError
         if answer.status != 200:
@@ -130,18 +132,27 @@
 
     @override
     def read_release(self, answer: WireAnswer) -> str:
+        _check_instance(answer)
         if answer.status != 200:
             raise ValueError(f"status {answer.status}")
         return (answer.get(names.HANDOVER) or b"").decode("latin-1")
 
 
-def _post(path: bytes, host: str, document: object) -> bytes:
+def _post(path: bytes, server_id: str, host: str, document: object) -> bytes:
     data = msgspec.json.encode(document)
-    head = (
-        b"POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
-        b"Content-Length: %d\r\n\r\n" % (path, host.encode(), len(data))
-    )
-    return head + data
+    rows = [
+        b"POST %s HTTP/1.1" % path,
+        b"Host: %s" % host.encode(),
+        b"Expect-Instance: %s" % server_id.encode(),
+        b"Content-Type: application/json",
+        b"Content-Length: %d" % len(data),
+    ]
+    return b"\r\n".join(rows) + b"\r\n\r\n" + data
+
+
+def _check_instance(answer: WireAnswer) -> None:
+    if answer.status == 421:
+        raise OtherInstanceError
 
 
 def _bare_host(value: bytes) -> bytes:
