Give a dominant key a fast server alone; pause after watches; shed http.client

Cloud calls: each of 36 registrations woke 11 watches. http.client loaded ssl and email for a table of reasons. Ruled out: splitting (a log of key rates showed a single key, 11230 then 15718). Change: such a key goes to the fastest server, its other keys leave; speed is read from a typical answer time that queueing hardly moves; limits follow queueing; watches that reported pause 0.1 to 0.25 s.

--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from http.client import responses as REASONS
+from http import HTTPStatus
 from typing import Any
 
 import gevent
@@ -30,6 +30,8 @@
 LINGER_S = 1.0
 READ_EVENT = 1  # libev's number for "readable"
 
+REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
+
 Handler = Callable[[CallerRequest], CallerReply]
 
 
@@ -324,4 +326,4 @@
 
 
 def _reason(status: int) -> bytes:
-    return REASONS.get(status, "Unknown").encode()
+    return REASONS.get(status, b"Unknown")
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -29,6 +29,7 @@
     kind: str
     replace_all: Callable[[tuple[VersionedObject, ...]], None]
     apply: Callable[[ObjectChange], None]
+    pause_s: float = 0.0  # after changes, so that more of them come with one call
 
 
 class FeedTask:
@@ -69,6 +70,8 @@
         for change in batch.changes:
             self._feed.apply(change)
         self._revision = batch.revision
+        if batch.changes:
+            gevent.sleep(self._feed.pause_s)
 
     def _note_failure(self, error: StoreCallError) -> None:
         if not self._lost_ms:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -41,6 +41,7 @@
 LEAST_ATTEMPT_PART = 0.1  # of the objective: less time than that is no use
 DRAINING_HOLDER_MS = 1000.0  # how long a draining server still gets its keys' requests
 JITTER = 0.15
+DEFAULT_ANSWER_MS = 100.0
 RETRY_AFTER_BUSY_S = 0.15
 RETRY_AFTER_MOVE_S = 0.25
 RETRY_AFTER_NO_SERVER_S = 0.5
@@ -264,7 +265,7 @@
             return result, None
         upstream.give_back(connection)
         if result is AttemptResult.ANSWERED:
-            upstream.answered(elapsed_ms() - sent_ms)
+            upstream.answered(elapsed_ms() - sent_ms, call.route.objective_ms)
         return result, answer
 
     # ---- choice of the server ---------------------------------------------------------
@@ -302,8 +303,9 @@
             for record in self._directory.servers.of_service(call.service)
             if self._usable(record, tried) and (upstream := self._pool.get(record.server_id))
         ]
-        answered = [upstream.mean_ms for upstream in upstreams if upstream.answers]
-        usual_ms = sum(answered) / len(answered) if answered else 100.0
+        times = [upstream.answer_time for upstream in upstreams]
+        answered = [time.mean_ms for time in times if time.count]
+        usual_ms = sum(answered) / len(answered) if answered else DEFAULT_ANSWER_MS
         loads = [upstream.load(usual_ms) for upstream in upstreams]
         jitter = {load.server_id: random.uniform(1 - JITTER, 1 + JITTER) for load in loads}
         chosen = balancer.choose(loads, jitter)
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -22,6 +22,7 @@
 )
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
+from ploverhatch.gateway.load_reports import LoadReport
 from ploverhatch.gateway.server_control import ControlCallError, ServerControl
 from ploverhatch.routing.servers import ServerRecord
 from ploverhatch.sharding import planner
@@ -141,14 +142,15 @@
         for holder in self._holders.values():
             holder.control.close()
 
-    def add_load(self, service: str, keys: list[int], times: dict[str, float]) -> None:
+    def take_report(self, report: LoadReport) -> None:
         """Take a node's report."""
         now_ms = elapsed_ms()
-        state = self._services.get(service)
-        if state is not None:
-            state.load.add(now_ms, keys)
-        for server_id, mean_ms in times.items():
-            self.answer_times.add(server_id, mean_ms)
+        for service, keys in report.keys.items():
+            state = self._services.get(service)
+            if state is not None:
+                state.load.add(now_ms, keys)
+        for server_id, (mean_ms, typical_ms) in report.answer_ms.items():
+            self.answer_times.add(server_id, mean_ms, typical_ms)
 
     def _holder(self, holder: Holder) -> _HolderState:
         state = self._holders.get(holder.server_id)
@@ -209,11 +211,12 @@
         reachable = [record for record in records if not self._avoided(record, now_ms)]
         if len(reachable) * 2 < len(records):
             return []  # it is rather this node that is cut off
+        work_ms = self.answer_times.work_ms([record.server_id for record in reachable])
         return [
             planner.Candidate(
                 Holder(record.server_id, record.host, record.port),
                 record.slots,
-                self.answer_times.get(record.server_id),
+                work_ms[record.server_id],
             )
             for record in reachable
         ]
--- a/ploverhatch/gateway/load_reports.py
+++ b/ploverhatch/gateway/load_reports.py
@@ -25,7 +25,7 @@
     """Keys of the requests since the last report, and servers' answer times."""
 
     keys: dict[str, list[int]]
-    answer_ms: dict[str, float]
+    answer_ms: dict[str, tuple[float, float]]  # server -> mean and typical time
 
 
 class LoadReporter:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -1,7 +1,7 @@
 """Puts the parts of a gateway process together, and ends it in order."""
 
+import os
 import random
-import secrets
 import signal
 
 import gevent
@@ -31,6 +31,9 @@
 
 HOUSEKEEPING_S = 0.25
 LEADER_POLL_S = 0.1
+LIFE_BYTES = 6  # of the name of one life of the process
+SERVERS_PAUSE_S = 0.25  # a watch that has reported is asked again after that
+KEYMAPS_PAUSE_S = 0.1
 READINESS_MISSES_S = 2.6  # until no new connections come after readiness ends
 STOP_MARGIN_S = 0.6  # before the platform kills the process
 
@@ -62,7 +65,7 @@
         self._elector = Elector(
             store,
             settings.node,
-            secrets.token_hex(6),
+            os.urandom(LIFE_BYTES).hex(),
             f"{settings.ip}:{settings.peer_port}",
             self._store_lost,
             store.interrupt,
@@ -123,8 +126,8 @@
     def _feeds(self) -> list[Feed]:
         return [
             Feed(kinds.CONFIGURATION, self._take_configurations, self._change_configuration),
-            Feed(kinds.SERVERS, self._take_servers, self._change_server),
-            Feed(kinds.KEYMAPS, self._take_keymaps, self._change_keymap),
+            Feed(kinds.SERVERS, self._take_servers, self._change_server, SERVERS_PAUSE_S),
+            Feed(kinds.KEYMAPS, self._take_keymaps, self._change_keymap, KEYMAPS_PAUSE_S),
         ]
 
     def _take_configurations(self, items: tuple[VersionedObject, ...]) -> None:
@@ -188,16 +191,11 @@
             service: found if len(found) <= MAX_KEYS else random.sample(found, MAX_KEYS)
             for service, found in sampled.items()
         }
-        times = {name: round(value, 1) for name, value in self._pool.answer_times().items()}
-        return LoadReport(keys, times)
+        return LoadReport(keys, self._pool.answer_times())
 
     def _take_load(self, report: LoadReport) -> None:
-        leader = self._leader
-        if leader is None:
-            return
-        for service, keys in report.keys.items():
-            leader.add_load(service, keys, {})
-        leader.add_load("", [], report.answer_ms)
+        if self._leader is not None:
+            self._leader.take_report(report)
 
     # ---- readiness ----------------------------------------------------------------------
 
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -10,17 +10,19 @@
 from gevent.event import AsyncResult
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.routing.answer_time import AnswerTime
 from ploverhatch.routing.balancer import ServerLoad
 from ploverhatch.routing.servers import ServerRecord
 from ploverhatch.transport.http_connection import HostPort, HttpConnection
 
 DEFAULT_IDLE_S = 4.0  # where a server does not state how long it keeps idle connections
 IDLE_MARGIN_S = 1.0
-DEFAULT_ANSWER_MS = 100.0
-SMOOTHING = 0.15
 FAILING_MS = 1000.0
 FORGET_MS = 3000.0  # unused for so long, an old answer time counts half
 LEAST_LIMIT = 1.0
+QUEUED_FACTOR = 2.5  # an answer so much slower than typical had to queue
+QUEUED_PART = 0.5  # of the objective: faster answers are good whatever they waited
+QUEUED_STEP = 0.25
 
 
 class NoSlotError(Exception):
@@ -40,8 +42,7 @@
     def __init__(self, record: ServerRecord, same_zone: bool) -> None:
         self.record = record
         self.same_zone = same_zone
-        self.mean_ms = DEFAULT_ANSWER_MS
-        self.answers = 0
+        self.answer_time = AnswerTime()
         self.failing_until_ms = 0.0
         self.cold_until_ms = elapsed_ms() + record.cold_remaining_ms
         self.limit = float(max(2, record.slots))
@@ -93,13 +94,14 @@
 
     # ---- what was learned -----------------------------------------------------------
 
-    def answered(self, took_ms: float) -> None:
-        """A whole answer came."""
-        self.answers += 1
-        if self.answers == 1:
-            self.mean_ms = took_ms
-        self.mean_ms += SMOOTHING * (took_ms - self.mean_ms)
-        self.limit = min(self._most, self.limit + 1.0 / max(self.limit, 1.0))
+    def answered(self, took_ms: float, objective_ms: float) -> None:
+        """A whole answer came; adapt to whether it had to queue."""
+        self.answer_time.add(took_ms)
+        queued = took_ms > QUEUED_FACTOR * self.answer_time.typical_ms
+        if queued and took_ms > QUEUED_PART * objective_ms:
+            self.limit = max(LEAST_LIMIT, self.limit - QUEUED_STEP)
+        else:
+            self.limit = min(self._most, self.limit + 1.0 / max(self.limit, 1.0))
         self.failing_until_ms = 0.0
         self._used_ms = elapsed_ms()
 
@@ -114,7 +116,7 @@
     def load(self, usual_ms: float) -> ServerLoad:
         """Return what the balancer needs to know."""
         now_ms = elapsed_ms()
-        mean_ms = self.mean_ms if self.answers else usual_ms
+        mean_ms = self.answer_time.mean_ms if self.answer_time.count else usual_ms
         if now_ms - self._used_ms > FORGET_MS:
             mean_ms = (mean_ms + usual_ms) / 2
         oldest_ms = now_ms - min(self._under_way.values()) if self._under_way else 0.0
@@ -183,10 +185,10 @@
         """Return a server's state, or ``None`` when it is not known."""
         return self._upstreams.get(server_id)
 
-    def answer_times(self) -> dict[str, float]:
-        """Return the answer time of each server that answered, by id."""
+    def answer_times(self) -> dict[str, tuple[float, float]]:
+        """Return mean and typical time of each server that answered, by id."""
         return {
-            server_id: upstream.mean_ms
+            server_id: (round(time.mean_ms, 1), round(time.typical_ms, 1))
             for server_id, upstream in self._upstreams.items()
-            if upstream.answers
+            if (time := upstream.answer_time).count
         }
--- a/ploverhatch/routing/servers.py
+++ b/ploverhatch/routing/servers.py
@@ -1,8 +1,9 @@
 """The servers a node knows of, and which of them may be used. Pure.
 
-A store that was down may have dropped the records of servers that still run;
-a record that vanishes soon after a failure of the store is therefore kept for
-a while.
+A store that was down may have dropped the records of most servers though they
+still run. Records that vanish soon after a failure of the store are therefore
+kept for a while, but only when most of a service vanished: a single record
+that goes is taken at its word, since a server that leaves may not announce it.
 """
 
 from dataclasses import dataclass, field
@@ -49,23 +50,32 @@
 
     def remove(self, server_id: str, now_ms: float) -> None:
         """Take note that a record is gone."""
-        record = self.records.get(server_id)
-        if record is None:
-            return
-        suspect = now_ms - self.store_failed_ms < STORE_FAILURE_MEMORY_MS
-        if suspect and not record.draining:
-            self.vanished.setdefault(server_id, now_ms)
-        else:
-            self._drop(server_id)
+        self._remove_all({server_id}, now_ms)
 
     def replace_all(self, records: list[ServerRecord], now_ms: float) -> None:
         """Take a whole listing."""
         listed = {record.server_id for record in records}
-        for server_id in [known for known in self.records if known not in listed]:
-            self.remove(server_id, now_ms)
+        self._remove_all(self.records.keys() - listed, now_ms)
         for record in records:
             self.put(record, now_ms)
 
+    def _remove_all(self, server_ids: set[str], now_ms: float) -> None:
+        suspect = now_ms - self.store_failed_ms < STORE_FAILURE_MEMORY_MS
+        for server_id in server_ids & self.records.keys():
+            record = self.records[server_id]
+            if suspect and not record.draining and self._most_vanish(record, server_ids):
+                self.vanished.setdefault(server_id, now_ms)
+            else:
+                self._drop(server_id)
+
+    def _most_vanish(self, record: ServerRecord, server_ids: set[str]) -> bool:
+        """Whether most records of a record's service are vanishing or vanished."""
+        same = [known for known in self.records.values() if known.service == record.service]
+        gone = sum(
+            known.server_id in server_ids or known.server_id in self.vanished for known in same
+        )
+        return len(same) > 1 and gone * 2 > len(same)
+
     def expire(self, now_ms: float) -> bool:
         """Drop vanished records whose grace is over; true if any was."""
         overdue = [
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -1,7 +1,7 @@
 """How busy keys and servers have been lately. Pure; times in milliseconds."""
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 WINDOW_MS = 3000.0
@@ -9,6 +9,12 @@
 SMOOTHING = 0.2  # weight of a new reading of a server's answer time
 
 
+def median(values: Iterable[float]) -> float:
+    """Return the middle value; the ``statistics`` module costs 2 MB."""
+    ordered = sorted(values)
+    return ordered[len(ordered) // 2]
+
+
 @dataclass
 class KeyLoad:
     """Requests per key within a sliding window, from the samples of all nodes."""
@@ -42,29 +48,37 @@
 
 @dataclass
 class AnswerTimes:
-    """Smoothed answer time of each server, in milliseconds, from all nodes."""
+    """How long each server works on a request, from the reports of all nodes.
+
+    A server's mean answer time includes its queue, its typical one is below
+    the mean. The work is taken as the typical time, scaled by what the mean
+    is of the typical time on the middle one of the servers.
+    """
 
     default_ms: float = 100.0
-    _means: dict[str, float] = field(default_factory=dict)
-
-    def add(self, server_id: str, mean_ms: float) -> None:
-        """Add one reading."""
-        known = self._means.get(server_id)
-        if known is None:
-            self._means[server_id] = mean_ms
-        else:
-            self._means[server_id] = known + SMOOTHING * (mean_ms - known)
-
-    def get(self, server_id: str) -> float:
-        """Return a server's answer time; unknown ones get the mean of the others."""
-        known = self._means.get(server_id)
+    _readings: dict[str, tuple[float, float]] = field(default_factory=dict)
+
+    def add(self, server_id: str, mean_ms: float, typical_ms: float) -> None:
+        """Add one node's reading."""
+        known = self._readings.get(server_id)
         if known is not None:
-            return known
-        if not self._means:
-            return self.default_ms
-        return sum(self._means.values()) / len(self._means)
+            mean_ms = known[0] + SMOOTHING * (mean_ms - known[0])
+            typical_ms = known[1] + SMOOTHING * (typical_ms - known[1])
+        self._readings[server_id] = (mean_ms, typical_ms)
+
+    def work_ms(self, server_ids: Collection[str]) -> dict[str, float]:
+        """Return the time per request of each of the servers of one service."""
+        known = [self._readings[name] for name in server_ids if name in self._readings]
+        if not known:
+            return dict.fromkeys(server_ids, self.default_ms)
+        ratio = median(mean / max(typical, 0.1) for mean, typical in known)
+        usual_ms = median(typical for _, typical in known) * ratio
+        return {
+            name: self._readings[name][1] * ratio if name in self._readings else usual_ms
+            for name in server_ids
+        }
 
-    def keep_only(self, server_ids: set[str]) -> None:
+    def keep_only(self, server_ids: Collection[str]) -> None:
         """Forget servers that are gone."""
-        for server_id in [known for known in self._means if known not in server_ids]:
-            del self._means[server_id]
+        for server_id in [known for known in self._readings if known not in server_ids]:
+            del self._readings[server_id]
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -17,6 +17,8 @@
 MAX_MOVES = 6  # in one round
 MAX_RANGES = 400  # of one map
 PIECES_OF_LOST = 4  # a lost range is dealt out in at most so many pieces
+DOMINANT = 0.6  # of a server: a key that takes more is *dominant* and gets it alone
+FASTER = 0.8  # a server whose work takes this part of another's is clearly faster
 KEY_WEIGHT = 0.2  # utilisation that holding all keys counts for, to spread idle keys
 
 
@@ -28,9 +30,14 @@
     slots: int
     answer_ms: float
 
+    @property
+    def cost_ms(self) -> float:
+        """Time of the whole server that one request takes."""
+        return self.answer_ms / self.slots
+
     def utilisation(self, rate: float) -> float:
         """Return the part of the server that ``rate`` requests a second take."""
-        return rate * self.answer_ms / 1000 / self.slots
+        return rate * self.cost_ms / 1000
 
 
 @dataclass(slots=True)
@@ -76,6 +83,8 @@
         self.rates = rates
         self.shares = {item.holder.server_id: _Share(item) for item in candidates}
         self.moves: list[Move] = []
+        self.taken: set[int] = set()  # keys that this round has dealt with
+        self.dominated: set[str] = set()  # servers that one key fills
         for item in keymap.ranges:
             share = self.shares.get(item.holder.server_id)
             if share is not None:
@@ -91,9 +100,6 @@
     def idlest(self) -> _Share:
         return min(self.shares.values(), key=lambda share: share.pressure)
 
-    def busiest(self) -> _Share:
-        return max(self.shares.values(), key=lambda share: share.utilisation)
-
     def give(self, first: int, last: int, target: _Share, source: _Share | None = None) -> None:
         rate = self.rate_of(first, last)
         target.rate += rate
@@ -118,6 +124,7 @@
     plan = _Plan(keymap, candidates, rates)
     _rehome(plan, keymap)
     if not plan.moves and len(keymap.ranges) < MAX_RANGES:
+        _isolate_dominant(plan, keymap)
         _even_out(plan, keymap)
     return plan.moves
 
@@ -150,29 +157,64 @@
     return pieces
 
 
+def _isolate_dominant(plan: _Plan, keymap: KeyMap) -> None:
+    """Give a key that fills a server by itself a fast server of its own."""
+    for key in sorted(plan.rates, key=lambda key: -plan.rates[key])[:MAX_MOVES]:
+        item = keymap.find(key)
+        share = plan.shares.get(item.holder.server_id) if item else None
+        if item is None or share is None:
+            continue
+        if share.candidate.utilisation(plan.rates[key]) < DOMINANT:
+            return  # the keys that follow are less busy
+        plan.taken.add(key)
+        plan.dominated.add(item.holder.server_id)
+        if item.settled:
+            _give_dominant(plan, keymap, key, item, share)
+
+
+def _give_dominant(plan: _Plan, keymap: KeyMap, key: int, item: KeyRange, share: _Share) -> None:
+    free = [other for name, other in plan.shares.items() if name not in plan.dominated]
+    fastest = min(free, key=lambda other: other.candidate.cost_ms, default=None)
+    if fastest and fastest.candidate.cost_ms < FASTER * share.candidate.cost_ms:
+        plan.give(key, key, fastest, share)
+        plan.dominated.add(fastest.candidate.holder.server_id)
+        return
+    for other in keymap.held_by(item.holder.server_id):
+        if other.settled:
+            _clear_around(plan, key, other, share)
+
+
+def _clear_around(plan: _Plan, key: int, item: KeyRange, share: _Share) -> None:
+    """Move the other busy keys of a range off a server that one key fills."""
+    parts = [(item.first, item.last)]
+    if item.first <= key <= item.last:
+        parts = [(item.first, key - 1), (key + 1, item.last)]
+    for first, last in parts:
+        free = [other for name, other in plan.shares.items() if name not in plan.dominated]
+        if free and first <= last and plan.keys_within(first, last):
+            plan.give(first, last, min(free, key=lambda other: other.pressure), share)
+
+
 def _even_out(plan: _Plan, keymap: KeyMap) -> None:
     """Move narrow ranges from the busiest server to the idlest."""
-    taken: set[int] = set()
-    for _ in range(MAX_MOVES):
-        busiest = plan.busiest()
-        idlest = plan.idlest()
+    while len(plan.moves) < MAX_MOVES:
+        shares = [share for name, share in plan.shares.items() if name not in plan.dominated]
+        if not shares:
+            return
+        busiest = max(shares, key=lambda share: share.utilisation)
+        idlest = min(shares, key=lambda share: share.pressure)
         gap = busiest.utilisation - idlest.utilisation
         if busiest.utilisation < HIGH_UTILISATION or gap < LEAST_GAP:
             return
-        window = _narrowest_window(plan, keymap, busiest, idlest, gap, taken)
+        window = _narrowest_window(plan, keymap, busiest, idlest, gap)
         if window is None:
             return
-        taken.update(plan.keys_within(*window))
+        plan.taken.update(plan.keys_within(*window))
         plan.give(window[0], window[1], idlest, busiest)
 
 
 def _narrowest_window(
-    plan: _Plan,
-    keymap: KeyMap,
-    source: _Share,
-    target: _Share,
-    gap: float,
-    taken: set[int],
+    plan: _Plan, keymap: KeyMap, source: _Share, target: _Share, gap: float
 ) -> tuple[int, int] | None:
     """Return the narrowest range whose move closes a good part of the gap."""
     per_request = source.candidate.utilisation(1.0) + target.candidate.utilisation(1.0)
@@ -181,13 +223,24 @@
     for item in keymap.held_by(source.candidate.holder.server_id):
         if not item.settled:
             continue
-        keys = [key for key in plan.keys_within(item.first, item.last) if key not in taken]
-        window = _window(plan, keys, wanted)
-        if window and (best is None or window[1] - window[0] < best[1] - best[0]):
-            best = window
+        for keys in _untouched_runs(plan, item):
+            window = _window(plan, keys, wanted)
+            if window and (best is None or window[1] - window[0] < best[1] - best[0]):
+                best = window
     return best
 
 
+def _untouched_runs(plan: _Plan, item: KeyRange) -> list[list[int]]:
+    """Return the busy keys of a range, divided where a key was dealt with."""
+    runs: list[list[int]] = [[]]
+    for key in plan.keys_within(item.first, item.last):
+        if key in plan.taken:
+            runs.append([])
+        else:
+            runs[-1].append(key)
+    return runs
+
+
 def _window(plan: _Plan, keys: list[int], wanted: float) -> tuple[int, int] | None:
     """Return the narrowest run of keys with between half and all of ``wanted``."""
     best: tuple[int, int] | None = None
