Decide who holds which keys in a pure core

Cause: the leader's decisions stood inside tasks with sockets and could be neither simulated nor tested without a network. A leader that reaches fewer than half of the servers gives its lease back. Ruled out: keeping transfers as tasks under a simulated hub (the order of wake-ups is not ours to choose there).

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -8,8 +8,8 @@
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
 from ploverhatch.routing.route_table import ClientLimits, RouteTable
-from ploverhatch.routing.servers import ServerRecord, ServerSet
 from ploverhatch.sharding.keymap import KeyMap
+from ploverhatch.state.servers import ServerRecord, ServerSet
 
 LOG = PartLogger("directory")
 
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -26,7 +26,7 @@
 )
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.routing.route_table import Route, ShareSplitter
-from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.state.servers import ServerRecord
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     NotConnectedError,
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -180,7 +180,13 @@
     def _lead_when_elected(self) -> None:
         while True:
             if self._elector.state.leading and not self._draining:
-                self._leader = KeyLeader(self._store, self.directory, self._elector, self._dialect)
+                self._leader = KeyLeader(
+                    self._store,
+                    self.directory,
+                    self._elector,
+                    self._dialect,
+                    self._settings.lease_max_ms,
+                )
                 self._leader.run()
                 self._leader = None
             gevent.sleep(LEADER_POLL_S)
--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -1,9 +1,18 @@
 """Control calls to one server: grants and releases of keys."""
 
+from collections.abc import Callable
+
 import gevent
 
-from ploverhatch.gateway.dialect import Dialect, GrantCall, ReleaseCall
+from ploverhatch.gateway.dialect import (
+    Dialect,
+    GrantCall,
+    GrantRefusedError,
+    OtherInstanceError,
+    ReleaseCall,
+)
 from ploverhatch.sharding.keymap import Holder
+from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     HostPort,
@@ -14,15 +23,23 @@
 
 CONNECT_TIMEOUT_S = 0.3
 GRANT_TIMEOUT_S = 0.6
-MAX_IDLE_S = 5.0
+RELEASE_TIMEOUT_S = 2.0
+
+
+class _NoAnswerError(ConnectionError):
+    """The call may be carried out, now or later."""
 
 
-class ControlCallError(ConnectionError):
-    """No usable answer; the call may be carried out, now or later."""
+class _NotSentError(Exception):
+    """The call was no longer right when it could have been sent."""
 
 
 class ServerControl:
-    """Calls to one server; one kept connection, others as needed."""
+    """Calls to one server; one kept connection, others as needed.
+
+    ``may_send`` is asked when a connection is there and the call would leave:
+    what it says still holds then, since nothing waits in between.
+    """
 
     def __init__(self, holder: Holder, dialect: Dialect) -> None:
         self._server_id = holder.server_id
@@ -31,46 +48,48 @@
         self._dialect = dialect
         self._kept: HttpConnection | None = None
 
-    def grant(self, call: GrantCall) -> None:
-        """Grant or renew.
-
-        :raises ControlCallError: without an answer.
-        :raises GrantRefusedError: when the server has seen a higher token.
-        :raises OtherInstanceError: when another server has the address.
-        """
-        answer = self._call(
-            self._dialect.encode_grant(call, self._server_id, self._host), GRANT_TIMEOUT_S
-        )
+    def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> CallOutcome:
+        """Grant or renew keys."""
+        payload = self._dialect.encode_grant(call, self._server_id, self._host)
         try:
-            self._dialect.read_grant(answer)
-        except ValueError as error:
-            raise ControlCallError(str(error)) from error
-
-    def release(self, call: ReleaseCall, timeout_s: float) -> str:
-        """Take keys back; return the handover.
-
-        :raises OtherInstanceError: when another server has the address.
-        :raises ControlCallError: without an answer.
-        """
-        answer = self._call(
-            self._dialect.encode_release(call, self._server_id, self._host), timeout_s
-        )
+            self._dialect.read_grant(self._call(payload, GRANT_TIMEOUT_S, may_send))
+        except GrantRefusedError:
+            return CallOutcome.REFUSED
+        except OtherInstanceError:
+            return CallOutcome.OTHER_INSTANCE
+        except _NotSentError:
+            return CallOutcome.NOT_SENT
+        except (ValueError, _NoAnswerError):
+            return CallOutcome.NO_ANSWER
+        return CallOutcome.DONE
+
+    def release(self, call: ReleaseCall, may_send: Callable[[], bool]) -> tuple[CallOutcome, str]:
+        """Take keys back; return the handover too."""
+        payload = self._dialect.encode_release(call, self._server_id, self._host)
         try:
-            return self._dialect.read_release(answer)
-        except ValueError as error:
-            raise ControlCallError(str(error)) from error
+            answer = self._call(payload, RELEASE_TIMEOUT_S, may_send)
+            return CallOutcome.DONE, self._dialect.read_release(answer)
+        except OtherInstanceError:
+            return CallOutcome.OTHER_INSTANCE, ""
+        except _NotSentError:
+            return CallOutcome.NOT_SENT, ""
+        except (ValueError, _NoAnswerError):
+            return CallOutcome.NO_ANSWER, ""
 
-    def _call(self, payload: bytes, timeout_s: float) -> WireAnswer:
+    def _call(self, payload: bytes, timeout_s: float, may_send: Callable[[], bool]) -> WireAnswer:
         connection = self._take()
+        if not may_send():
+            self._keep(connection)
+            raise _NotSentError
         try:
             with gevent.Timeout(timeout_s):
                 answer = connection.exchange(b"POST", payload)
         except gevent.Timeout as error:
-            raise ControlCallError("no answer in time") from error
+            raise _NoAnswerError("no answer in time") from error
         except AnswerCutError as error:
-            raise ControlCallError(str(error)) from error
-        if connection.reusable and self._kept is None:
-            self._kept = connection
+            raise _NoAnswerError(str(error)) from error
+        if connection.reusable:
+            self._keep(connection)
         else:
             connection.close()
         return answer
@@ -85,9 +104,13 @@
         try:
             connection.open(CONNECT_TIMEOUT_S)
         except NotConnectedError as error:
-            raise ControlCallError(str(error)) from error
+            raise _NoAnswerError(str(error)) from error
         return connection
 
+    def _keep(self, connection: HttpConnection) -> None:
+        self.close()
+        self._kept = connection
+
     def close(self) -> None:
         """Close the kept connection."""
         if self._kept is not None:
--- a/ploverhatch/gateway/translation.py
+++ b/ploverhatch/gateway/translation.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from ploverhatch.routing.route_table import RouteTable
-from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.state.servers import ServerRecord
 from ploverhatch.store.objects import VersionedObject
 
 
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -12,7 +12,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.routing.answer_time import AnswerTime
 from ploverhatch.routing.balancer import ServerLoad
-from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.state.servers import ServerRecord
 from ploverhatch.transport.http_connection import HostPort, HttpConnection
 
 DEFAULT_IDLE_S = 4.0  # where a server does not state how long it keeps idle connections
--- a/ploverhatch/platform/documents.py
+++ b/ploverhatch/platform/documents.py
@@ -13,7 +13,7 @@
     Service,
     ServiceShare,
 )
-from ploverhatch.routing.servers import ServerRecord
+from ploverhatch.state.servers import ServerRecord
 from ploverhatch.store.objects import VersionedObject
 from ploverhatch.transport.http_connection import HostPort
 
--- /dev/null
+++ b/ploverhatch/sharding/holders.py
@@ -0,0 +1,61 @@
+"""What the leader knows of each server as a holder of keys. Pure; milliseconds."""
+
+from dataclasses import dataclass, field
+
+from ploverhatch.sharding.keymap import Holder
+from ploverhatch.sharding.messages import RangeId
+
+HOLD_MS = 4000.0
+RENEW_MS = 1200.0
+RETRY_MS = 250.0
+CLOCK_DRIFT = 1.02  # a server's clock may run 2% slow
+LAPSE_MARGIN_MS = 250.0
+UNREACHABLE_MS = 1000.0
+AVOID_MS = 4000.0  # how long a server that could not be reached gets no keys
+
+
+def lapse_ms(sent_ms: float) -> float:
+    """Return when a lease sent at ``sent_ms`` has surely lapsed."""
+    return sent_ms + HOLD_MS * CLOCK_DRIFT + LAPSE_MARGIN_MS
+
+
+@dataclass(slots=True)
+class HolderLease:
+    """One server; at most one renewal is under way to it."""
+
+    holder: Holder
+    held_until_ms: float = 0.0  # by then every lease sent to it has surely lapsed
+    failing_since_ms: float | None = None
+    avoid_until_ms: float = 0.0
+    renew_at_ms: float = 0.0
+    to_renew: list[RangeId] = field(default_factory=list)
+    renewing: bool = False
+
+    def sent(self, now_ms: float) -> None:
+        """A grant is being sent right now."""
+        self.held_until_ms = max(self.held_until_ms, lapse_ms(now_ms))
+
+    def ended(self) -> None:
+        """The server has ended: it holds nothing."""
+        self.held_until_ms = 0.0
+
+    def answered(self) -> None:
+        """The server answered a call."""
+        self.failing_since_ms = None
+
+    def failed(self, now_ms: float) -> None:
+        """No answer to a call."""
+        if self.failing_since_ms is None:
+            self.failing_since_ms = now_ms
+        if now_ms - self.failing_since_ms >= UNREACHABLE_MS:
+            self.avoid_until_ms = now_ms + AVOID_MS
+
+    def avoided(self, now_ms: float) -> bool:
+        """Whether the server should get no keys now."""
+        return now_ms < self.avoid_until_ms
+
+    def renewal_over(self, now_ms: float, well: bool) -> None:
+        """A round of renewals has ended, or broke off."""
+        self.renewing = False
+        self.to_renew.clear()
+        self.renew_at_ms = now_ms + (RENEW_MS if well else RETRY_MS)
--- /dev/null
+++ b/ploverhatch/sharding/leader_core.py
@@ -0,0 +1,317 @@
+"""The leader of the keys: decides who holds what, and which calls to make. Pure.
+
+Events come in through methods, with the time; each returns the actions to
+carry out. The same code runs in the gateway and in the simulation.
+
+Order of a move: the map in the store is changed first, so that every later
+leader knows the new token and all who may hold the keys; then the previous
+holders release them or lapse; then the new one is granted them; then the map
+says that they are settled, and requests go there.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from ploverhatch.sharding import planner
+from ploverhatch.sharding.holders import HolderLease, lapse_ms
+from ploverhatch.sharding.keymap import (
+    Holder,
+    KeyMap,
+    KeyRange,
+    begin_moves,
+    first_assignment,
+    merge_neighbours,
+    settle,
+)
+from ploverhatch.sharding.messages import (
+    Action,
+    CallOutcome,
+    ForgetServer,
+    RangeId,
+    Resign,
+    SendGrant,
+    SendRelease,
+    ServiceView,
+    StoreMap,
+    range_id,
+)
+from ploverhatch.sharding.transfer import Transfer
+
+PLAN_EVERY_MS = 400.0
+FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
+CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    """One partitioned service."""
+
+    keymap: KeyMap
+    storing: KeyMap | None = None
+    transfers: dict[RangeId, Transfer] = field(default_factory=dict)
+    server_ids: frozenset[str] = frozenset()
+    servers_since_ms: float = 0.0
+    planned_ms: float = -1e12
+
+
+class LeaderCore:
+    """State of one term of leadership."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, _ServiceState] = {}
+        self._leases: dict[str, HolderLease] = {}
+        self._cut_off_since_ms: float | None = None
+
+    # ---- what is known ------------------------------------------------------------------
+
+    def keymap(self, service: str) -> KeyMap:
+        """Return the map of a service as the store last acknowledged it."""
+        state = self._services.get(service)
+        return state.keymap if state else KeyMap(service)
+
+    def inherit(self, keymap: KeyMap, renewable_until_ms: float) -> None:
+        """Take a map over; its leases may be renewed by others until then."""
+        state = self._services.setdefault(keymap.service, _ServiceState(keymap))
+        self._adopt(state, keymap)
+        for item in keymap.ranges:
+            for holder in (item.holder, *item.previous):
+                lease = self._lease(holder)
+                lease.held_until_ms = max(lease.held_until_ms, lapse_ms(renewable_until_ms))
+        for transfer in state.transfers.values():
+            for server_id in transfer.lapses_ms:
+                transfer.lapses_ms[server_id] = self._leases[server_id].held_until_ms
+
+    def _lease(self, holder: Holder) -> HolderLease:
+        lease = self._leases.get(holder.server_id)
+        if lease is None:
+            lease = HolderLease(holder)
+            self._leases[holder.server_id] = lease
+        return lease
+
+    # ---- rounds -------------------------------------------------------------------------
+
+    def tick(
+        self, now_ms: float, views: Mapping[str, ServiceView], may_change: bool
+    ) -> list[Action]:
+        """Return what is due.
+
+        :param views: all partitioned services.
+        :param may_change: whether new moves may begin.
+        """
+        actions: list[Action] = []
+        if may_change:
+            for service, view in views.items():
+                state = self._services.setdefault(service, _ServiceState(KeyMap(service)))
+                actions += self._plan(state, view, now_ms)
+            actions += self._check_reach(views, now_ms)
+        for state in self._services.values():
+            for transfer in state.transfers.values():
+                actions += transfer.calls(now_ms)
+        actions += self._due_renewals(now_ms)
+        return actions
+
+    def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
+        if state.storing is not None:
+            return []
+        done = {name for name, transfer in state.transfers.items() if transfer.done}
+        if done:
+            service = state.keymap.service
+            keymap = settle(state.keymap, lambda item: range_id(service, item) in done)
+            return self._store(state, merge_neighbours(keymap))
+        candidates = self._candidates(state, view, now_ms)
+        if not candidates:
+            return []
+        if not state.keymap.ranges:
+            if now_ms - state.servers_since_ms < FIRST_SERVERS_MS:
+                return []
+            pieces = planner.initial_pieces(candidates)
+            return self._store(state, first_assignment(state.keymap, pieces))
+        return self._plan_moves(state, candidates, view.rates, now_ms)
+
+    def _plan_moves(
+        self,
+        state: _ServiceState,
+        candidates: list[planner.Candidate],
+        rates: Mapping[int, float],
+        now_ms: float,
+    ) -> list[Action]:
+        usable = {candidate.holder.server_id for candidate in candidates}
+        urgent = any(item.holder.server_id not in usable for item in state.keymap.ranges)
+        if not urgent and now_ms - state.planned_ms < PLAN_EVERY_MS:
+            return []
+        state.planned_ms = now_ms
+        moves = planner.plan_moves(state.keymap, candidates, rates)
+        return self._store(state, begin_moves(state.keymap, moves)) if moves else []
+
+    def _store(self, state: _ServiceState, keymap: KeyMap) -> list[Action]:
+        state.storing = keymap
+        return [StoreMap(keymap)]
+
+    def _candidates(
+        self, state: _ServiceState, view: ServiceView, now_ms: float
+    ) -> list[planner.Candidate]:
+        records = [record for record in view.records if not record.draining]
+        ids = frozenset(record.server_id for record in records)
+        if ids != state.server_ids:
+            state.server_ids = ids
+            state.servers_since_ms = now_ms
+        reachable = [record for record in records if not self._avoided(record.server_id, now_ms)]
+        if len(reachable) * 2 < len(records):
+            return []  # it is rather this node that is cut off
+        return [
+            planner.Candidate(
+                Holder(record.server_id, record.host, record.port),
+                record.slots,
+                view.work_ms.get(record.server_id, planner.DEFAULT_WORK_MS),
+            )
+            for record in reachable
+        ]
+
+    def _avoided(self, server_id: str, now_ms: float) -> bool:
+        lease = self._leases.get(server_id)
+        return lease is not None and lease.avoided(now_ms)
+
+    def _check_reach(self, views: Mapping[str, ServiceView], now_ms: float) -> list[Action]:
+        """Give the lease back when most servers cannot be reached from here."""
+        server_ids = [record.server_id for view in views.values() for record in view.records]
+        avoided = sum(self._avoided(server_id, now_ms) for server_id in server_ids)
+        if avoided * 2 <= len(server_ids):
+            self._cut_off_since_ms = None
+            return []
+        if self._cut_off_since_ms is None:
+            self._cut_off_since_ms = now_ms
+        return [Resign()] if now_ms - self._cut_off_since_ms >= CUT_OFF_MS else []
+
+    # ---- renewals -----------------------------------------------------------------------
+
+    def _due_renewals(self, now_ms: float) -> list[Action]:
+        actions: list[Action] = []
+        for lease in self._leases.values():
+            if lease.renewing or now_ms < lease.renew_at_ms:
+                continue
+            lease.to_renew = self._settled_ranges(lease.holder.server_id)
+            if lease.to_renew:
+                lease.renewing = True
+                actions += self._next_renewal(lease, now_ms)
+        return actions
+
+    def _settled_ranges(self, server_id: str) -> list[RangeId]:
+        return [
+            range_id(state.keymap.service, item)
+            for state in self._services.values()
+            for item in state.keymap.held_by(server_id)
+            if item.settled
+        ]
+
+    def _next_renewal(self, lease: HolderLease, now_ms: float) -> list[Action]:
+        while lease.to_renew:
+            name = lease.to_renew.pop()
+            if self.may_send(lease.holder, name, renewal=True):
+                return [SendGrant(lease.holder, name, "", renewal=True)]
+        lease.renewal_over(now_ms, well=True)
+        return []
+
+    # ---- calls to servers -----------------------------------------------------------------
+
+    def may_send(self, holder: Holder, name: RangeId, renewal: bool) -> bool:
+        """Whether a grant is still right; asked again right before it is sent."""
+        state = self._services.get(name.service)
+        if state is None:
+            return False
+        if not renewal:
+            transfer = state.transfers.get(name)
+            return transfer is not None and transfer.target == holder
+        planned = state.storing or state.keymap
+        return any(
+            item.settled and range_id(name.service, item) == name and item.holder == holder
+            for item in state.keymap.ranges
+        ) and self._stays(planned, holder, name)
+
+    def _stays(self, planned: KeyMap, holder: Holder, name: RangeId) -> bool:
+        """Whether a range stays with its holder in the map that is being stored."""
+        item = planned.find(name.first)
+        return item is not None and item.holder == holder
+
+    def grant_sent(self, holder: Holder, now_ms: float) -> None:
+        """A grant leaves right now."""
+        self._lease(holder).sent(now_ms)
+
+    def grant_ended(self, call: SendGrant, outcome: CallOutcome, now_ms: float) -> list[Action]:
+        """A grant was answered, or not."""
+        lease = self._lease(call.holder)
+        actions = self._note_outcome(lease, outcome, now_ms)
+        if not call.renewal:
+            state = self._services.get(call.range_id.service)
+            transfer = state.transfers.get(call.range_id) if state else None
+            if transfer is not None:
+                transfer.grant_ended(outcome is CallOutcome.DONE, now_ms)
+            return actions
+        if outcome is CallOutcome.DONE:
+            return actions + self._next_renewal(lease, now_ms)
+        lease.renewal_over(now_ms, well=False)
+        return actions
+
+    def release_ended(
+        self, call: SendRelease, outcome: CallOutcome, handover: str, now_ms: float
+    ) -> list[Action]:
+        """A release was answered, or not."""
+        actions = self._note_outcome(self._lease(call.holder), outcome, now_ms)
+        state = self._services.get(call.range_id.service)
+        transfer = state.transfers.get(call.range_id) if state else None
+        if transfer is None:
+            return actions
+        if outcome is CallOutcome.DONE:
+            transfer.released(call.holder.server_id, handover)
+        else:
+            transfer.release_failed(call.holder.server_id, now_ms)
+        return actions + list(transfer.calls(now_ms))
+
+    def _note_outcome(
+        self, lease: HolderLease, outcome: CallOutcome, now_ms: float
+    ) -> list[Action]:
+        if outcome is CallOutcome.OTHER_INSTANCE:
+            return self._note_ended(lease)
+        if outcome in {CallOutcome.DONE, CallOutcome.REFUSED}:
+            lease.answered()
+        elif outcome is CallOutcome.NO_ANSWER:
+            lease.failed(now_ms)
+        return []
+
+    def _note_ended(self, lease: HolderLease) -> list[Action]:
+        lease.ended()
+        for state in self._services.values():
+            for transfer in state.transfers.values():
+                transfer.holder_ended(lease.holder.server_id)
+        return [ForgetServer(lease.holder.server_id)]
+
+    # ---- the map in the store -------------------------------------------------------------
+
+    def map_stored(self, keymap: KeyMap, revision: int) -> None:
+        """The store took a map."""
+        state = self._services[keymap.service]
+        state.storing = None
+        self._adopt(state, replace(keymap, revision=revision))
+
+    def map_not_stored(self, service: str) -> None:
+        """The store did not take a map, or it is not known whether it did."""
+        self._services[service].storing = None
+
+    def map_seen(self, keymap: KeyMap) -> None:
+        """A map was read from the store."""
+        state = self._services.setdefault(keymap.service, _ServiceState(keymap))
+        if state.storing is None and keymap.revision > state.keymap.revision:
+            self._adopt(state, keymap)
+
+    def _adopt(self, state: _ServiceState, keymap: KeyMap) -> None:
+        state.keymap = keymap
+        moving = {range_id(keymap.service, item): item for item in keymap.moving}
+        for name in [known for known in state.transfers if known not in moving]:
+            del state.transfers[name]
+        for name, item in moving.items():
+            if name not in state.transfers:
+                state.transfers[name] = Transfer.start(name, item, self._leases)
+        self._prepare_leases(keymap.ranges)
+
+    def _prepare_leases(self, ranges: Iterable[KeyRange]) -> None:
+        for item in ranges:
+            self._lease(item.holder)
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -19,6 +19,7 @@
 PIECES_OF_LOST = 4  # a lost range is dealt out in at most so many pieces
 DOMINANT = 0.6  # of a server: a key that takes more is *dominant* and gets it alone
 FASTER = 0.8  # a server whose work takes this part of another's is clearly faster
+DEFAULT_WORK_MS = 100.0  # of a server that has answered nothing yet
 KEY_WEIGHT = 0.2  # utilisation that holding all keys counts for, to spread idle keys
 
 
--- /dev/null
+++ b/ploverhatch/sharding/transfer.py
@@ -0,0 +1,81 @@
+"""One range on its way from its previous holders to its new one. Pure.
+
+The new holder gets its grant only after each previous one has released the
+range or its lease has surely lapsed. A release names the new, higher token, so
+that an old grant that is still under way is refused when it arrives.
+"""
+
+from dataclasses import dataclass, field
+
+from ploverhatch.sharding.holders import RETRY_MS, HolderLease
+from ploverhatch.sharding.keymap import Holder, KeyRange
+from ploverhatch.sharding.messages import RangeId, SendGrant, SendRelease
+
+
+@dataclass(slots=True)
+class Transfer:
+    """A moving range; times are elapsed milliseconds."""
+
+    range_id: RangeId
+    target: Holder
+    waiting: dict[str, Holder]  # previous holders that may still hold it
+    lapses_ms: dict[str, float]
+    retry_ms: dict[str, float] = field(default_factory=dict)
+    releasing: set[str] = field(default_factory=set)
+    granting: bool = False
+    handover: str = ""
+    done: bool = False
+
+    @classmethod
+    def start(cls, name: RangeId, item: KeyRange, leases: dict[str, HolderLease]) -> "Transfer":
+        """Begin with the leases as they are; none is renewed from here on."""
+        waiting = {holder.server_id: holder for holder in item.previous}
+        lapses = {
+            server_id: leases[server_id].held_until_ms if server_id in leases else 0.0
+            for server_id in waiting
+        }
+        return cls(name, item.holder, waiting, lapses)
+
+    def calls(self, now_ms: float) -> list[SendGrant | SendRelease]:
+        """Return the calls that are due."""
+        if self.done:
+            return []
+        for server_id in list(self.waiting):
+            if now_ms >= self.lapses_ms[server_id]:
+                del self.waiting[server_id]
+        releases = [
+            SendRelease(holder, self.range_id)
+            for server_id, holder in self.waiting.items()
+            if self._due(server_id, now_ms) and server_id not in self.releasing
+        ]
+        self.releasing.update(call.holder.server_id for call in releases)
+        if self.waiting:
+            return list(releases)
+        if self.granting or not self._due(self.target.server_id, now_ms):
+            return []
+        self.granting = True
+        return [SendGrant(self.target, self.range_id, self.handover, renewal=False)]
+
+    def _due(self, server_id: str, now_ms: float) -> bool:
+        return now_ms >= self.retry_ms.get(server_id, 0.0)
+
+    def released(self, server_id: str, handover: str) -> None:
+        """A previous holder gave the range back."""
+        self.releasing.discard(server_id)
+        self.waiting.pop(server_id, None)
+        self.handover = handover or self.handover
+
+    def holder_ended(self, server_id: str) -> None:
+        """A previous holder has ended."""
+        self.released(server_id, "")
+
+    def release_failed(self, server_id: str, now_ms: float) -> None:
+        """No answer to a release."""
+        self.releasing.discard(server_id)
+        self.retry_ms[server_id] = now_ms + RETRY_MS
+
+    def grant_ended(self, done: bool, now_ms: float) -> None:
+        """The grant to the new holder was answered, or not."""
+        self.granting = False
+        self.done = self.done or done
+        self.retry_ms[self.target.server_id] = now_ms + RETRY_MS
