Step down on refused renewals, list after interruptions, tell each request that went wrong

Ruled out: lost reports (the keys were in the leader's rates). Change: a refused renewal of keys that stay ends the term; an interrupted feed lists at once; a key moved by itself rests 3 s; lease and stop times follow the bounds; settings are read again on SIGHUP or change. One line per request that was not ordinary, metrics as text, 'ploverhatch gateway' and 'ploverhatch explain-request'. Logging: see docs/LOGS.md.

--- a/ploverhatch/cli/main.py
+++ b/ploverhatch/cli/main.py
@@ -8,6 +8,8 @@
 from ploverhatch.cli.demo import demo
 from ploverhatch.cli.emulator import emulator
 from ploverhatch.cli.experiment import experiment
+from ploverhatch.cli.explain_request import explain_request
+from ploverhatch.cli.gateway import gateway
 from ploverhatch.cli.load import load
 from ploverhatch.cli.node import node
 from ploverhatch.cli.policy import policy
@@ -24,5 +26,19 @@
     """
 
 
-for command in (node, policy, ctl, emulator, load, demo, simulate, experiment, bench):
+COMMANDS = (
+    node,
+    gateway,
+    policy,
+    ctl,
+    emulator,
+    load,
+    demo,
+    simulate,
+    experiment,
+    bench,
+    explain_request,
+)
+
+for command in COMMANDS:
     main.add_command(command)
--- a/ploverhatch/cli/platform_gateway.py
+++ b/ploverhatch/cli/platform_gateway.py
@@ -13,7 +13,7 @@
 from ploverhatch.platform import names
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.platform.documents import PlatformTranslation
-from ploverhatch.platform.settings import SettingsFileError, read_settings
+from ploverhatch.platform.settings import SettingsFile, SettingsFileError
 from ploverhatch.platform.store import PlatformStore
 
 EXIT_WRONG_SETTINGS = 2
@@ -24,11 +24,12 @@
 
     :raises SettingsFileError: when the settings are wrong.
     """
-    settings = read_settings(path)
-    log_output.start()
+    source = SettingsFile(path)
+    settings = source.read()
+    log_output.start(settings.node)
     gc.freeze()
     store = PlatformStore(settings.store)
-    Gateway(settings, store, PlatformDialect(), PlatformTranslation()).run()
+    Gateway(source, settings, store, PlatformDialect(), PlatformTranslation()).run()
 
 
 def main() -> None:
--- a/ploverhatch/common/log_output.py
+++ b/ploverhatch/common/log_output.py
@@ -6,6 +6,7 @@
 
 import logging
 import sys
+import time
 from collections import deque
 
 import gevent
@@ -18,26 +19,40 @@
 class BufferedOutput(logging.Handler):
     """Handler with a bounded buffer."""
 
-    def __init__(self, descriptor: int, capacity: int = CAPACITY) -> None:
+    def __init__(self, descriptor: int, node: str, capacity: int = CAPACITY) -> None:
         super().__init__()
+        self._node = node
+        self._second = -1
+        self._second_text = ""
         self._descriptor = descriptor
         self._capacity = capacity
         self._lines: deque[str] = deque()
-        self._dropped = 0
+        self._dropped = 0  # since the last line that told
+        self.dropped = 0  # in all
         self._task: gevent.Greenlet | None = None
 
     @override
     def emit(self, record: logging.LogRecord) -> None:
         if len(self._lines) >= self._capacity:
             self._dropped += 1
+            self.dropped += 1
             return
         if self._dropped:
             self._lines.append(f"[log] Lines dropped. count={self._dropped}")
             self._dropped = 0
-        self._lines.append(f"{record.levelname[0]} {record.getMessage()}")
+        self._lines.append(
+            f"{self._stamp(record.created)} {record.levelname[0]} {record.getMessage()}"
+        )
         if self._task is None:
             self._task = gevent.spawn(self._write_all)
 
+    def _stamp(self, created_s: float) -> str:
+        second = int(created_s)
+        if second != self._second:
+            self._second = second
+            self._second_text = time.strftime("%H:%M:%S", time.gmtime(second))
+        return f"{self._second_text}.{int((created_s - second) * 1000):03d} {self._node}"
+
     def _write_all(self) -> None:
         try:
             while self._lines:
@@ -54,11 +69,11 @@
         return [self._lines.popleft() for _ in range(min(most, len(self._lines)))]
 
 
-def start() -> None:
+def start(node: str) -> None:
     """Send the log of this process to standard output, level info."""
     descriptor = sys.stdout.fileno()
     gevent_os.make_nonblocking(descriptor)
     logger = logging.getLogger("absl")
     logger.setLevel(logging.INFO)
     logger.propagate = False
-    logger.addHandler(BufferedOutput(descriptor))
+    logger.addHandler(BufferedOutput(descriptor, node))
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -188,6 +188,10 @@
         self.state = election.stepped_down(self.state)
         return False
 
+    def step_down(self) -> None:
+        """Stop to lead without a word to the store: another leads already."""
+        self.state = election.stepped_down(self.state)
+
     def resign(self, pause_ms: float = RESIGNED_PAUSE_MS) -> None:
         """Give the lease back, so that another node takes it at once."""
         self._not_before_ms = elapsed_ms() + pause_ms
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -13,6 +13,7 @@
     ObjectStore,
     StoreCallError,
     VersionedObject,
+    WatchInterruptedError,
 )
 
 LOG = PartLogger("feed")
@@ -54,7 +55,12 @@
             except HistoryDroppedError:
                 LOG.info("History dropped, listing again.", kind=self._feed.kind)
                 self._revision = -1
+            except WatchInterruptedError:
+                self._revision = -1
             except StoreCallError as error:
+                # What a watch missed meanwhile is told at once by a listing, while
+                # a watch that is asked again may hear nothing for a while.
+                self._revision = -1
                 self._note_failure(error)
                 gevent.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -11,11 +11,12 @@
 
 from ploverhatch.common import results
 from ploverhatch.common.clock import elapsed_ms
-from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.results import Result
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.messages import CallerReply, CallerRequest, RequestFacts
+from ploverhatch.gateway.metrics import GatewayMetrics
+from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
 from ploverhatch.gateway.upstreams import NoSlotError, Upstream, UpstreamPool
 from ploverhatch.routing import balancer
 from ploverhatch.routing.attempt_outcome import (
@@ -33,8 +34,6 @@
     WireAnswer,
 )
 
-LOG = PartLogger("forward")
-
 CONNECT_TIMEOUT_S = 0.3
 OFFER_PART = 0.23  # of the objective: by then a request is offered to a server or refused
 MOVE_PART = 0.6  # of the objective: how long to wait for keys that change hands
@@ -60,6 +59,8 @@
     deadline_ms: float
     offer_by_ms: float
     move_by_ms: float
+    trace: RequestTrace
+    token: int = 0  # of the key's range, when it was looked up
 
     @property
     def left_ms(self) -> float:
@@ -93,44 +94,51 @@
         self._budget = budget
         self._splitter = ShareSplitter()
         self.sampled_keys: dict[str, list[int]] = {}
+        self.metrics = GatewayMetrics()
 
     # ---- entry ----------------------------------------------------------------------
 
     def handle(self, request: CallerRequest) -> CallerReply:
         """Serve one request."""
         facts = None
+        trace = RequestTrace()
+        detail = ""
+        result = results.OK
         try:
             facts = self._dialect.facts(request)
-            return self._run(self._match(request, facts))
+            trace.request_id = facts.request_id.decode("latin-1") or "-"
+            reply = self._run(self._match(request, facts, trace))
         except MalformedRequestError as error:
-            refusal = RefusedError(results.BAD_REQUEST, str(error))
+            result, detail = results.BAD_REQUEST, str(error).replace(" ", "-")
+            reply = self._refuse(RefusedError(result), facts)
         except RefusedError as error:
-            refusal = error
-        return self._refuse(refusal, facts)
+            result, detail = error.result, error.detail
+            reply = self._refuse(error, facts)
+        took_ms = elapsed_ms() - request.received_ms
+        self.metrics.ended(result.code, took_ms)
+        trace.finish(reply.status, result.code, detail, took_ms)
+        return reply
 
     def _refuse(self, refusal: RefusedError, facts: RequestFacts | None) -> CallerReply:
         result = refusal.result
-        LOG.info(
-            "Request refused.",
-            request=(facts.request_id.decode("latin-1") if facts else "-"),
-            result=result.code,
-            detail=refusal.detail or "-",
-        )
         retry_after_s = refusal.retry_after_s if result.retryable else None
         headers = self._dialect.refusal_headers(facts, retry_after_s)
         headers.append((b"Ploverhatch-Result", b"%d" % result.code))
         return CallerReply(result.status, headers)
 
-    def _match(self, request: CallerRequest, facts: RequestFacts) -> Call:
+    def _match(self, request: CallerRequest, facts: RequestFacts, trace: RequestTrace) -> Call:
         table = self._directory.table
         if table is None:
             raise RefusedError(results.NOT_READY, "", RETRY_AFTER_NO_SERVER_S)
+        trace.version = table.version
         route = table.match(facts.host, request.path)
         if route is None:
             raise RefusedError(results.NO_ROUTE)
         service = self._splitter.choose(route)
         known = table.services.get(service)
         partitioned = known is not None and known.partitioned
+        trace.route, trace.service = route.name, service
+        trace.objective_ms, trace.key = route.objective_ms, facts.shard_key
         if partitioned and facts.shard_key is None:
             raise RefusedError(results.KEY_MISSING)
         limit_ms = min(route.timeout_ms, facts.deadline_ms or route.timeout_ms)
@@ -144,6 +152,7 @@
             deadline_ms=start_ms + limit_ms,
             offer_by_ms=start_ms + min(route.objective_ms * OFFER_PART, limit_ms),
             move_by_ms=start_ms + min(route.objective_ms * MOVE_PART, limit_ms),
+            trace=trace,
         )
 
     # ---- attempts -------------------------------------------------------------------
@@ -158,6 +167,7 @@
         while True:
             upstream = self._await_upstream(call, tried, history)
             result, answer = self._attempt_in_slot(call, upstream, history)
+            self.metrics.attempts[result.value] += 1
             if result is AttemptResult.ANSWERED:
                 assert answer is not None
                 return self._pass_on(answer)
@@ -224,7 +234,7 @@
         until_ms = call.deadline_ms if history.arrivals else call.offer_by_ms
         try:
             with upstream.slot(call.route.priority, (until_ms - elapsed_ms()) / 1000):
-                return self._attempt(call, upstream)
+                return self._attempt_noted(call, upstream)
         except NoSlotError as error:
             raise self._out_of_time(call, history, results.QUEUE_TIMEOUT) from error
 
@@ -237,6 +247,22 @@
         )
         return RefusedError(result, call.service, retry_after_s)
 
+    def _attempt_noted(
+        self, call: Call, upstream: Upstream
+    ) -> tuple[AttemptResult, WireAnswer | None]:
+        start_ms = elapsed_ms()
+        result, answer = self._attempt(call, upstream)
+        call.trace.attempts.append(
+            AttemptNote(
+                upstream.record.server_id,
+                call.token,
+                start_ms - call.request.received_ms,
+                elapsed_ms() - start_ms,
+                result,
+            )
+        )
+        return result, answer
+
     def _attempt(self, call: Call, upstream: Upstream) -> tuple[AttemptResult, WireAnswer | None]:
         record = upstream.record
         left_ms = call.left_ms
@@ -291,6 +317,7 @@
         found = keymap.find(key) if keymap is not None and key is not None else None
         if found is None or not found.settled or not self._directory.keymaps_trusted:
             return None
+        call.token = found.token
         server_id = found.holder.server_id
         draining_ms = self._directory.servers.draining_since.get(server_id)
         if draining_ms is not None and elapsed_ms() - draining_ms > DRAINING_HOLDER_MS:
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -16,7 +16,7 @@
 from ploverhatch.gateway.elector import Elector
 from ploverhatch.gateway.load_reports import LoadReport
 from ploverhatch.gateway.server_control import ServerControl
-from ploverhatch.sharding.holders import HOLD_MS
+from ploverhatch.sharding.holders import HOLD_MS, LeaseTiming
 from ploverhatch.sharding.keymap import Holder, KeyMap
 from ploverhatch.sharding.leader_core import LeaderCore
 from ploverhatch.sharding.load import AnswerTimes, KeyLoad
@@ -28,6 +28,7 @@
     SendGrant,
     SendRelease,
     ServiceView,
+    StepDown,
     StoreMap,
 )
 from ploverhatch.store import kinds
@@ -61,7 +62,7 @@
         self._elector = elector
         self._dialect = dialect
         self._hold_ms = min(HOLD_MS, lease_max_ms)
-        self._core = LeaderCore()
+        self._core = LeaderCore(LeaseTiming(self._hold_ms))
         self._controls: dict[str, ServerControl] = {}
         self._loads: dict[str, KeyLoad] = {}
         self._answer_times = AnswerTimes()
@@ -72,6 +73,7 @@
             SendRelease: self._send_release,
             ForgetServer: self._forget_server,
             Resign: self._resign,
+            StepDown: self._step_down,
         }
 
     # ---- life ---------------------------------------------------------------------------
@@ -156,10 +158,11 @@
             LOG.warning("Key map not stored.", service=keymap.service, cause=error)
             self._core.map_not_stored(keymap.service)
         else:
+            before = self._core.keymap(keymap.service)
             self._core.map_stored(keymap, written.revision)
             stored = self._core.keymap(keymap.service)
             self._directory.put_keymap(stored)
-            self._log_moves(stored)
+            self._log_moves(stored, before.token)
 
     def _write(self, keymap: KeyMap) -> VersionedObject:
         content = keymap_codec.encode_keymap(keymap)
@@ -179,8 +182,10 @@
             self._core.map_seen(keymap)
             self._directory.put_keymap(keymap)
 
-    def _log_moves(self, keymap: KeyMap) -> None:
+    def _log_moves(self, keymap: KeyMap, logged_token: int) -> None:
         for item in keymap.moving:
+            if item.token <= logged_token:
+                continue
             LOG.info(
                 "Keys move.",
                 service=keymap.service,
@@ -237,3 +242,7 @@
     def _resign(self, _action: Resign) -> None:
         LOG.warning("Most servers cannot be reached from here.")
         self._elector.resign()
+
+    def _step_down(self, _action: StepDown) -> None:
+        LOG.warning("A newer leader has raised a token.")
+        self._elector.step_down()
--- /dev/null
+++ b/ploverhatch/gateway/metrics.py
@@ -0,0 +1,55 @@
+"""Counters of a gateway, told as text in Prometheus' exposition format.
+
+``prometheus_client`` costs 12 MB a process here (measured by import), where a
+megabyte is priced; the few counters a gateway has need none of it.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+
+BUCKETS_MS = (10, 25, 50, 100, 200, 400, 800, 1600)
+PREFIX = "ploverhatch_"
+
+
+class GatewayMetrics:
+    """Counts results and attempts; labels come from bounded sets."""
+
+    def __init__(self) -> None:
+        self.results: Counter[int] = Counter()
+        self.attempts: Counter[str] = Counter()
+        self._durations: Counter[float] = Counter()
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Add a value that is read when it is asked for."""
+        self._gauges[name] = read
+
+    def ended(self, result_code: int, took_ms: float) -> None:
+        """Count a request."""
+        self.results[result_code] += 1
+        bucket = next((limit for limit in BUCKETS_MS if took_ms <= limit), float("inf"))
+        self._durations[bucket] += 1
+
+    def text(self) -> bytes:
+        """Return all values."""
+        rows = [
+            f'{PREFIX}requests_total{{result="{code}"}} {count}'
+            for code, count in sorted(self.results.items())
+        ]
+        rows += [
+            f'{PREFIX}attempts_total{{outcome="{name}"}} {count}'
+            for name, count in sorted(self.attempts.items())
+        ]
+        rows += self._histogram()
+        rows += [f"{PREFIX}{name} {read():g}" for name, read in sorted(self._gauges.items())]
+        return ("\n".join(rows) + "\n").encode()
+
+    def _histogram(self) -> list[str]:
+        rows = []
+        seen = 0
+        for limit in (*BUCKETS_MS, float("inf")):
+            seen += self._durations[limit]
+            label = "+Inf" if limit == float("inf") else f"{limit:g}"
+            rows.append(f'{PREFIX}request_ms_bucket{{le="{label}"}} {seen}')
+        rows.append(f"{PREFIX}request_ms_count {seen}")
+        return rows
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -19,7 +19,7 @@
 from ploverhatch.gateway.key_leader import KeyLeader
 from ploverhatch.gateway.load_reports import MAX_KEYS, LoadReport, LoadReporter
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
-from ploverhatch.gateway.settings import GatewaySettings
+from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.gateway.translation import Translation
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.routing.retry_budget import SharedRetryBudget
@@ -29,13 +29,15 @@
 
 LOG = PartLogger("gateway")
 
+METRICS_PATH = b"/metrics"
 HOUSEKEEPING_S = 0.25
 LEADER_POLL_S = 0.1
 LIFE_BYTES = 6  # of the name of one life of the process
 SERVERS_PAUSE_S = 0.25  # a watch that has reported is asked again after that
 KEYMAPS_PAUSE_S = 0.1
 READINESS_MISSES_S = 2.6  # until no new connections come after readiness ends
-STOP_MARGIN_S = 0.6  # before the platform kills the process
+LONGEST_UNREADY_PART = 0.5  # of the grace time: the rest is for what is under way
+STOP_MARGIN_PART = 0.1  # of the grace time, before the platform kills the process
 
 
 class Gateway:
@@ -43,11 +45,13 @@
 
     def __init__(
         self,
+        source: SettingsSource,
         settings: GatewaySettings,
         store: ObjectStore,
         dialect: Dialect,
         translation: Translation,
     ) -> None:
+        self._source = source
         self._settings = settings
         self._store = store
         self._dialect = dialect
@@ -90,7 +94,7 @@
     def run(self) -> None:
         """Serve until stopped by SIGTERM."""
         gevent.signal_handler(signal.SIGTERM, lambda: gevent.spawn(self.drain))
-        gevent.signal_handler(signal.SIGHUP, lambda: LOG.info("Reload asked for."))
+        gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(self.reload))
         self._readiness.start()
         self._callers.start()
         feeds = [FeedTask(self._store, feed, self._store_lost).run for feed in self._feeds()]
@@ -107,6 +111,23 @@
         LOG.info("Started.", node=self._settings.node, zone=self._settings.zone)
         self._stopped.wait()
 
+    def reload(self) -> None:
+        """Read the settings again; wrong ones change nothing.
+
+        Addresses and names hold for the life of the process.
+        """
+        try:
+            settings = self._source.read()
+        except SettingsError as error:
+            LOG.error("Settings not taken.", cause=error)
+            return
+        if settings != self._settings:
+            LOG.info("Settings taken.")
+        self._settings = settings
+        self._budget.ratio = settings.retry_ratio
+        self._budget.slack = settings.retry_slack
+        self._budget.window_s = settings.retry_window_s
+
     @property
     def leads(self) -> bool:
         """Whether this node leads right now."""
@@ -129,8 +150,9 @@
         start_ms = elapsed_ms()
         LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
         gevent.spawn(self._elector.stop)
-        gevent.sleep(READINESS_MISSES_S)
-        limit_s = self._settings.grace_s - STOP_MARGIN_S
+        grace_s = self._settings.grace_s
+        gevent.sleep(min(READINESS_MISSES_S, grace_s * LONGEST_UNREADY_PART))
+        limit_s = grace_s * (1 - STOP_MARGIN_PART)
         while (elapsed_ms() - start_ms) / 1000 < limit_s:
             self._callers.close_idle()
             if not self._callers.open_connections:
@@ -197,6 +219,8 @@
             gevent.sleep(HOUSEKEEPING_S)
             self.directory.expire_servers()
             self._budget.nodes = self._elector.node_count
+            if self._source.changed():
+                self.reload()
 
     def _lead_when_elected(self) -> None:
         while True:
@@ -239,9 +263,22 @@
         )
 
     def _answer_readiness(self, request: CallerRequest) -> CallerReply:
+        if request.path == METRICS_PATH:
+            return CallerReply(200, [(b"Content-Type", b"text/plain")], self._metrics_text())
         if request.path != self._translation.readiness_path:
             return CallerReply(404)
         return CallerReply(200 if self.ready else 503)
 
+    def _metrics_text(self) -> bytes:
+        metrics = self._forwarder.metrics
+        table = self.directory.table
+        metrics.gauge("leading", lambda: float(self.leads))
+        metrics.gauge("servers", lambda: float(len(self.directory.servers.records)))
+        metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
+        metrics.gauge("nodes", lambda: float(self._elector.node_count))
+        metrics.gauge("connections", lambda: float(self._callers.open_connections))
+        metrics.gauge("busy", lambda: float(self._callers.busy))
+        return metrics.text()
+
     def _note_rejected(self, status: int) -> None:
         LOG.info("Request rejected.", status=status)
--- /dev/null
+++ b/ploverhatch/gateway/request_log.py
@@ -0,0 +1,60 @@
+"""One log line for each request that did not go the ordinary way.
+
+A request is ordinary when its first attempt was answered within the route's
+objective; those are only counted. docs/LOGS.md lists the fields.
+"""
+
+from dataclasses import dataclass, field
+
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.routing.attempt_outcome import AttemptResult
+
+LOG = PartLogger("request")
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptNote:
+    """One attempt, as it is told."""
+
+    server_id: str
+    token: int  # of the key's range; 0 where keys do not matter
+    after_ms: float  # since the request was read
+    took_ms: float
+    result: AttemptResult
+
+    def text(self) -> str:
+        """Return ``server@token:result:start+duration``."""
+        times = f"{self.after_ms:.0f}+{self.took_ms:.0f}"
+        return f"{self.server_id}@{self.token}:{self.result.value}:{times}"
+
+
+@dataclass(slots=True)
+class RequestTrace:
+    """What happened to one request so far; times in milliseconds."""
+
+    request_id: str = "-"
+    route: str = "-"
+    service: str = "-"
+    key: int | None = None
+    version: int = 0
+    objective_ms: float = 0.0
+    attempts: list[AttemptNote] = field(default_factory=list)
+
+    def finish(self, status: int, result_code: int, detail: str, took_ms: float) -> None:
+        """Write the line, unless the request was an ordinary one."""
+        first_try = len(self.attempts) == 1 and self.attempts[0].result is AttemptResult.ANSWERED
+        if first_try and took_ms <= self.objective_ms:
+            return
+        LOG.info(
+            "Request ended.",
+            request=self.request_id,
+            status=status,
+            result=result_code,
+            detail=detail or "-",
+            took_ms=round(took_ms),
+            route=self.route,
+            service=self.service,
+            key="-" if self.key is None else self.key,
+            version=self.version,
+            attempts="|".join(note.text() for note in self.attempts) or "-",
+        )
--- a/ploverhatch/gateway/settings.py
+++ b/ploverhatch/gateway/settings.py
@@ -1,10 +1,15 @@
 """Settings of a gateway process, in the product's own terms."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
 from ploverhatch.transport.http_connection import HostPort
 
 
+class SettingsError(ValueError):
+    """The settings cannot be read, or are wrong; the text says where."""
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Where a gateway runs, whom it serves and which bounds it keeps.
@@ -29,3 +34,18 @@
     lease_max_ms: float = 10_000.0
     max_descriptors: int = 1024
     first_start: bool = False
+
+
+class SettingsSource(ABC):
+    """Where settings come from."""
+
+    @abstractmethod
+    def read(self) -> GatewaySettings:
+        """Read and check the settings.
+
+        :raises SettingsError: when they are wrong.
+        """
+
+    @abstractmethod
+    def changed(self) -> bool:
+        """Whether they have changed since they were read."""
--- a/ploverhatch/platform/settings.py
+++ b/ploverhatch/platform/settings.py
@@ -1,12 +1,15 @@
 """Reads the platform's settings file into the product's settings."""
 
+import os
+
 import msgspec
+from typing_extensions import override
 
-from ploverhatch.gateway.settings import GatewaySettings
+from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.transport.http_connection import HostPort
 
 
-class SettingsFileError(ValueError):
+class SettingsFileError(SettingsError):
     """The settings file is missing, unreadable or wrong; the text says where."""
 
 
@@ -107,3 +110,27 @@
         max_descriptors=file.self_node.limits.max_fds,
         first_start=file.self_node.bootstrap,
     )
+
+
+class SettingsFile(SettingsSource):
+    """The settings file, which may change with or without a signal."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._seen = self._stamp()
+
+    def _stamp(self) -> tuple[float, int]:
+        try:
+            state = os.stat(self._path)
+        except OSError:
+            return (0.0, 0)
+        return (state.st_mtime, state.st_size)
+
+    @override
+    def read(self) -> GatewaySettings:
+        self._seen = self._stamp()
+        return read_settings(self._path)
+
+    @override
+    def changed(self) -> bool:
+        return self._stamp() != self._seen
--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -19,6 +19,7 @@
     RevisionConflictError,
     StoreCallError,
     VersionedObject,
+    WatchInterruptedError,
 )
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
@@ -118,6 +119,10 @@
         self._watching.add(connection)
         try:
             answer = self._exchange(connection, "GET", _path(kind), parts, None, wait_s)
+        except StoreCallError as error:
+            if connection not in self._watching:
+                raise WatchInterruptedError(kind) from error
+            raise
         finally:
             self._watching.discard(connection)
         if connection.reusable:
@@ -143,7 +148,8 @@
 
     @override
     def interrupt(self) -> None:
-        for connection in list(self._watching):
+        watching, self._watching = self._watching, set()
+        for connection in watching:
             connection.abort()
         for connection in self._watch_idle.values():
             connection.abort()
--- a/ploverhatch/sharding/holders.py
+++ b/ploverhatch/sharding/holders.py
@@ -5,8 +5,8 @@
 from ploverhatch.sharding.keymap import Holder
 from ploverhatch.sharding.messages import RangeId
 
-HOLD_MS = 4000.0
-RENEW_MS = 1200.0
+HOLD_MS = 4000.0  # of a lease, where the servers allow as much
+RENEW_PART = 0.3  # of a lease's time: then it is renewed
 RETRY_MS = 250.0
 CLOCK_DRIFT = 1.02  # a server's clock may run 2% slow
 LAPSE_MARGIN_MS = 250.0
@@ -14,9 +14,20 @@
 AVOID_MS = 4000.0  # how long a server that could not be reached gets no keys
 
 
-def lapse_ms(sent_ms: float) -> float:
-    """Return when a lease sent at ``sent_ms`` has surely lapsed."""
-    return sent_ms + HOLD_MS * CLOCK_DRIFT + LAPSE_MARGIN_MS
+@dataclass(frozen=True, slots=True)
+class LeaseTiming:
+    """Times that follow from how long a lease is held."""
+
+    hold_ms: float = HOLD_MS
+
+    @property
+    def renew_ms(self) -> float:
+        """Time between renewals."""
+        return self.hold_ms * RENEW_PART
+
+    def lapse_ms(self, sent_ms: float) -> float:
+        """Return when a lease sent at ``sent_ms`` has surely lapsed."""
+        return sent_ms + self.hold_ms * CLOCK_DRIFT + LAPSE_MARGIN_MS
 
 
 @dataclass(slots=True)
@@ -24,6 +35,7 @@
     """One server; at most one renewal is under way to it."""
 
     holder: Holder
+    timing: LeaseTiming = LeaseTiming()
     held_until_ms: float = 0.0  # by then every lease sent to it has surely lapsed
     failing_since_ms: float | None = None
     avoid_until_ms: float = 0.0
@@ -33,7 +45,7 @@
 
     def sent(self, now_ms: float) -> None:
         """A grant is being sent right now."""
-        self.held_until_ms = max(self.held_until_ms, lapse_ms(now_ms))
+        self.held_until_ms = max(self.held_until_ms, self.timing.lapse_ms(now_ms))
 
     def ended(self) -> None:
         """The server has ended: it holds nothing."""
@@ -58,4 +70,4 @@
         """A round of renewals has ended, or broke off."""
         self.renewing = False
         self.to_renew.clear()
-        self.renew_at_ms = now_ms + (RENEW_MS if well else RETRY_MS)
+        self.renew_at_ms = now_ms + (self.timing.renew_ms if well else RETRY_MS)
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field, replace
 
 from ploverhatch.sharding import planner
-from ploverhatch.sharding.holders import HolderLease, lapse_ms
+from ploverhatch.sharding.holders import HolderLease, LeaseTiming
 from ploverhatch.sharding.keymap import (
     Holder,
     KeyMap,
@@ -32,6 +32,7 @@
     SendGrant,
     SendRelease,
     ServiceView,
+    StepDown,
     StoreMap,
     range_id,
 )
@@ -39,6 +40,7 @@
 
 PLAN_EVERY_MS = 400.0
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
+DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
@@ -52,12 +54,14 @@
     server_ids: frozenset[str] = frozenset()
     servers_since_ms: float = 0.0
     planned_ms: float = -1e12
+    dominant_moved_ms: dict[int, float] = field(default_factory=dict)  # key -> when
 
 
 class LeaderCore:
     """State of one term of leadership."""
 
-    def __init__(self) -> None:
+    def __init__(self, timing: LeaseTiming | None = None) -> None:
+        self._timing = timing or LeaseTiming()
         self._services: dict[str, _ServiceState] = {}
         self._leases: dict[str, HolderLease] = {}
         self._cut_off_since_ms: float | None = None
@@ -76,7 +80,9 @@
         for item in keymap.ranges:
             for holder in (item.holder, *item.previous):
                 lease = self._lease(holder)
-                lease.held_until_ms = max(lease.held_until_ms, lapse_ms(renewable_until_ms))
+                lease.held_until_ms = max(
+                    lease.held_until_ms, self._timing.lapse_ms(renewable_until_ms)
+                )
         for transfer in state.transfers.values():
             for server_id in transfer.lapses_ms:
                 transfer.lapses_ms[server_id] = self._leases[server_id].held_until_ms
@@ -84,7 +90,7 @@
     def _lease(self, holder: Holder) -> HolderLease:
         lease = self._leases.get(holder.server_id)
         if lease is None:
-            lease = HolderLease(holder)
+            lease = HolderLease(holder, self._timing)
             self._leases[holder.server_id] = lease
         return lease
 
@@ -140,7 +146,15 @@
         if not urgent and now_ms - state.planned_ms < PLAN_EVERY_MS:
             return []
         state.planned_ms = now_ms
-        moves = planner.plan_moves(state.keymap, candidates, rates)
+        resting = {
+            key
+            for key, moved_ms in state.dominant_moved_ms.items()
+            if now_ms - moved_ms < DOMINANT_REST_MS
+        }
+        moves = planner.plan_moves(state.keymap, candidates, rates, resting)
+        for move in moves:
+            if move.first == move.last:
+                state.dominant_moved_ms[move.first] = now_ms
         return self._store(state, begin_moves(state.keymap, moves)) if moves else []
 
     def _store(self, state: _ServiceState, keymap: KeyMap) -> list[Action]:
@@ -248,6 +262,9 @@
             return actions
         if outcome is CallOutcome.DONE:
             return actions + self._next_renewal(lease, now_ms)
+        if outcome is CallOutcome.REFUSED and self.may_send(call.holder, call.range_id, True):
+            # Nobody here moves this range, so a newer leader raised its token.
+            actions.append(StepDown())
         lease.renewal_over(now_ms, well=False)
         return actions
 
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -79,4 +79,9 @@
     """Let another node lead: this one seems to be cut off from the servers."""
 
 
-Action = StoreMap | SendGrant | SendRelease | ForgetServer | Resign
+@dataclass(frozen=True, slots=True)
+class StepDown:
+    """A newer leader has been at work: this one must stop at once."""
+
+
+Action = StoreMap | SendGrant | SendRelease | ForgetServer | Resign | StepDown
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -7,7 +7,7 @@
 """
 
 from bisect import bisect_left, bisect_right
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from ploverhatch.sharding.keymap import KEY_COUNT, Holder, KeyMap, KeyRange, Move
@@ -112,20 +112,24 @@
 
 
 def plan_moves(
-    keymap: KeyMap, candidates: Sequence[Candidate], rates: Mapping[int, float]
+    keymap: KeyMap,
+    candidates: Sequence[Candidate],
+    rates: Mapping[int, float],
+    resting: Collection[int] = (),
 ) -> list[Move]:
     """Return the moves of one round.
 
     :param candidates: servers that may hold keys; holders that are not among
         them lose their keys.
     :param rates: requests per second by key.
+    :param resting: keys that were moved by themselves lately, and stay.
     """
     if not candidates:
         return []
     plan = _Plan(keymap, candidates, rates)
     _rehome(plan, keymap)
     if not plan.moves and len(keymap.ranges) < MAX_RANGES:
-        _isolate_dominant(plan, keymap)
+        _isolate_dominant(plan, keymap, resting)
         _even_out(plan, keymap)
     return plan.moves
 
@@ -158,7 +162,7 @@
     return pieces
 
 
-def _isolate_dominant(plan: _Plan, keymap: KeyMap) -> None:
+def _isolate_dominant(plan: _Plan, keymap: KeyMap, resting: Collection[int]) -> None:
     """Give a key that fills a server by itself a fast server of its own."""
     for key in sorted(plan.rates, key=lambda key: -plan.rates[key])[:MAX_MOVES]:
         item = keymap.find(key)
@@ -170,13 +174,15 @@
         plan.taken.add(key)
         plan.dominated.add(item.holder.server_id)
         if item.settled:
-            _give_dominant(plan, keymap, key, item, share)
+            _give_dominant(plan, keymap, key, item, share, key not in resting)
 
 
-def _give_dominant(plan: _Plan, keymap: KeyMap, key: int, item: KeyRange, share: _Share) -> None:
+def _give_dominant(
+    plan: _Plan, keymap: KeyMap, key: int, item: KeyRange, share: _Share, movable: bool
+) -> None:
     free = [other for name, other in plan.shares.items() if name not in plan.dominated]
     fastest = min(free, key=lambda other: other.candidate.cost_ms, default=None)
-    if fastest and fastest.candidate.cost_ms < FASTER * share.candidate.cost_ms:
+    if movable and fastest and fastest.candidate.cost_ms < FASTER * share.candidate.cost_ms:
         plan.give(key, key, fastest, share)
         plan.dominated.add(fastest.candidate.holder.server_id)
         return
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -16,6 +16,7 @@
     SendGrant,
     SendRelease,
     ServiceView,
+    StepDown,
     StoreMap,
 )
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
@@ -220,6 +221,8 @@
             elif isinstance(action, Resign):
                 self._not_before_ms = self.now_ms + 6000.0
                 self.state = election.stepped_down(self.state)
+            elif isinstance(action, StepDown):
+                self.state = election.stepped_down(self.state)
 
     def _store_map(self, core: LeaderCore, keymap: KeyMap) -> None:
         def done(result: StoreResult, item: StoredItem | None) -> None:
--- a/ploverhatch/store/objects.py
+++ b/ploverhatch/store/objects.py
@@ -13,6 +13,10 @@
     """The store did not carry out the call; it may be tried again."""
 
 
+class WatchInterruptedError(StoreCallError):
+    """This process broke its own watch off, to ask anew."""
+
+
 class OutcomeUnknownError(StoreCallError):
     """The answer to a change was lost: it may have happened, or happen later."""
 
--- /dev/null
+++ b/tests/functional/test_gateway_logs.py
@@ -0,0 +1,151 @@
+"""Logs and metrics of a gateway: bounded, never blocking, and enough to explain."""
+
+import logging
+import os
+
+import gevent
+import pytest
+from click.testing import CliRunner
+
+from ploverhatch.cli.explain_request import explain, read_lines
+from ploverhatch.cli.main import main
+from ploverhatch.common.log_output import BufferedOutput
+from ploverhatch.gateway.metrics import GatewayMetrics
+from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
+from ploverhatch.routing.attempt_outcome import AttemptResult
+from tests.unit.test_platform_adapter import SETTINGS
+
+
+def record(text):
+    return logging.LogRecord("absl", logging.INFO, "", 0, text, None, None)
+
+
+@pytest.fixture
+def pipe():
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def test_lines_reach_the_reader(pipe):
+    output = BufferedOutput(pipe[1], "n1")
+    output.emit(record("[part] Sentence. a=1"))
+    gevent.sleep(0.01)
+    line = os.read(pipe[0], 1000).decode()
+    assert line.endswith(" n1 I [part] Sentence. a=1\n")
+
+
+def test_a_pipe_that_nobody_reads_holds_nothing_up(pipe):
+    output = BufferedOutput(pipe[1], "n1", capacity=100)
+    started = gevent.get_hub().loop.now()
+    for number in range(5000):
+        output.emit(record(f"[part] Line. number={number} " + "x" * 100))
+        if number % 100 == 0:
+            gevent.sleep(0)
+    gevent.get_hub().loop.update_now()
+    assert gevent.get_hub().loop.now() - started < 2.0
+    assert len(output._lines) <= 100
+    assert output.dropped > 0
+
+
+def test_dropped_lines_are_counted_in_the_next_line(pipe):
+    output = BufferedOutput(pipe[1], "n1", capacity=3)
+    for number in range(10):
+        output.emit(record(f"line {number}"))
+    gevent.sleep(0.01)
+    os.read(pipe[0], 10_000)
+    output.emit(record("after"))
+    gevent.sleep(0.01)
+    text = os.read(pipe[0], 10_000).decode()
+    assert "[log] Lines dropped. count=7" in text
+    assert text.endswith("after\n")
+
+
+def trace(**changes):
+    values = {"request_id": "r1", "route": "rt", "service": "svc", "key": 7, "version": 3}
+    return RequestTrace(**{**values, "objective_ms": 100.0, **changes})
+
+
+def test_ordinary_requests_leave_no_line(caplog):
+    ordinary = trace(attempts=[AttemptNote("s1", 4, 1.0, 50.0, AttemptResult.ANSWERED)])
+    with caplog.at_level(logging.INFO, "absl"):
+        ordinary.finish(200, 1000, "", 60.0)
+    assert caplog.messages == []
+
+
+EXTRAORDINARY = {
+    "late": ([AttemptResult.ANSWERED], 200, 1000, 150.0),
+    "repeated": ([AttemptResult.LOST, AttemptResult.ANSWERED], 200, 1000, 60.0),
+    "refused": ([], 503, 2101, 20.0),
+    "lost": ([AttemptResult.LOST], 502, 3001, 30.0),
+    "timed out": ([AttemptResult.TIMED_OUT], 504, 3002, 900.0),
+}
+
+
+@pytest.mark.parametrize("name", EXTRAORDINARY)
+def test_what_was_not_ordinary_leaves_one_line(name, caplog):
+    attempts, status, code, took_ms = EXTRAORDINARY[name]
+    notes = [AttemptNote("s1", 4, 1.0, 50.0, result) for result in attempts]
+    with caplog.at_level(logging.INFO, "absl"):
+        trace(attempts=notes).finish(status, code, "", took_ms)
+    (line,) = caplog.messages
+    fields = read_lines([line])[0].fields
+    assert (fields["request"], fields["status"], fields["result"]) == ("r1", str(status), str(code))
+    assert (fields["route"], fields["version"], fields["key"]) == ("rt", "3", "7")
+    assert fields["attempts"].count("s1@4") == len(attempts)
+
+
+LOG = """\
+10:00:00.000 n1 I [elector] Leadership won. predecessor=-
+10:00:01.000 n1 I [leader] Keys move. service=svc first=0 last=9 to=s1 token=4
+10:00:01.100 n1 I [leader] Keys move. service=other first=0 last=9 to=s9 token=4
+10:00:02.000 n2 I [request] Request ended. request=r1 status=502 result=3001 detail=lost \
+took_ms=30 route=rt service=svc key=7 version=3 attempts=s1@4:lost:1+29
+"""
+
+
+def test_explain_tells_the_answer_the_attempts_and_the_beliefs():
+    told = "\n".join(explain("r1", read_lines(LOG.splitlines())))
+    assert "3001 ANSWER_LOST" in told
+    assert "attempt 1: s1@4 after 1 ms, lost in 29 ms" in told
+    assert "to=s1 token=4" in told
+    assert "service=other" not in told
+
+
+def test_explain_request_command(tmp_path):
+    path = tmp_path / "log"
+    path.write_text(LOG)
+    found = CliRunner().invoke(main, ["explain-request", "r1", str(path)])
+    assert found.exit_code == 0
+    assert "answer: 502 after 30 ms" in found.output
+    missing = CliRunner().invoke(main, ["explain-request", "r2", str(path)])
+    assert missing.exit_code == 1
+
+
+def test_gateway_command_checks_settings(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_bytes(SETTINGS)
+    checked = CliRunner().invoke(main, ["gateway", "--settings", str(path), "--check"])
+    assert checked.exit_code == 0
+    assert "front-1" in checked.output
+    path.write_bytes(SETTINGS.replace(b"zone", b"zones"))
+    wrong = CliRunner().invoke(main, ["gateway", "--settings", str(path), "--check"])
+    assert wrong.exit_code == 2
+    assert "zone" in wrong.output
+
+
+def test_metrics_text():
+    metrics = GatewayMetrics()
+    for took_ms in (5.0, 30.0, 5000.0):
+        metrics.ended(1000, took_ms)
+    metrics.ended(2101, 60.0)
+    metrics.attempts["answered"] += 3
+    metrics.gauge("leading", lambda: 1.0)
+    rows = metrics.text().decode().splitlines()
+    assert 'ploverhatch_requests_total{result="1000"} 3' in rows
+    assert 'ploverhatch_attempts_total{outcome="answered"} 3' in rows
+    assert 'ploverhatch_request_ms_bucket{le="50"} 2' in rows
+    assert 'ploverhatch_request_ms_bucket{le="+Inf"} 4' in rows
+    assert "ploverhatch_leading 1" in rows
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -16,7 +16,12 @@
 from ploverhatch.gateway.messages import CallerRequest, RequestFacts
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.platform.documents import DocumentError, PlatformTranslation, route_table
-from ploverhatch.platform.settings import SettingsFileError, parse_settings, read_settings
+from ploverhatch.platform.settings import (
+    SettingsFile,
+    SettingsFileError,
+    parse_settings,
+    read_settings,
+)
 from ploverhatch.routing.attempt_outcome import AttemptResult
 from ploverhatch.store.objects import VersionedObject
 from ploverhatch.transport.http_connection import HostPort, WireAnswer
@@ -83,6 +88,18 @@
         parse_settings(SETTINGS.replace(*change))
 
 
+def test_a_changed_settings_file_is_noticed(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_bytes(SETTINGS)
+    source = SettingsFile(str(path))
+    assert source.read().grace_s == 6.0
+    assert not source.changed()
+    path.write_bytes(SETTINGS.replace(b"grace_s = 6", b"grace_s = 16"))
+    assert source.changed()
+    assert source.read().grace_s == 16.0
+    assert not source.changed()
+
+
 def test_missing_settings_file(tmp_path):
     with pytest.raises(SettingsFileError, match="No such file"):
         read_settings(str(tmp_path / "none.toml"))
