--- a/ploverhatch/cli/main.py
+++ b/ploverhatch/cli/main.py
@@ -14,6 +14,7 @@
 from ploverhatch.cli.node import node
 from ploverhatch.cli.policy import policy
 from ploverhatch.cli.simulate import simulate
+from ploverhatch.cli.simulate_keys import simulate_keys
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -35,6 +36,7 @@
     load,
     demo,
     simulate,
+    simulate_keys,
     experiment,
     bench,
     explain_request,
