--- a/ploverhatch/simulation/keys/cell.py
+++ b/ploverhatch/simulation/keys/cell.py
@@ -1,18 +1,16 @@
 """A whole simulated cell, and the independent judgement of what it did."""
 
-from collections import defaultdict
 from collections.abc import Callable
-from itertools import combinations
 
 from ploverhatch.sharding.keymap import Holder
 from ploverhatch.sharding.messages import CallOutcome, SendRelease
+from ploverhatch.simulation.keys.judge import judge
 from ploverhatch.simulation.keys.node import CALL_TIMEOUT_MS, LATE_ORDER_MS, SimKeyNode
-from ploverhatch.simulation.keys.server import SAMPLE_KEYS, Hold, Journal, SimKeyServer
+from ploverhatch.simulation.keys.server import SAMPLE_KEYS, Journal, SimKeyServer
 from ploverhatch.simulation.keys.store import SimStore
 from ploverhatch.simulation.world import World
 from ploverhatch.state.servers import ServerRecord
 
-OVERLAP_MS = 500.0
 HOT_RATE = 60.0
 MAX_DRIFT = 1.02
 
@@ -158,43 +156,8 @@
 
     def violations(self) -> list[str]:
         """Judge from the servers' own records alone."""
-        by_key: dict[int, list[Hold]] = defaultdict(list)
-        for hold in self.journal.holds:
-            by_key[hold.key].append(hold)
-        found = []
-        for holds in by_key.values():
-            found += _token_violations(holds)
-            for first, second in combinations(holds, 2):
-                found += _overlap_violations(first, second)
-        return found
+        return judge(self.journal.holds)
 
 
 def _discard(_: object) -> None:
     """Make a task of a call whose value nobody needs."""
-
-
-def _token_violations(holds: list[Hold]) -> list[str]:
-    highest: dict[str, int] = {}
-    found = []
-    for hold in sorted(holds, key=lambda hold: hold.since_ms):
-        others = [token for life, token in highest.items() if life != hold.life]
-        if not hold.late and others and hold.token <= max(others):
-            found.append(f"key {hold.key}: {hold.life} took it at token {hold.token}, not above")
-        highest[hold.life] = max(highest.get(hold.life, 0), hold.token)
-    return found
-
-
-def _overlap_violations(first: Hold, second: Hold) -> list[str]:
-    if first.life == second.life:
-        return []
-    start = max(first.since_ms, second.since_ms)
-    end = min(first.until_ms, second.until_ms)
-    if start >= end:
-        return []
-    both = all(any(start <= moment < end for moment in hold.starts_ms) for hold in (first, second))
-    if both:
-        return [f"key {first.key}: {first.life} and {second.life} both ran requests"]
-    end = min(first.sure_until_ms, second.sure_until_ms)
-    if end - start > OVERLAP_MS and not first.late and not second.late:
-        return [f"key {first.key}: {first.life} and {second.life} held it {end - start:.0f} ms"]
-    return []
--- /dev/null
+++ b/ploverhatch/simulation/keys/judge.py
@@ -0,0 +1,53 @@
+"""Judges who held which keys, from the servers' own records alone.
+
+Independent of the product's decisions; used by the simulation and by the soak
+over real processes.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from itertools import combinations
+
+from ploverhatch.simulation.keys.server import Hold
+
+OVERLAP_MS = 500.0
+
+
+def judge(holds: Iterable[Hold]) -> list[str]:
+    """Return what was broken: two holders at once, or a token that did not rise."""
+    by_key: dict[int, list[Hold]] = defaultdict(list)
+    for hold in holds:
+        by_key[hold.key].append(hold)
+    found = []
+    for of_key in by_key.values():
+        found += _token_violations(of_key)
+        for first, second in combinations(of_key, 2):
+            found += _overlap_violations(first, second)
+    return found
+
+
+def _token_violations(holds: list[Hold]) -> list[str]:
+    highest: dict[str, int] = {}
+    found = []
+    for hold in sorted(holds, key=lambda hold: hold.since_ms):
+        others = [token for life, token in highest.items() if life != hold.life]
+        if not hold.late and others and hold.token <= max(others):
+            found.append(f"key {hold.key}: {hold.life} took it at token {hold.token}, not above")
+        highest[hold.life] = max(highest.get(hold.life, 0), hold.token)
+    return found
+
+
+def _overlap_violations(first: Hold, second: Hold) -> list[str]:
+    if first.life == second.life:
+        return []
+    start = max(first.since_ms, second.since_ms)
+    end = min(first.until_ms, second.until_ms)
+    if start >= end:
+        return []
+    both = all(any(start <= moment < end for moment in hold.starts_ms) for hold in (first, second))
+    if both:
+        return [f"key {first.key}: {first.life} and {second.life} both ran requests"]
+    end = min(first.sure_until_ms, second.sure_until_ms)
+    if end - start > OVERLAP_MS and not first.late and not second.late:
+        return [f"key {first.key}: {first.life} and {second.life} held it {end - start:.0f} ms"]
+    return []
--- a/ploverhatch/simulation/keys/server.py
+++ b/ploverhatch/simulation/keys/server.py
@@ -101,10 +101,17 @@
         elif self.up:
             answer()
 
-    def request(self, key: int) -> bool:
-        """Run a request if the key is held; false when it is not."""
+    def holding(self, key: int) -> Hold | None:
+        """Return the present hold of a key, or ``None``."""
         hold = self._held.get(key)
         if not self.up or hold is None or hold.until_ms <= self.world.now_ms:
+            return None
+        return hold
+
+    def request(self, key: int) -> bool:
+        """Run a request if the key is held; false when it is not."""
+        hold = self.holding(key)
+        if hold is None:
             return False
         hold.starts_ms.append(self.world.now_ms)
         self._running[key] = self._running.get(key, 0) + 1
