Break the circle between admin API and node; print unavailable time per key in the demo

Cause: the API imported the node process for its type, behind an exception in the layers; the demo told only the longest wait for an answer. Change: protocols in admin/node_view.py, the exception is gone; bench/summary.py finds the longest pause of each busy key.

--- a/ploverhatch/admin/api.py
+++ b/ploverhatch/admin/api.py
@@ -6,20 +6,18 @@
 
 import json
 import re
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs, unquote
 
 from ploverhatch.admin.changes import ChangeApplier, ChangeOutcome, check_body
 from ploverhatch.admin.explain import explain_key, explain_request
+from ploverhatch.admin.node_view import AdministeredNode
 from ploverhatch.admin.tokens import Role, TokenList
 from ploverhatch.common import results
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.problem import HttpReply, json_reply, problem_reply
 from ploverhatch.transport.wsgi import Environ, read_json, request_target
 
-if TYPE_CHECKING:
-    from ploverhatch.node.process import Node
-
 LOG = PartLogger("admin")
 
 _OBJECT_PATH = re.compile(r"/api/objects/([^/]+)/([^/]+)")
@@ -29,7 +27,7 @@
 class AdminApi:
     """Requests of operators to one node."""
 
-    def __init__(self, node: "Node", tokens: TokenList) -> None:
+    def __init__(self, node: AdministeredNode, tokens: TokenList) -> None:
         self._node = node
         self._tokens = tokens
         self._changes = ChangeApplier(node.store)
--- a/ploverhatch/admin/explain.py
+++ b/ploverhatch/admin/explain.py
@@ -1,29 +1,12 @@
 """Explains what a request or key matches, and why."""
 
-from typing import Any, Protocol
+from typing import Any
 
+from ploverhatch.admin.node_view import View
 from ploverhatch.common.keyspace import hash_key
 from ploverhatch.policy.printer import print_expression
 from ploverhatch.policy.syntax import matches
-from ploverhatch.policy.table import PolicyTable, extract_key
-from ploverhatch.state.configuration import ServerSpec
-from ploverhatch.state.replicated import ReplicatedState
-
-
-class View(Protocol):
-    """What is needed of a node's view."""
-
-    @property
-    def policy(self) -> PolicyTable | None:
-        """The policy in force."""
-
-    @property
-    def servers(self) -> dict[str, ServerSpec]:
-        """Configured servers."""
-
-    @property
-    def state(self) -> ReplicatedState:
-        """The replicated state."""
+from ploverhatch.policy.table import extract_key
 
 
 def explain_request(view: View, method: str, path: str) -> dict[str, Any]:
--- a/ploverhatch/bench/summary.py
+++ b/ploverhatch/bench/summary.py
@@ -2,11 +2,14 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable
+from itertools import pairwise
 
 from ploverhatch.bench.load import LoadResult
 from ploverhatch.common.results import RESULTS
 from ploverhatch.emulator.backend import Execution
 
+LEAST_PAUSES = 20
+
 
 def double_runs(executions: Iterable[Execution]) -> list[str]:
     """Return idempotency keys that ran more than once."""
@@ -76,3 +79,24 @@
     if result.dropped:
         lines.append(f"not sent, too many in flight: {result.dropped}")
     return lines
+
+
+def unavailable_ms(executions: Iterable[Execution], usual_factor: float = 5.0) -> list[float]:
+    """Return for each key how long it was not served, in rising order.
+
+    That is its longest pause between two executions beyond ``usual_factor``
+    times its median pause, and beyond zero; keys with few executions, whose
+    pauses say little, are left out.
+    """
+    moments: dict[tuple[str, int], list[float]] = defaultdict(list)
+    for item in executions:
+        moments[(item.group, item.key_hash)].append(item.started_ms)
+    found = []
+    for of_key in moments.values():
+        of_key.sort()
+        pauses = sorted(later - earlier for earlier, later in pairwise(of_key))
+        if len(pauses) < LEAST_PAUSES:
+            continue
+        usual = pauses[len(pauses) // 2] * usual_factor
+        found.append(max(0.0, pauses[-1] - usual))
+    return sorted(found)
--- a/ploverhatch/cli/demo.py
+++ b/ploverhatch/cli/demo.py
@@ -14,6 +14,7 @@
     imbalance,
     ownership_overlaps,
     print_load,
+    unavailable_ms,
 )
 from ploverhatch.cli.running import start_logging
 from ploverhatch.common.clock import elapsed_ms
@@ -122,6 +123,13 @@
     click.echo(f"imbalance (busiest over mean): {spread}")
     click.echo(f"ownership changes: {nodes[0].view.changes - changes_before}")
     click.echo(f"longest time to an answer, failure included: {result.percentile_ms(100):.0f} ms")
+    gaps = unavailable_ms(executions)
+    if gaps:
+        middle = gaps[len(gaps) // 2]
+        click.echo(
+            f"unavailable time per key ({len(gaps)} busy keys): "
+            f"median {middle:.0f} ms, worst {gaps[-1]:.0f} ms"
+        )
     doubled, overlaps = double_runs(executions), ownership_overlaps(executions)
     click.echo(f"requests run twice: {len(doubled)}; keys with two owners: {len(overlaps)}")
     return 1 if doubled or overlaps or result.results["crossed-answer"] else 0
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -22,13 +22,11 @@
     _samples: deque[tuple[float, Counter[int]]] = field(default_factory=deque)
     _since_ms: float = -1.0
 
-    def add(self, now_ms: float, keys: Iterable[int], weight: float = 1.0) -> None:
-        """Add sampled keys, each standing for ``weight`` requests."""
+    def add(self, now_ms: float, keys: Iterable[int]) -> None:
+        """Add the keys of requests, one each."""
         if self._since_ms < 0:
             self._since_ms = now_ms
-        counts: Counter[int] = Counter()
-        for key in keys:
-            counts[key] += weight  # type: ignore[assignment]
+        counts = Counter(keys)
         self._samples.append((now_ms, counts))
         self._trim(now_ms)
 
