Let the leader tell nodes of key maps by datagram, and watch them lazily

Ruled out: fewer writes (a range must be settled in the store before requests go there). Change: the leader sends each stored map to the nodes that reported lately; the watch is asked again after 1 s where it told nothing new. A lost datagram costs that second at most.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -81,13 +81,14 @@
         """Whether requests may go where the key maps say."""
         return election.view_is_trusted(self.store_contact_ms, elapsed_ms())
 
-    def put_keymap(self, keymap: KeyMap) -> None:
-        """Take a key map unless a newer one is known."""
+    def put_keymap(self, keymap: KeyMap) -> bool:
+        """Take a key map unless it or a newer one is known; true if it was taken."""
         known = self.keymaps.get(keymap.service)
         if known is not None and keymap.revision <= known.revision:
-            return
+            return False
         self.keymaps[keymap.service] = keymap
         self.changed.raise_()
+        return True
 
     def expire_servers(self) -> None:
         """Drop vanished servers whose grace is over."""
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -23,14 +23,22 @@
 LONGEST_PAUSE_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class Pauses:
+    """Pauses after a watch has reported, so that more comes with one call."""
+
+    news_s: float = 0.0
+    known_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Feed:
     """What to do with the objects of one kind."""
 
     kind: str
     replace_all: Callable[[tuple[VersionedObject, ...]], None]
-    apply: Callable[[ObjectChange], None]
-    pause_s: float = 0.0  # after changes, so that more of them come with one call
+    apply: Callable[[ObjectChange], bool]  # true when it told something new
+    pauses: Pauses = Pauses()
 
 
 class FeedTask:
@@ -73,11 +81,10 @@
 
     def _watch(self) -> None:
         batch = self._store.watch(self._feed.kind, self._revision, WAIT_S)
-        for change in batch.changes:
-            self._feed.apply(change)
+        news = [change for change in batch.changes if self._feed.apply(change)]
         self._revision = batch.revision
         if batch.changes:
-            gevent.sleep(self._feed.pause_s)
+            gevent.sleep(self._feed.pauses.news_s if news else self._feed.pauses.known_s)
 
     def _note_failure(self, error: StoreCallError) -> None:
         if not self._lost_ms:
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -14,7 +14,7 @@
 from ploverhatch.gateway.dialect import Dialect, GrantCall, ReleaseCall
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
-from ploverhatch.gateway.load_reports import LoadReport
+from ploverhatch.gateway.peer_link import LoadReport
 from ploverhatch.gateway.server_control import ServerControl
 from ploverhatch.sharding.holders import HOLD_MS, LeaseTiming
 from ploverhatch.sharding.keymap import Holder, KeyMap
@@ -56,11 +56,13 @@
         elector: Elector,
         dialect: Dialect,
         lease_max_ms: float,
+        publish: Callable[[KeyMap], None],
     ) -> None:
         self._store = store
         self._directory = directory
         self._elector = elector
         self._dialect = dialect
+        self._publish = publish
         self._hold_ms = min(HOLD_MS, lease_max_ms)
         self._core = LeaderCore(LeaseTiming(self._hold_ms))
         self._controls: dict[str, ServerControl] = {}
@@ -162,6 +164,7 @@
             self._core.map_stored(keymap, written.revision)
             stored = self._core.keymap(keymap.service)
             self._directory.put_keymap(stored)
+            self._publish(stored)
             self._log_moves(stored, before.token)
 
     def _write(self, keymap: KeyMap) -> VersionedObject:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -14,11 +14,11 @@
 from ploverhatch.gateway.dialect import Dialect
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
-from ploverhatch.gateway.feeds import Feed, FeedTask
+from ploverhatch.gateway.feeds import Feed, FeedTask, Pauses
 from ploverhatch.gateway.forwarder import Forwarder
 from ploverhatch.gateway.key_leader import KeyLeader
-from ploverhatch.gateway.load_reports import MAX_KEYS, LoadReport, LoadReporter
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.gateway.peer_link import MAX_KEYS, LoadReport, PeerLink
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.gateway.translation import Translation
 from ploverhatch.gateway.upstreams import UpstreamPool
@@ -33,8 +33,10 @@
 HOUSEKEEPING_S = 0.25
 LEADER_POLL_S = 0.1
 LIFE_BYTES = 6  # of the name of one life of the process
-SERVERS_PAUSE_S = 0.25  # a watch that has reported is asked again after that
-KEYMAPS_PAUSE_S = 0.1
+# A watch that has reported is asked again after a pause: the first one where it
+# told something new, the second one where all was known, as from the leader.
+SERVERS_PAUSES = Pauses(news_s=0.25, known_s=0.25)
+KEYMAPS_PAUSES = Pauses(news_s=0.1, known_s=1.0)
 READINESS_MISSES_S = 2.6  # until no new connections come after readiness ends
 LONGEST_UNREADY_PART = 0.5  # of the grace time: the rest is for what is under way
 STOP_MARGIN_PART = 0.1  # of the grace time, before the platform kills the process
@@ -76,11 +78,12 @@
             self._store_lost,
             store.interrupt,
         )
-        self._reporter = LoadReporter(
+        self._peers = PeerLink(
             peer_address,
             self._collect_load,
             lambda: self._elector.leader_address,
             self._take_load,
+            self.directory.put_keymap,
         )
         self._callers = CallerServer(
             settings.callers, self._forwarder.handle, self.directory.limits, self._note_rejected
@@ -102,8 +105,8 @@
             *feeds,
             self._elector.run,
             self._lead_when_elected,
-            self._reporter.send_forever,
-            self._reporter.receive_forever,
+            self._peers.report_forever,
+            self._peers.receive_forever,
             self._keep_house,
             self._sync_pool,
         ]
@@ -138,7 +141,7 @@
         gevent.killall(self._tasks)
         self._callers.stop()
         self._readiness.stop()
-        self._reporter.close()
+        self._peers.close()
         self._stopped.set()
 
     def drain(self) -> None:
@@ -166,8 +169,8 @@
     def _feeds(self) -> list[Feed]:
         return [
             Feed(kinds.CONFIGURATION, self._take_configurations, self._change_configuration),
-            Feed(kinds.SERVERS, self._take_servers, self._change_server, SERVERS_PAUSE_S),
-            Feed(kinds.KEYMAPS, self._take_keymaps, self._change_keymap, KEYMAPS_PAUSE_S),
+            Feed(kinds.SERVERS, self._take_servers, self._change_server, SERVERS_PAUSES),
+            Feed(kinds.KEYMAPS, self._take_keymaps, self._change_keymap, KEYMAPS_PAUSES),
         ]
 
     def _take_configurations(self, items: tuple[VersionedObject, ...]) -> None:
@@ -176,30 +179,33 @@
             if table is not None:
                 self.directory.take_table(table)
 
-    def _change_configuration(self, change: ObjectChange) -> None:
+    def _change_configuration(self, change: ObjectChange) -> bool:
         if not change.gone:
             self._take_configurations((change.object,))
+        return True
 
     def _take_servers(self, items: tuple[VersionedObject, ...]) -> None:
         records = [self._translation.server(item) for item in items]
         self.directory.replace_servers([record for record in records if record is not None])
 
-    def _change_server(self, change: ObjectChange) -> None:
+    def _change_server(self, change: ObjectChange) -> bool:
         if change.gone:
             self.directory.remove_server(change.object.name)
-            return
+            return True
         record = self._translation.server(change.object)
         if record is not None:
             self.directory.put_server(record)
+        return True
 
     def _take_keymaps(self, items: tuple[VersionedObject, ...]) -> None:
         for item in items:
             self.directory.put_keymap(keymap_codec.decode_keymap(item))
         self.directory.keymaps_known = True
 
-    def _change_keymap(self, change: ObjectChange) -> None:
-        if not change.gone:
-            self.directory.put_keymap(keymap_codec.decode_keymap(change.object))
+    def _change_keymap(self, change: ObjectChange) -> bool:
+        if change.gone:
+            return True
+        return self.directory.put_keymap(keymap_codec.decode_keymap(change.object))
 
     def _store_answered(self) -> None:
         self.directory.store_contact_ms = elapsed_ms()
@@ -231,6 +237,7 @@
                     self._elector,
                     self._dialect,
                     self._settings.lease_max_ms,
+                    self._peers.publish,
                 )
                 self._leader.run()
                 self._leader = None
