Keep key maps small: join ranges, give idle narrow ones back; put them among the baselines

Cause (placement experiment, the gateways' planner beside the others): a map only ever grew; at 400 ranges relief of busy servers stopped, after minutes of moving load. Change: beyond 100 ranges, neighbours of one holder are granted as one range, and a narrow idle range goes back to the holder on both sides; pieces of one move that differ in their keys only are one range from the start.

--- a/ploverhatch/experiment/placement_run.py
+++ b/ploverhatch/experiment/placement_run.py
@@ -16,6 +16,7 @@
     Rendezvous,
     Strategy,
 )
+from ploverhatch.experiment.range_strategy import KeyRanges
 from ploverhatch.ownership.placement import (
     Condition,
     PlacementLimits,
@@ -147,6 +148,7 @@
     servers = [f"s{number:03d}" for number in range(scenario.servers)]
     strategies: list[Strategy] = [
         Ours(hashes, servers, scenario),
+        KeyRanges(hashes, servers, scenario.slots, scenario.rate),
         HashRing(hashes, servers),
         Rendezvous(hashes, servers),
         GreedyWithoutCost(hashes, servers),
--- a/ploverhatch/sharding/keymap.py
+++ b/ploverhatch/sharding/keymap.py
@@ -105,7 +105,7 @@
             else item
             for item in ranges
         ]
-    return replace(keymap, ranges=tuple(ranges), token=token)
+    return replace(keymap, ranges=_joined(ranges), token=token)
 
 
 def _redirect(item: KeyRange, target: Holder, token: int) -> KeyRange:
@@ -135,18 +135,16 @@
 
 
 def merge_neighbours(keymap: KeyMap) -> KeyMap:
-    """Return the map with settled neighbours of one holder and token joined."""
-    merged: list[KeyRange] = []
-    for item in keymap.ranges:
-        last = merged[-1] if merged else None
-        if (
-            last is not None
-            and last.settled
-            and item.settled
-            and last.holder == item.holder
-            and last.token == item.token
-        ):
-            merged[-1] = replace(last, last=item.last)
+    """Return the map with neighbours joined that differ in their keys only."""
+    return replace(keymap, ranges=_joined(keymap.ranges))
+
+
+def _joined(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
+    """Join neighbours of one holder, token and state: one grant covers them."""
+    joined: list[KeyRange] = []
+    for item in ranges:
+        if joined and joined[-1] == replace(item, first=joined[-1].first, last=joined[-1].last):
+            joined[-1] = replace(joined[-1], last=item.last)
         else:
-            merged.append(item)
-    return replace(keymap, ranges=tuple(merged))
+            joined.append(item)
+    return tuple(joined)
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -16,6 +16,10 @@
 LEAST_GAP = 0.25  # between the busiest and the idlest
 MAX_MOVES = 6  # in one round
 MAX_RANGES = 400  # of one map
+TIDY_RANGES = 100  # beyond it, neighbours are joined
+TIDY_MOVES = 4  # in one round
+NARROW = 512  # keys: a range that is narrower and idle goes back to its neighbours' holder
+IDLE = 0.02  # utilisation
 PIECES_OF_LOST = 4  # a lost range is dealt out in at most so many pieces
 DOMINANT = 0.6  # of a server: a key that takes more is *dominant* and gets it alone
 FASTER = 0.8  # a server whose work takes this part of another's is clearly faster
@@ -131,6 +135,8 @@
     if not plan.moves and len(keymap.ranges) < MAX_RANGES:
         _isolate_dominant(plan, keymap, resting)
         _even_out(plan, keymap)
+    if not plan.moves and len(keymap.ranges) > TIDY_RANGES:
+        _tidy(plan, keymap)
     return plan.moves
 
 
@@ -263,3 +269,49 @@
             if best is None or window[1] - window[0] < best[1] - best[0]:
                 best = window
     return best
+
+
+def _tidy(plan: _Plan, keymap: KeyMap) -> None:
+    """Join ranges, so that a map that was divided often stays small.
+
+    Neighbours of one holder are granted to it as one range; that takes no
+    release. A narrow range that is idle by now goes back to the holder on both
+    sides of it.
+    """
+    _give_back_idle(plan, keymap)
+    if not plan.moves:
+        _join_neighbours(plan, keymap)
+
+
+def _give_back_idle(plan: _Plan, keymap: KeyMap) -> None:
+    triples = zip(keymap.ranges, keymap.ranges[1:], keymap.ranges[2:], strict=False)
+    last_given = -1
+    for before, item, after in triples:
+        if len(plan.moves) >= TIDY_MOVES:
+            return
+        share = plan.shares.get(before.holder.server_id)
+        embedded = before.holder == after.holder != item.holder and item.width <= NARROW
+        still = before.settled and item.settled and after.settled and before.first > last_given
+        if not embedded or not still or share is None:
+            continue
+        if share.candidate.utilisation(plan.rate_of(item.first, item.last)) <= IDLE:
+            plan.give(item.first, item.last, share, plan.shares.get(item.holder.server_id))
+            last_given = item.last
+
+
+def _join_neighbours(plan: _Plan, keymap: KeyMap) -> None:
+    run: list[KeyRange] = []
+    for item in keymap.ranges:
+        if run and item.settled and run[-1].holder == item.holder:
+            run.append(item)
+            continue
+        _join(plan, run)
+        run = [item] if item.settled else []
+        if len(plan.moves) >= TIDY_MOVES:
+            return
+    _join(plan, run)
+
+
+def _join(plan: _Plan, run: list[KeyRange]) -> None:
+    if len(run) > 1:
+        plan.moves.append(Move(run[0].first, run[-1].last, run[0].holder))
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -12,7 +12,7 @@
     first_assignment,
     settle,
 )
-from ploverhatch.sharding.planner import Candidate, initial_pieces, plan_moves
+from ploverhatch.sharding.planner import TIDY_RANGES, Candidate, initial_pieces, plan_moves
 
 
 def candidate(number, slots=2, answer_ms=100.0):
@@ -101,3 +101,36 @@
     keymap = begin_moves(settled_map(candidates), [Move(0, 100, target)])
     moves = plan_moves(keymap, candidates, {moving_key: 30.0})
     assert all(not move.first <= moving_key <= move.last for move in moves)
+
+
+def test_a_map_that_was_divided_often_is_joined_again():
+    """Found by the placement experiment: a map only ever grew."""
+    candidates = [candidate(number) for number in range(4)]
+    keymap = settled_map(candidates)
+    for number in range(300):
+        target = candidates[number % 4].holder
+        keymap = apply(keymap, [Move(number * 200, number * 200 + 50, target)])
+    assert len(keymap.ranges) > 300
+    for _ in range(300):
+        keymap = apply(keymap, plan_moves(keymap, candidates, {}))
+    assert len(keymap.ranges) <= TIDY_RANGES
+    assert plan_moves(keymap, candidates, {}) == []
+    assert keymap.ranges[0].first == 0
+    assert keymap.ranges[-1].last == LAST_KEY
+
+
+def test_joining_takes_no_release():
+    holder = candidate(0).holder
+    keymap = begin_moves(settled_map([candidate(0)]), [Move(0, 99, holder)])
+    assert all(item.previous == () for item in keymap.moving)
+
+
+def test_a_busy_narrow_range_stays_where_it_is():
+    candidates = [candidate(number) for number in range(2)]
+    keymap = settled_map(candidates)
+    for number in range(120):
+        keymap = apply(keymap, [Move(number * 200, number * 200 + 20, candidates[1].holder)])
+    rates = {number * 200 + 5: 0.6 for number in range(10)}
+    for _ in range(50):
+        keymap = apply(keymap, plan_moves(keymap, candidates, rates))
+    assert keymap.find(5).holder == candidates[1].holder
