--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -80,20 +80,20 @@
             if leader == self._own:
                 self._take_report(report)
             elif leader:
-                self._send(report, HostPort.parse(leader))
+                self._send(msgspec.msgpack.encode(report), HostPort.parse(leader))
 
     def publish(self, keymap: KeyMap) -> None:
         """Send a map to all nodes that reported lately."""
         update = MapUpdate(keymap.service, keymap.revision, encode_keymap(keymap))
+        data = msgspec.msgpack.encode(update)
         now_ms = elapsed_ms()
         for peer, heard_ms in list(self._peers.items()):
             if now_ms - heard_ms < PEER_MEMORY_MS:
-                self._send(update, peer)
+                self._send(data, peer)
             else:
                 del self._peers[peer]
 
-    def _send(self, message: Message, to: tuple[str, int]) -> None:
-        data = msgspec.msgpack.encode(message)
+    def _send(self, data: bytes, to: tuple[str, int]) -> None:
         if len(data) <= MAX_DATAGRAM:
             with suppress(OSError):
                 self._socket.sendto(data, tuple(to))
--- a/tests/functional/test_platform_contract.py
+++ b/tests/functional/test_platform_contract.py
@@ -5,7 +5,7 @@
 
 from ploverhatch.admin.changes import ChangeApplier
 from ploverhatch.common import results
-from ploverhatch.emulator.platform import PlatformEmulator
+from ploverhatch.emulator.platform import PlatformEmulator, PlatformFaults
 from ploverhatch.store.http_store import HttpPlatformStore
 from ploverhatch.store.interface import (
     ChangeUnknownError,
@@ -90,14 +90,18 @@
     assert len(platform.store.history) == 1
 
 
-def test_operator_is_told_when_the_outcome_stays_unknown(platform, store):
-    def lose_then_go_down():
-        while platform.faults.lose_answers:
-            gevent.sleep(0.001)
-        platform.faults.down = True
+class DownOnceLost(PlatformFaults):
+    """Faults that take the store down in the same step that loses an answer."""
 
-    platform.faults.lose_answers = 1
-    gevent.spawn(lose_then_go_down)
+    def __setattr__(self, name, value):
+        lost = name == "lose_answers" and value < getattr(self, name, 0)
+        super().__setattr__(name, value)
+        if lost:
+            super().__setattr__("down", True)
+
+
+def test_operator_is_told_when_the_outcome_stays_unknown(platform, store):
+    platform.faults = DownOnceLost(lose_answers=1)
     outcome = ChangeApplier(store).put("server", "a", {"port": 1}, 0)
     assert outcome.result is results.CHANGE_UNKNOWN
     assert platform.store.items
