--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -11,13 +11,15 @@
 
 from ploverhatch.common import results
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.results import Result
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.messages import CallerReply, CallerRequest, RequestFacts
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
-from ploverhatch.gateway.upstreams import NoSlotError, Upstream, UpstreamPool
+from ploverhatch.gateway.slots import NoSlotError, QueueFullError
+from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing import balancer
 from ploverhatch.routing.attempt_outcome import (
     AttemptHistory,
@@ -34,6 +36,8 @@
     WireAnswer,
 )
 
+LOG = PartLogger("forwarder")
+
 CONNECT_TIMEOUT_S = 0.3
 OFFER_PART = 0.23  # of the objective: by then a request is offered to a server or refused
 MOVE_PART = 0.6  # of the objective: how long to wait for keys that change hands
@@ -114,6 +118,11 @@
         except RefusedError as error:
             result, detail = error.result, error.detail
             reply = self._refuse(error, facts)
+        except Exception as error:
+            # A fault of ours: the caller learns that it may have run.
+            LOG.error("Request failed.", request=trace.request_id, cause=repr(error))
+            result, detail = results.INTERNAL_ERROR, type(error).__name__
+            reply = self._refuse(RefusedError(result), facts)
         took_ms = elapsed_ms() - request.received_ms
         self.metrics.ended(result.code, took_ms)
         trace.finish(reply.status, result.code, detail, took_ms)
@@ -235,6 +244,8 @@
         try:
             with upstream.slot(call.route.priority, (until_ms - elapsed_ms()) / 1000):
                 return self._attempt_noted(call, upstream)
+        except QueueFullError as error:
+            raise self._out_of_time(call, history, results.QUEUE_FULL) from error
         except NoSlotError as error:
             raise self._out_of_time(call, history, results.QUEUE_TIMEOUT) from error
 
@@ -242,9 +253,8 @@
         """Return the refusal of a request that found no server in time."""
         if history.may_have_run:
             return RefusedError(results.ANSWER_LOST, result.name)
-        retry_after_s = (
-            RETRY_AFTER_BUSY_S if result is results.QUEUE_TIMEOUT else RETRY_AFTER_MOVE_S
-        )
+        busy = result in {results.QUEUE_TIMEOUT, results.QUEUE_FULL}
+        retry_after_s = RETRY_AFTER_BUSY_S if busy else RETRY_AFTER_MOVE_S
         return RefusedError(result, call.service, retry_after_s)
 
     def _attempt_noted(
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -44,6 +44,7 @@
 
 TICK_S = 0.05
 READ_RETRY_S = 0.25
+FORGET_EVERY_MS = 10_000.0  # servers that are gone are dropped so often
 
 
 class KeyLeader:
@@ -84,8 +85,12 @@
         """Lead until the lease is lost."""
         try:
             self._load_maps()
+            next_forget_ms = elapsed_ms() + FORGET_EVERY_MS
             while self._elector.has_authority:
                 self._tick()
+                if elapsed_ms() >= next_forget_ms:
+                    self._forget_gone()
+                    next_forget_ms = elapsed_ms() + FORGET_EVERY_MS
                 gevent.sleep(TICK_S)
         finally:
             gevent.killall(list(self._tasks), block=False)
@@ -96,13 +101,13 @@
         while self._elector.state.leading:
             try:
                 listing = self._store.list_all(kinds.KEYMAPS)
+                keymaps = [keymap_codec.decode_keymap(item) for item in listing.items]
             except StoreCallError as error:
                 LOG.warning("Key maps not read.", cause=error)
                 gevent.sleep(READ_RETRY_S)
                 continue
             renewable_ms = max(self._elector.state.inherited_until_ms, elapsed_ms())
-            for item in listing.items:
-                keymap = keymap_codec.decode_keymap(item)
+            for keymap in keymaps:
                 self._directory.put_keymap(keymap)
                 self._core.inherit(keymap, renewable_ms)
             return
@@ -133,6 +138,12 @@
                 self._core.map_seen(seen)
         self._execute(self._core.tick(now_ms, views, self._elector.may_change))
 
+    def _forget_gone(self) -> None:
+        known = self._core.forget_gone(self._directory.servers.records, elapsed_ms())
+        self._answer_times.keep_only(known)
+        for server_id in self._controls.keys() - known:
+            self._controls.pop(server_id).close()
+
     def _view(self, service: str, now_ms: float) -> ServiceView:
         records = self._directory.servers.of_service(service)
         load = self._loads.setdefault(service, KeyLoad())
@@ -144,6 +155,12 @@
             task = gevent.spawn(self._handlers[type(action)], action)
             self._tasks.add(task)
             task.link(self._tasks.discard)
+            task.link_exception(self._action_failed)
+
+    def _action_failed(self, task: gevent.Greenlet) -> None:
+        """Let another node lead: an action that broke off leaves its move undone."""
+        LOG.error("Action failed.", error=type(task.exception).__name__, cause=task.exception)
+        gevent.spawn(self._elector.resign)
 
     # ---- the store ----------------------------------------------------------------------
 
@@ -174,14 +191,14 @@
         return self._store.create(kinds.KEYMAPS, keymap.service, content)
 
     def _read_back(self, service: str) -> None:
+        keymap = None
         try:
             item = self._store.get(kinds.KEYMAPS, service)
+            keymap = keymap_codec.decode_keymap(item) if item else None
         except StoreCallError as error:
             LOG.warning("Key map not read back.", service=service, cause=error)
-            item = None
         self._core.map_not_stored(service)
-        if item is not None:
-            keymap = keymap_codec.decode_keymap(item)
+        if keymap is not None:
             self._core.map_seen(keymap)
             self._directory.put_keymap(keymap)
 
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -1,10 +1,14 @@
 """The form of key maps and leases in the store: ours, in our own words."""
 
+from typing import TypeVar
+
 import msgspec
 
 from ploverhatch.leadership.election import LeaseObject
 from ploverhatch.sharding.keymap import Holder, KeyMap, KeyRange
-from ploverhatch.store.objects import VersionedObject
+from ploverhatch.store.objects import UnreadableObjectError, VersionedObject
+
+T = TypeVar("T")
 
 
 class _StoredHolder(msgspec.Struct, array_like=True):
@@ -58,10 +62,14 @@
 def decode_keymap(item: VersionedObject) -> KeyMap:
     """Read a key map.
 
-    :raises ValueError: when the object has another form.
+    :raises UnreadableObjectError: when the object has another form.
     """
-    stored = msgspec.convert(item.spec, _StoredMap)
+    stored = _read(item, _StoredMap)
     holders = [Holder(row.server, row.host, row.port) for row in stored.holders]
+    known = range(len(holders))
+    for row in stored.ranges:
+        if row.holder not in known or any(index not in known for index in row.previous):
+            raise UnreadableObjectError(f"{item.name}: a range names no holder")
     ranges = tuple(
         KeyRange(
             row.first,
@@ -93,9 +101,9 @@
 def decode_lease(item: VersionedObject) -> LeaseObject:
     """Read a lease.
 
-    :raises ValueError: when the object has another form.
+    :raises UnreadableObjectError: when the object has another form.
     """
-    stored = msgspec.convert(item.spec, _StoredLease)
+    stored = _read(item, _StoredLease)
     return LeaseObject(
         item.revision,
         stored.node,
@@ -104,3 +112,10 @@
         stored.released,
         stored.earlier_ms,
     )
+
+
+def _read(item: VersionedObject, form: type[T]) -> T:
+    try:
+        return msgspec.convert(item.spec, form)
+    except ValueError as error:
+        raise UnreadableObjectError(f"{item.name}: {error}") from error
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -20,11 +21,17 @@
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
 from ploverhatch.gateway.peer_link import MAX_KEYS, LoadReport, PeerLink
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
+from ploverhatch.gateway.supervisor import run_forever
 from ploverhatch.gateway.translation import Translation
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.store import kinds
-from ploverhatch.store.objects import ObjectChange, ObjectStore, VersionedObject
+from ploverhatch.store.objects import (
+    ObjectChange,
+    ObjectStore,
+    UnreadableObjectError,
+    VersionedObject,
+)
 from ploverhatch.transport.http_connection import HostPort
 
 LOG = PartLogger("gateway")
@@ -100,20 +107,29 @@
         gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(self.reload))
         self._readiness.start()
         self._callers.start()
-        feeds = [FeedTask(self._store, feed, self._store_lost).run for feed in self._feeds()]
-        jobs = [
-            *feeds,
-            self._elector.run,
-            self._lead_when_elected,
-            self._peers.report_forever,
-            self._peers.receive_forever,
-            self._keep_house,
-            self._sync_pool,
+        self._tasks = [
+            gevent.spawn(run_forever, name, job, failed) for name, job, failed in self._jobs()
         ]
-        self._tasks = [gevent.spawn(job) for job in jobs]
         LOG.info("Started.", node=self._settings.node, zone=self._settings.zone)
         self._stopped.wait()
 
+    def _jobs(self) -> list[tuple[str, Callable[[], None], Callable[[], None] | None]]:
+        """Return each task's name, its work, and what to do when it fails."""
+        feeds = [
+            (f"feed-{feed.kind}", FeedTask(self._store, feed, self._store_lost).run, None)
+            for feed in self._feeds()
+        ]
+        return [
+            *feeds,
+            ("elector", self._elector.run, None),
+            # Another node leads while this one cannot.
+            ("leader", self._lead_when_elected, self._elector.resign),
+            ("reports", self._peers.report_forever, None),
+            ("datagrams", self._peers.receive_forever, None),
+            ("housekeeping", self._keep_house, None),
+            ("pool", self._sync_pool, None),
+        ]
+
     def reload(self) -> None:
         """Read the settings again; wrong ones change nothing.
 
@@ -199,13 +215,19 @@
 
     def _take_keymaps(self, items: tuple[VersionedObject, ...]) -> None:
         for item in items:
-            self.directory.put_keymap(keymap_codec.decode_keymap(item))
+            self._take_keymap(item)
         self.directory.keymaps_known = True
 
     def _change_keymap(self, change: ObjectChange) -> bool:
-        if change.gone:
+        return change.gone or self._take_keymap(change.object)
+
+    def _take_keymap(self, item: VersionedObject) -> bool:
+        """Take a map; one that can't be read leaves the last one in force."""
+        try:
+            return self.directory.put_keymap(keymap_codec.decode_keymap(item))
+        except UnreadableObjectError as error:
+            LOG.error("Key map not understood.", service=item.name, cause=error)
             return True
-        return self.directory.put_keymap(keymap_codec.decode_keymap(change.object))
 
     def _store_answered(self) -> None:
         self.directory.store_contact_ms = elapsed_ms()
@@ -239,8 +261,10 @@
                     self._settings.lease_max_ms,
                     self._peers.publish,
                 )
-                self._leader.run()
-                self._leader = None
+                try:
+                    self._leader.run()
+                finally:
+                    self._leader = None
             gevent.sleep(LEADER_POLL_S)
 
     def _collect_load(self) -> LoadReport:
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -1,15 +1,9 @@
 """Connections to servers, and what this node learned of each while using it."""
 
-import heapq
-import itertools
-from collections.abc import Iterator
-from contextlib import contextmanager
-from dataclasses import dataclass, field
-
-import gevent
-from gevent.event import AsyncResult
+from contextlib import AbstractContextManager
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.slots import SlotQueue
 from ploverhatch.routing.answer_time import AnswerTime
 from ploverhatch.routing.balancer import ServerLoad
 from ploverhatch.state.servers import ServerRecord
@@ -25,17 +19,6 @@
 QUEUED_STEP = 0.25
 
 
-class NoSlotError(Exception):
-    """No slot came free within the time given."""
-
-
-@dataclass(order=True, slots=True)
-class _Waiter:
-    priority: int
-    order: int
-    wake: AsyncResult = field(compare=False)
-
-
 class Upstream:
     """One life of a server, as this node uses it."""
 
@@ -47,50 +30,23 @@
         self.cold_until_ms = elapsed_ms() + record.warmup_ms
         self.limit = float(max(2, record.slots))
         self._most = float(record.slots * 2)
-        self._under_way: dict[int, float] = {}
+        self._queue = SlotQueue(lambda: self.limit, record.slots, elapsed_ms)
         self._used_ms = elapsed_ms()
         self._idle: list[HttpConnection] = []
-        self._waiters: list[_Waiter] = []
-        self._order = itertools.count()
 
     # ---- admission ------------------------------------------------------------------
 
     @property
     def in_flight(self) -> int:
         """Requests that this node has under way at the server."""
-        return len(self._under_way)
+        return self._queue.in_use
 
-    @contextmanager
-    def slot(self, priority: int, wait_s: float) -> Iterator[None]:
+    def slot(self, priority: int, wait_s: float) -> AbstractContextManager[None]:
         """Hold one of this node's slots at the server.
 
         :raises NoSlotError: when none came free in time.
         """
-        if self.in_flight >= int(self.limit):
-            self._await_slot(priority, wait_s)
-        ticket = next(self._order)
-        self._under_way[ticket] = elapsed_ms()
-        try:
-            yield
-        finally:
-            del self._under_way[ticket]
-            self._wake_next()
-
-    def _await_slot(self, priority: int, wait_s: float) -> None:
-        waiter = _Waiter(priority, next(self._order), AsyncResult())
-        heapq.heappush(self._waiters, waiter)
-        try:
-            waiter.wake.get(timeout=max(wait_s, 0.0))
-        except gevent.Timeout as error:
-            raise NoSlotError from error
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-                heapq.heapify(self._waiters)
-
-    def _wake_next(self) -> None:
-        if self._waiters and self.in_flight < int(self.limit):
-            heapq.heappop(self._waiters).wake.set(None)
+        return self._queue.hold(priority, wait_s)
 
     # ---- what was learned -----------------------------------------------------------
 
@@ -119,13 +75,12 @@
         mean_ms = self.answer_time.mean_ms if self.answer_time.count else usual_ms
         if now_ms - self._used_ms > FORGET_MS:
             mean_ms = (mean_ms + usual_ms) / 2
-        oldest_ms = now_ms - min(self._under_way.values()) if self._under_way else 0.0
         return ServerLoad(
             server_id=self.record.server_id,
             slots=self.record.slots,
-            in_flight=self.in_flight + len(self._waiters),
+            in_flight=self._queue.in_use + self._queue.waiting,
             mean_ms=mean_ms,
-            oldest_ms=oldest_ms,
+            oldest_ms=self._queue.oldest_ms,
             same_zone=self.same_zone,
             cold=now_ms < self.cold_until_ms,
             failing=now_ms < self.failing_until_ms,
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -9,7 +9,7 @@
 says that they are settled, and requests go there.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from ploverhatch.sharding import planner
@@ -196,6 +196,25 @@
             self._cut_off_since_ms = now_ms
         return [Resign()] if now_ms - self._cut_off_since_ms >= CUT_OFF_MS else []
 
+    def forget_gone(self, server_ids: Collection[str], now_ms: float) -> frozenset[str]:
+        """Drop what is known of servers that are gone and can hold nothing any more.
+
+        :param server_ids: servers that have a record.
+        :returns: the servers that are still known.
+        """
+        named = set(server_ids)
+        for state in self._services.values():
+            for keymap in filter(None, (state.keymap, state.storing)):
+                for item in keymap.ranges:
+                    named.add(item.holder.server_id)
+                    named.update(holder.server_id for holder in item.previous)
+            for transfer in state.transfers.values():
+                named.update(transfer.lapses_ms)
+        for server_id, lease in list(self._leases.items()):
+            if server_id not in named and lease.held_until_ms < now_ms and not lease.renewing:
+                del self._leases[server_id]
+        return frozenset(self._leases) | frozenset(server_ids)
+
     # ---- renewals -----------------------------------------------------------------------
 
     def _due_renewals(self, now_ms: float) -> list[Action]:
--- a/ploverhatch/store/objects.py
+++ b/ploverhatch/store/objects.py
@@ -13,6 +13,10 @@
     """The store did not carry out the call; it may be tried again."""
 
 
+class UnreadableObjectError(StoreCallError):
+    """An object of ours does not have our form; to be used only once it has."""
+
+
 class WatchInterruptedError(StoreCallError):
     """This process broke its own watch off, to ask anew."""
 
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -242,3 +242,13 @@
     views = {SERVICE: replace(records[SERVICE], work_ms=faster)}
     for action in of_kind(core.tick(1500.0, views, True), StoreMap):
         assert action.keymap.find(5).holder == holder(1)
+
+
+def test_servers_that_are_gone_are_forgotten_once_nothing_can_be_held():
+    core = two_servers()
+    core.grant_sent(holder(0), 0.0)
+    core.grant_sent(holder(1), 0.0)
+    core.grant_sent(holder(7), 0.0)  # neither in a map nor in a record any more
+    lapsed_ms = TIMING.lapse_ms(0.0) + 1.0
+    assert core.forget_gone(["s5"], lapsed_ms - 10.0) == {"s0", "s1", "s5", "s7"}
+    assert core.forget_gone(["s5"], lapsed_ms) == {"s0", "s1", "s5"}
