Let the leader tell nodes of all changes in the store; ask the store less

Ruled out: longer pauses between watches (a drained server must be known within 2 s). Change: ploverhatch/relay (pure): the leader tells every change it reads, key maps as what changed, and four times a second a beacon that says up to which revision and how current its own view is. A node relies on that only while the view is younger than half of the shortest bound and it has taken everything; otherwise it asks the store itself, from where it is. Leases are renewed each 0.5 s, so that the proof stays young; followers read the lease each 4 s while they hear it. Settings that did nothing went or are used (callers' connections are bounded by descriptors).

--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -26,6 +26,7 @@
 
 READ_SIZE = 65_536
 BACKLOG = 1024
+MAX_CONNECTIONS = 2048
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 1.0
 READ_EVENT = 1  # libev's number for "readable"
@@ -283,8 +284,10 @@
         handler: Handler,
         limits: Callable[[], ClientLimits],
         rejected: Callable[[int], None] = lambda status: None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self.handler = handler
+        self._max_connections = max_connections
         self.limits = limits
         self.rejected = rejected
         self.draining = False
@@ -320,6 +323,10 @@
             connection.close_if_idle()
 
     def _accepted(self, sock: Any, _address: object) -> None:
+        if len(self._connections) >= self._max_connections:
+            # Nothing was read: the caller knows that nothing ran.
+            sock.close()
+            return
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self)
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -43,12 +43,15 @@
         store_answered: Callable[[], None],
         store_lost: Callable[[], None],
         store_regained: Callable[[], None],
+        covered: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._address = address
         self._store_answered = store_answered
         self._store_lost = store_lost
         self._store_regained = store_regained
+        self._covered = covered
+        self._looked_ms = -1e12
         self._store_away = False
         self._registered = False
         self._renewal = 0
@@ -82,13 +85,15 @@
         try:
             if self.state.leading:
                 self._renew()
-            else:
+            elif not self._hears_leader:
                 self._look()
+                self._looked_ms = elapsed_ms()
         except StoreCallError as error:
             self._note_store(error)
             return RETRY_S + random.uniform(0.0, RETRY_S)
         self._note_store(None)
-        return election.RENEW_MS / 1000
+        pause_ms = election.RENEW_MS if self.state.leading else election.LOOK_MS
+        return pause_ms / 1000
 
     def _note_store(self, error: StoreCallError | None) -> None:
         if error is not None:
@@ -103,10 +108,20 @@
             LOG.info("Store answers again.")
             self._store_regained()
 
+    @property
+    def _hears_leader(self) -> bool:
+        """Whether the leader was heard lately, so that its lease need not be read."""
+        return self._covered() and elapsed_ms() - self._looked_ms < election.LOOK_COVERED_MS
+
+    def heard(self, lease_revision: int, renewed_ms: float) -> None:
+        """The leader told of its lease: renewed at ``renewed_ms``, elapsed clock of this node."""
+        self.state = election.heard(self.state, lease_revision, renewed_ms)
+
     # ---- following --------------------------------------------------------------------
 
     def _look(self) -> None:
-        listing = self._store.list_all(kinds.LEASES, stale=self._registered)
+        stale = self._registered
+        listing = self._store.list_all(kinds.LEASES, stale=stale)
         nodes = 0
         for item in listing.items:
             if item.name == kinds.LEADER_LEASE:
@@ -118,7 +133,7 @@
             self._register()
         now_ms = elapsed_ms()
         if now_ms >= self._not_before_ms and election.wants_takeover(self.state, now_ms):
-            self._claim()
+            self._claim(read_again=stale)
 
     def _observe(self, lease: LeaseObject) -> None:
         before = self.state
@@ -132,15 +147,16 @@
             self._store.create(kinds.LEASES, NODE_PREFIX + self.state.node, None)
         self._registered = True
 
-    def _claim(self) -> None:
-        current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
-        if current is not None:
-            self._observe(keymap_codec.decode_lease(current))
+    def _claim(self, read_again: bool) -> None:
+        if read_again:
+            current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
+            if current is not None:
+                self._observe(keymap_codec.decode_lease(current))
         now_ms = elapsed_ms()
         if not election.wants_takeover(self.state, now_ms):
             return
         predecessor = self.state.seen.node
-        if self._write_lease(current.revision if current else 0):
+        if self._write_lease(self.state.seen.revision):
             LOG.info("Leadership won.", predecessor=predecessor or "-")
 
     # ---- leading ------------------------------------------------------------------------
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -1,12 +1,23 @@
-"""Tasks that keep the directory up to date: one watch per kind of object."""
+"""Tasks that keep the directory up to date: one per kind of object.
+
+A task lists its kind and watches it. While the leader tells all changes of the
+kind and shows that its view is current, the task takes these and leaves the
+store alone; when that ends, it goes on from the last change that it was told.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import gevent
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.signal import Signal
+from ploverhatch.relay import coverage, publisher
+from ploverhatch.relay.coverage import Cursor
+from ploverhatch.relay.messages import Told, ToldChange
+from ploverhatch.relay.publisher import FeedView, Proof
 from ploverhatch.store.objects import (
     HistoryDroppedError,
     ObjectChange,
@@ -20,7 +31,7 @@
 
 WAIT_S = 25.0
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +42,12 @@
     known_s: float = 0.0
 
 
+def whole_change(change: ObjectChange) -> ToldChange | None:
+    """Return a change as it is told: the whole object."""
+    item = change.object
+    return ToldChange(item.name, item.revision, item.spec, item.status, change.gone)
+
+
 @dataclass(frozen=True, slots=True)
 class Feed:
     """What to do with the objects of one kind."""
@@ -39,62 +56,155 @@
     replace_all: Callable[[tuple[VersionedObject, ...]], None]
     apply: Callable[[ObjectChange], bool]  # true when it told something new
     pauses: Pauses = Pauses()
+    encode: Callable[[ObjectChange], ToldChange | None] = whole_change
+    # Takes a told change; false when it does not join what is known.
+    take_told: Callable[[ToldChange], bool] | None = None
+    repeatable: bool = False  # a change may be taken again by itself
+
+
+class FeedRelay(Protocol):
+    """What a feed needs of the relay between nodes."""
+
+    first_wait_s: float  # after the first listing: a leader may tell of changes by then
+
+    def covered_until_ms(self, kind: str, cursor: int) -> float:
+        """Return until when the store need not be asked for a kind."""
+
+    def read(self, kind: str, base: int, reached: int, changes: list[ToldChange]) -> None:
+        """All changes of a kind between two revisions were read from the store."""
 
 
 class FeedTask:
-    """Lists a kind, then follows its changes; lists again when history was dropped."""
+    """Follows one kind."""
 
-    def __init__(self, store: ObjectStore, feed: Feed, failed: Callable[[], None]) -> None:
+    def __init__(
+        self, store: ObjectStore, feed: Feed, relay: FeedRelay, failed: Callable[[], None]
+    ) -> None:
         self._store = store
         self._feed = feed
+        self._relay = relay
         self._failed = failed
-        self._revision = -1
+        self._cursor = Cursor()
+        self._must_list = True
+        self._proof = Proof()
+        self._nudged = Signal()
         self._pause_s = FIRST_PAUSE_S
         self._lost_ms = 0.0
 
+    @property
+    def kind(self) -> str:
+        """Kind of objects that is followed."""
+        return self._feed.kind
+
+    @property
+    def view(self) -> FeedView:
+        """How far and how current the view of the kind is."""
+        reached = -1 if self._must_list else self._cursor.revision
+        return FeedView(reached, self._proof.current_ms)
+
+    @property
+    def cursor(self) -> int:
+        """Revision up to which all changes are known; below 0: none."""
+        return self._cursor.revision
+
+    # ---- from others ------------------------------------------------------------------
+
+    def store_answered(self, sent_ms: float) -> None:
+        """The store answered another call of this node, sent at ``sent_ms``."""
+        self._proof = publisher.store_answered(self._proof, sent_ms)
+
+    def nudge(self) -> None:
+        """Look again whether the store has to be asked."""
+        self._nudged.raise_()
+
+    def take_told(self, told: Told) -> None:
+        """Take changes that the leader tells, if they join what is known."""
+        if not coverage.follows(self._cursor, told, self._feed.repeatable):
+            return
+        if all(self._take_change(change) for change in told.changes):
+            self._cursor = coverage.advanced(self._cursor, told)
+
+    def _take_change(self, change: ToldChange) -> bool:
+        if self._feed.take_told is not None:
+            return self._feed.take_told(change)
+        item = VersionedObject(change.name, change.revision, change.spec, change.status)
+        self._feed.apply(ObjectChange(item, change.gone))
+        return True
+
+    # ---- the task ---------------------------------------------------------------------
+
     def run(self) -> None:
         """Follow forever."""
         while True:
+            if self._wait_while_covered():
+                continue
             try:
-                if self._revision < 0:
+                if self._must_list:
+                    first = self._cursor.revision < 0
                     self._list()
+                    if first:
+                        self._nudged.wait(self._relay.first_wait_s)
+                        continue
                 self._watch()
                 self._recovered()
             except HistoryDroppedError:
-                LOG.info("History dropped, listing again.", kind=self._feed.kind)
-                self._revision = -1
+                LOG.info("History dropped, listing again.", kind=self.kind)
+                self._must_list = True
             except WatchInterruptedError:
-                self._revision = -1
+                self._must_list = True
             except StoreCallError as error:
                 # What a watch missed meanwhile is told at once by a listing, while
                 # a watch that is asked again may hear nothing for a while.
-                self._revision = -1
+                self._must_list = True
                 self._note_failure(error)
-                gevent.sleep(self._pause_s)
+                self._nudged.wait(self._pause_s)
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
 
+    def _wait_while_covered(self) -> bool:
+        until_ms = self._relay.covered_until_ms(self.kind, self._cursor.revision)
+        left_ms = until_ms - elapsed_ms()
+        if left_ms <= 0:
+            return False
+        self._nudged.wait(left_ms / 1000)
+        return True
+
     def _list(self) -> None:
-        listing = self._store.list_all(self._feed.kind)
-        self._feed.replace_all(listing.items)
-        self._revision = listing.revision
+        sent_ms = elapsed_ms()
+        listing = self._store.list_all(self.kind)
+        if listing.revision >= self._cursor.revision:
+            self._feed.replace_all(listing.items)
+            self._cursor = Cursor(listing.revision)
+        self._proof = publisher.read(self._proof, sent_ms)
+        self._must_list = False
         self._recovered()
 
     def _watch(self) -> None:
-        batch = self._store.watch(self._feed.kind, self._revision, WAIT_S)
+        base = self._cursor.revision
+        sent_ms = elapsed_ms()
+        self._proof = publisher.watch_sent(self._proof, sent_ms)
+        try:
+            batch = self._store.watch(self.kind, base, WAIT_S)
+        finally:
+            self._proof = publisher.watch_over(self._proof)
+        self._proof = publisher.read(self._proof, sent_ms)
+        if batch.revision < self._cursor.revision and not self._feed.repeatable:
+            return  # the leader told more meanwhile
         news = [change for change in batch.changes if self._feed.apply(change)]
-        self._revision = batch.revision
+        self._cursor = Cursor(max(batch.revision, self._cursor.revision))
+        told = [item for change in batch.changes if (item := self._feed.encode(change))]
+        self._relay.read(self.kind, base, batch.revision, told)
         if batch.changes:
             gevent.sleep(self._feed.pauses.news_s if news else self._feed.pauses.known_s)
 
     def _note_failure(self, error: StoreCallError) -> None:
         if not self._lost_ms:
             self._lost_ms = elapsed_ms()
-            LOG.warning("Store lost.", kind=self._feed.kind, cause=error)
+            LOG.warning("Store lost.", kind=self.kind, cause=error)
         self._failed()
 
     def _recovered(self) -> None:
         self._pause_s = FIRST_PAUSE_S
         if self._lost_ms:
             away_ms = int(elapsed_ms() - self._lost_ms)
-            LOG.info("Store regained.", kind=self._feed.kind, away_ms=away_ms)
+            LOG.info("Store regained.", kind=self.kind, away_ms=away_ms)
             self._lost_ms = 0.0
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -18,12 +18,16 @@
 from ploverhatch.gateway.feeds import Feed, FeedTask, Pauses
 from ploverhatch.gateway.forwarder import Forwarder
 from ploverhatch.gateway.key_leader import KeyLeader
+from ploverhatch.gateway.keymap_relay import KeymapRelay
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
 from ploverhatch.gateway.peer_link import MAX_KEYS, LoadReport, PeerLink
+from ploverhatch.gateway.relay import Relay
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.gateway.supervisor import run_forever
 from ploverhatch.gateway.translation import Translation
 from ploverhatch.gateway.upstreams import UpstreamPool
+from ploverhatch.relay.messages import Beacon, Told
+from ploverhatch.relay.publisher import Term
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
@@ -84,16 +88,35 @@
             self._store_answered,
             self._store_lost,
             store.interrupt,
+            lambda: self._relay.covered,
         )
         self._peers = PeerLink(
             peer_address,
             self._collect_load,
             lambda: self._elector.leader_address,
             self._take_load,
-            self.directory.put_keymap,
         )
+        keymap_relay = KeymapRelay(self.directory)
+        self._relay = Relay(
+            settings.relay_limit_ms,
+            keymap_relay,
+            self._term,
+            self._elector.heard,
+            self._peers.publish,
+        )
+        self._peers.take(Told, self._relay.take_told)
+        self._peers.take(Beacon, self._relay.take_beacon)
+        self._feeds = [
+            FeedTask(store, feed, self._relay, self._store_lost)
+            for feed in self._followed(keymap_relay)
+        ]
+        self._relay.attach(self._feeds)
         self._callers = CallerServer(
-            settings.callers, self._forwarder.handle, self.directory.limits, self._note_rejected
+            settings.callers,
+            self._forwarder.handle,
+            self.directory.limits,
+            self._note_rejected,
+            settings.max_caller_connections,
         )
         self._readiness = CallerServer(
             settings.readiness, self._answer_readiness, self.directory.limits
@@ -115,12 +138,9 @@
 
     def _jobs(self) -> list[tuple[str, Callable[[], None], Callable[[], None] | None]]:
         """Return each task's name, its work, and what to do when it fails."""
-        feeds = [
-            (f"feed-{feed.kind}", FeedTask(self._store, feed, self._store_lost).run, None)
-            for feed in self._feeds()
-        ]
         return [
-            *feeds,
+            *((f"feed-{feed.kind}", feed.run, None) for feed in self._feeds),
+            ("beacons", self._relay.beacon_forever, None),
             ("elector", self._elector.run, None),
             # Another node leads while this one cannot.
             ("leader", self._lead_when_elected, self._elector.resign),
@@ -182,13 +202,28 @@
 
     # ---- feeds ------------------------------------------------------------------------
 
-    def _feeds(self) -> list[Feed]:
+    def _followed(self, keymap_relay: KeymapRelay) -> list[Feed]:
         return [
             Feed(kinds.CONFIGURATION, self._take_configurations, self._change_configuration),
             Feed(kinds.SERVERS, self._take_servers, self._change_server, SERVERS_PAUSES),
-            Feed(kinds.KEYMAPS, self._take_keymaps, self._change_keymap, KEYMAPS_PAUSES),
+            Feed(
+                kinds.KEYMAPS,
+                self._take_keymaps,
+                self._change_keymap,
+                KEYMAPS_PAUSES,
+                keymap_relay.encode,
+                keymap_relay.apply,
+                repeatable=True,
+            ),
         ]
 
+    def _term(self) -> Term | None:
+        """Return the term while this node leads."""
+        state = self._elector.state
+        if not self._elector.may_change or self._draining:
+            return None
+        return Term(state.seen.revision, state.renewed_ms)
+
     def _take_configurations(self, items: tuple[VersionedObject, ...]) -> None:
         for item in items:
             table = self._translation.configuration(item)
@@ -259,7 +294,7 @@
                     self._elector,
                     self._dialect,
                     self._settings.lease_max_ms,
-                    self._peers.publish,
+                    self._relay.tell_map,
                 )
                 try:
                     self._leader.run()
--- /dev/null
+++ b/ploverhatch/gateway/relay.py
@@ -0,0 +1,154 @@
+"""Between nodes: the leader tells changes and beacons, the others take them.
+
+Each node runs one; whether it tells or takes follows from who leads. What may
+be relied on is decided in :mod:`ploverhatch.relay`.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+import gevent
+import msgspec
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.feeds import FeedTask
+from ploverhatch.gateway.keymap_relay import KeymapRelay
+from ploverhatch.relay import coverage, publisher
+from ploverhatch.relay.coverage import Coverage
+from ploverhatch.relay.messages import Beacon, Told, ToldChange
+from ploverhatch.relay.publisher import FeedView, Term
+from ploverhatch.sharding.keymap import KeyMap
+from ploverhatch.store import kinds
+
+BEACON_S = 0.25
+FIRST_WAIT_S = 0.8
+OVERTAKEN_S = 0.05  # a beacon may overtake the changes that it speaks of
+MAX_CHANGES = 7000  # bytes of changes in one datagram
+
+
+class Relay:
+    """One node's part.
+
+    :param limit_ms: how old the leader's view may be to be relied on.
+    :param term: the term while this node leads; ``None`` while it does not.
+    :param heard: called with the lease's revision and the time of its renewal,
+        as the leader tells them.
+    :param send: sends a message to all nodes that reported lately.
+    """
+
+    def __init__(
+        self,
+        limit_ms: float,
+        keymaps: KeymapRelay,
+        term: Callable[[], Term | None],
+        heard: Callable[[int, float], None],
+        send: Callable[[Told | Beacon], None],
+    ) -> None:
+        self.first_wait_s = FIRST_WAIT_S
+        self._coverage = Coverage(limit_ms)
+        self._keymaps = keymaps
+        self._term = term
+        self._heard = heard
+        self._send = send
+        self._tasks: dict[str, FeedTask] = {}
+        self._told_reached: dict[str, int] = {}  # by kind, in this term
+        self._leading = False
+
+    def attach(self, tasks: Sequence[FeedTask]) -> None:
+        """Take the tasks that follow the kinds."""
+        self._tasks = {task.kind: task for task in tasks}
+
+    # ---- as any node --------------------------------------------------------------------
+
+    def covered_until_ms(self, kind: str, cursor: int) -> float:
+        """Return until when the store need not be asked for a kind."""
+        if self._leading:
+            return float("-inf")
+        return coverage.covered_until_ms(self._coverage, kind, cursor)
+
+    def take_beacon(self, beacon: Beacon) -> None:
+        """Take the leader's claims."""
+        now_ms = elapsed_ms()
+        self._coverage = coverage.take_beacon(self._coverage, beacon, now_ms)
+        self._heard(beacon.lease_revision, now_ms - beacon.renewed_age_ms)
+        behind = [
+            task
+            for task in self._tasks.values()
+            if self.covered_until_ms(task.kind, task.cursor) < now_ms
+        ]
+        if behind:
+            gevent.spawn_later(OVERTAKEN_S, _nudge, behind)
+
+    def take_told(self, told: Told) -> None:
+        """Take changes from the leader."""
+        task = self._tasks.get(told.kind)
+        if task is not None and not self._leading:
+            task.take_told(told)
+
+    @property
+    def covered(self) -> bool:
+        """Whether the leader's word may be relied on for all kinds right now."""
+        now_ms = elapsed_ms()
+        return bool(self._tasks) and all(
+            self.covered_until_ms(task.kind, task.cursor) > now_ms for task in self._tasks.values()
+        )
+
+    # ---- as the leader ------------------------------------------------------------------
+
+    def read(self, kind: str, base: int, reached: int, changes: list[ToldChange]) -> None:
+        """Tell what this node read from the store, if it leads."""
+        if self._term() is None:
+            return
+        told = self._told_reached.get(kind, -1)
+        if reached > told or changes:
+            self._tell(kind, base, reached, changes)
+
+    def tell_map(self, keymap: KeyMap) -> None:
+        """Tell a map that this node stored."""
+        change = self._keymaps.change_of(keymap)
+        if change is not None:
+            base = self._view(kinds.KEYMAPS).reached
+            self._tell(kinds.KEYMAPS, base, keymap.revision, [change])
+
+    def _tell(self, kind: str, base: int, reached: int, changes: list[ToldChange]) -> None:
+        self._told_reached[kind] = max(reached, self._told_reached.get(kind, -1))
+        sized = [(change, len(msgspec.msgpack.encode(change))) for change in changes]
+        for told in publisher.in_parts(kind, base, reached, sized, MAX_CHANGES):
+            self._send(told)
+
+    def beacon_forever(self) -> None:
+        """Tell the claims at a steady pace while this node leads."""
+        while True:
+            self._beacon()
+            gevent.sleep(BEACON_S)
+
+    def _beacon(self) -> None:
+        term = self._term()
+        if (term is not None) != self._leading:
+            self._change_part(term is not None)
+        if term is None:
+            return
+        for task in self._tasks.values():
+            task.store_answered(term.renewed_ms)
+        views = {kind: self._view(kind) for kind in self._tasks}
+        written = views[kinds.KEYMAPS]
+        # What only a leader writes is current as long as this node leads.
+        views[kinds.KEYMAPS] = replace(written, current_ms=term.renewed_ms)
+        self._send(publisher.beacon(term, views, elapsed_ms()))
+
+    def _view(self, kind: str) -> FeedView:
+        view = self._tasks[kind].view
+        if view.reached < 0:
+            return view
+        return replace(view, reached=max(view.reached, self._told_reached.get(kind, -1)))
+
+    def _change_part(self, leading: bool) -> None:
+        self._leading = leading
+        self._told_reached.clear()
+        self._keymaps.begin_term()
+        _nudge(list(self._tasks.values()))
+
+
+def _nudge(tasks: Sequence[FeedTask]) -> None:
+    for task in tasks:
+        task.nudge()
--- a/ploverhatch/gateway/settings.py
+++ b/ploverhatch/gateway/settings.py
@@ -5,6 +5,9 @@
 
 from ploverhatch.transport.http_connection import HostPort
 
+RELAY_PART = 0.5  # of the time within which a change must be in force
+CALLERS_PART = 0.6  # of the descriptors
+
 
 class SettingsError(ValueError):
     """The settings cannot be read, or are wrong; the text says where."""
@@ -24,7 +27,6 @@
     readiness: HostPort
     peer_port: int  # for messages between nodes, UDP
     store: HostPort
-    seeds: tuple[HostPort, ...] = ()
     drain_ms: float = 2000.0
     grace_s: float = 6.0
     config_apply_ms: float = 2000.0
@@ -32,8 +34,21 @@
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     lease_max_ms: float = 10_000.0
-    max_descriptors: int = 1024
-    first_start: bool = False
+    max_descriptors: int = 4096
+
+    @property
+    def max_caller_connections(self) -> int:
+        """How many callers may be connected; the other descriptors are for servers and files."""
+        return max(1, int(self.max_descriptors * CALLERS_PART))
+
+    @property
+    def relay_limit_ms(self) -> float:
+        """How old the leader's view may be while others rely on it.
+
+        Half of the shortest time within which a change must be in force, so
+        that a node that then asks the store itself is still in time.
+        """
+        return min(self.drain_ms, self.config_apply_ms) * RELAY_PART
 
 
 class SettingsSource(ABC):
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -14,7 +14,9 @@
 
 from dataclasses import dataclass, replace
 
-RENEW_MS = 1000.0
+RENEW_MS = 500.0
+LOOK_MS = 1000.0  # how often a node that does not lead reads the lease
+LOOK_COVERED_MS = 4000.0  # ... while the leader tells it that it renews
 TAKEOVER_MS = 2600.0
 AUTHORITY_MS = 8000.0
 # A node that has not reached the store for so long sends no request by its map
@@ -45,6 +47,8 @@
     leading: bool = False
     renewed_ms: float = -1e12  # when the last acknowledged renewal was sent
     inherited_until_ms: float = -1e12  # until when earlier leaders may act
+    heard_revision: int = 0  # of the lease, as its leader last told
+    heard_ms: float = -1e12  # when that renewal was sent
 
     @property
     def identity(self) -> tuple[str, str]:
@@ -57,7 +61,21 @@
     if lease.revision <= state.seen.revision:
         return state
     lost = state.leading and (lease.node, lease.life) != state.identity
-    return replace(state, seen=lease, seen_since_ms=now_ms, leading=state.leading and not lost)
+    known = lease.revision <= state.heard_revision  # it is as old as was told, at most
+    since_ms = min(now_ms, state.heard_ms) if known else now_ms
+    return replace(state, seen=lease, seen_since_ms=since_ms, leading=state.leading and not lost)
+
+
+def heard(state: ElectionState, lease_revision: int, renewed_ms: float) -> ElectionState:
+    """The leader told that it renewed its lease; what is older than known changes nothing."""
+    if lease_revision < state.heard_revision:
+        return state
+    return replace(state, heard_revision=lease_revision, heard_ms=max(renewed_ms, state.heard_ms))
+
+
+def silent_ms(state: ElectionState, now_ms: float) -> float:
+    """Return for how long nothing showed that the lease is being renewed."""
+    return now_ms - max(state.seen_since_ms, state.heard_ms)
 
 
 def wants_takeover(state: ElectionState, now_ms: float) -> bool:
@@ -69,13 +87,13 @@
         return True
     if lease.node == state.node:  # an earlier life of this node has surely ended
         return True
-    return now_ms - state.seen_since_ms >= TAKEOVER_MS
+    return silent_ms(state, now_ms) >= TAKEOVER_MS
 
 
 def earlier_authority_ms(state: ElectionState, now_ms: float) -> float:
     """Return how long the lease's holder and those before it may still act."""
     lease = state.seen
-    seen_ms = now_ms - state.seen_since_ms
+    seen_ms = silent_ms(state, now_ms)
     earlier_ms = max(0.0, lease.earlier_ms - seen_ms)
     if lease.revision == 0 or lease.released or lease.node == state.node:
         return earlier_ms
--- a/ploverhatch/platform/settings.py
+++ b/ploverhatch/platform/settings.py
@@ -14,7 +14,7 @@
 
 
 class _Limits(msgspec.Struct):
-    max_fds: int = 1024
+    max_fds: int = 4096
 
 
 class _SelfNode(msgspec.Struct):
@@ -22,7 +22,6 @@
     ip: str
     zone: str
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    bootstrap: bool = False
 
 
 class _Listen(msgspec.Struct):
@@ -33,7 +32,6 @@
 class _Network(msgspec.Struct):
     internal_ports: tuple[int, int]
     listen_addrs: _Listen
-    seed_nodes: list[str] = msgspec.field(default_factory=list)
 
 
 class _StoreSection(msgspec.Struct):
@@ -99,7 +97,6 @@
         readiness=HostPort.parse(file.network.listen_addrs.ready),
         peer_port=file.network.internal_ports[0],
         store=HostPort.parse(file.platform.platform.address),
-        seeds=tuple(HostPort.parse(seed) for seed in file.network.seed_nodes),
         drain_ms=bounds.drain_ms,
         grace_s=bounds.grace_s,
         config_apply_ms=bounds.config_apply_ms,
@@ -108,7 +105,6 @@
         retry_window_s=bounds.budget_window_s,
         lease_max_ms=bounds.hold_max_ms,
         max_descriptors=file.self_node.limits.max_fds,
-        first_start=file.self_node.bootstrap,
     )
 
 
--- /dev/null
+++ b/ploverhatch/relay/coverage.py
@@ -0,0 +1,87 @@
+"""When a node may rely on the leader's word instead of asking the store. Pure.
+
+A node relies on it for a kind while the leader has shown that its own view was
+current less than ``limit_ms`` ago, and the node has taken all that was told.
+Otherwise the node asks the store itself. So nothing depends on the leader but
+the number of calls to the store. Times are milliseconds of the node's own
+elapsed clock; how old the leader's view is comes as an age, not as a time.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from ploverhatch.relay.messages import Beacon, Told
+
+
+@dataclass(frozen=True, slots=True)
+class KindCoverage:
+    """What the leader last claimed for a kind."""
+
+    reached: int  # revision of the store
+    fresh_until_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Coverage:
+    """What a node was told of the leader's view."""
+
+    limit_ms: float
+    lease_revision: int = 0
+    kinds: Mapping[str, KindCoverage] = field(default_factory=dict)
+
+
+def take_beacon(state: Coverage, beacon: Beacon, now_ms: float) -> Coverage:
+    """Take a beacon; one of an earlier leader, or an overtaken one, changes nothing."""
+    if beacon.lease_revision < state.lease_revision:
+        return state
+    kinds = {
+        kind: KindCoverage(claim.reached, now_ms - claim.age_ms + state.limit_ms)
+        for kind, claim in beacon.claims.items()
+    }
+    return replace(state, lease_revision=beacon.lease_revision, kinds=kinds)
+
+
+def covered_until_ms(state: Coverage, kind: str, cursor: int) -> float:
+    """Return until when the store need not be asked; ``-inf``: ask now.
+
+    :param cursor: revision up to which the node knows all changes of the kind.
+    """
+    known = state.kinds.get(kind)
+    if known is None or cursor < known.reached:
+        return float("-inf")
+    return known.fresh_until_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Cursor:
+    """Up to which revision a node knows all changes of a kind; below 0: it knows none."""
+
+    revision: int = -1
+    pending: Told | None = None  # last taken part of changes that are not whole yet
+
+
+def follows(cursor: Cursor, told: Told, repeatable: bool = False) -> bool:
+    """Whether a message's changes join what is known without a gap.
+
+    Changes that are known already may be among them: taken again in order,
+    they end in the same state.
+
+    :param repeatable: whether a change may also be taken again by itself.
+    """
+    if cursor.revision < 0 or told.base > cursor.revision:
+        return False
+    if told.reached <= cursor.revision and not repeatable:
+        return False
+    if told.part == 0:
+        return True
+    last = cursor.pending
+    if last is None or (last.base, last.reached) != (told.base, told.reached):
+        return False
+    return last.part == told.part - 1
+
+
+def advanced(cursor: Cursor, told: Told) -> Cursor:
+    """Return the cursor after the changes of a message that follows were taken."""
+    if told.part == told.parts - 1:
+        return Cursor(max(cursor.revision, told.reached))
+    return replace(cursor, pending=told)
--- /dev/null
+++ b/ploverhatch/relay/messages.py
@@ -0,0 +1,54 @@
+"""What the leader tells: changes of a kind of objects, and how current its view is."""
+
+from typing import Any
+
+import msgspec
+
+
+class ToldChange(msgspec.Struct, array_like=True, frozen=True):
+    """One change of one object.
+
+    ``base`` is 0 for a whole object. Otherwise ``spec`` is what differs from
+    the object at that revision, in the form of the kind's own codec.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any = None
+    gone: bool = False
+    base: int = 0
+
+
+class Told(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """All changes of a kind after the store's revision ``base``, up to ``reached``.
+
+    Sent in ``parts`` messages, since a datagram is short; numbered from 0.
+    """
+
+    kind: str
+    base: int
+    reached: int
+    changes: list[ToldChange]
+    part: int = 0
+    parts: int = 1
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True):
+    """All changes of a kind up to ``reached`` were told; none was missing ``age_ms`` ago."""
+
+    reached: int
+    age_ms: float
+
+
+class Beacon(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """The leader's claims by kind; a kind that it can't speak for is left out.
+
+    ``lease_revision`` rises with each renewal of the leader's lease, so that
+    beacons of different leaders can be ordered; the last one was sent
+    ``renewed_age_ms`` ago.
+    """
+
+    lease_revision: int
+    renewed_age_ms: float
+    claims: dict[str, Claim]
--- a/ploverhatch/sharding/keymap.py
+++ b/ploverhatch/sharding/keymap.py
@@ -139,6 +139,33 @@
     return replace(keymap, ranges=_joined(keymap.ranges))
 
 
+def changed_ranges(before: KeyMap, after: KeyMap) -> tuple[KeyRange, ...]:
+    """Return the ranges of ``after`` that are not the same in ``before``."""
+    known = set(before.ranges)
+    return tuple(item for item in after.ranges if item not in known)
+
+
+def patched(before: KeyMap, changes: KeyMap) -> KeyMap | None:
+    """Return ``before`` with the ranges of ``changes`` in place of what they overlap.
+
+    :returns: ``None`` when the ranges then do not cover all keys just once.
+    """
+    first = {item.first: item for item in changes.ranges}
+    starts = sorted(first)
+    kept = [item for item in before.ranges if not _overlaps_any(item, starts, first)]
+    ranges = tuple(sorted([*kept, *changes.ranges], key=lambda item: item.first))
+    ends = [item.last + 1 for item in ranges]
+    if [item.first for item in ranges] != [0, *ends[:-1]] or ends[-1:] != [KEY_COUNT]:
+        return None
+    return replace(changes, ranges=ranges)
+
+
+def _overlaps_any(item: KeyRange, starts: list[int], first: dict[int, KeyRange]) -> bool:
+    """Whether a range shares keys with one of those that are told by their first keys."""
+    index = bisect_right(starts, item.last) - 1
+    return index >= 0 and first[starts[index]].last >= item.first
+
+
 def _joined(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
     """Join neighbours of one holder, token and state: one grant covers them."""
     joined: list[KeyRange] = []
--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -1,23 +1,16 @@
-"""Datagrams between nodes: reports, maps, and what must not matter."""
+"""Datagrams between nodes: reports, changes, beacons, and what must not matter."""
 
 import gevent
 import pytest
 from gevent import socket
 
-from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.peer_link import LoadReport, PeerLink
-from ploverhatch.sharding.keymap import (
-    LAST_KEY,
-    Holder,
-    KeyMap,
-    Move,
-    begin_moves,
-    first_assignment,
-)
+from ploverhatch.relay.messages import Beacon, Claim, Told, ToldChange
 from ploverhatch.transport.http_connection import HostPort
 from tests.standin.site import free_port
 
-HOLDER = Holder("s1", "10.0.0.1", 80)
+TOLD = Told("kind", 4, 5, [ToldChange("a", 5, {"x": 1})])
+BEACON = Beacon(9, {"kind": Claim(5, 10.0)})
 
 
 class Node:
@@ -25,14 +18,15 @@
         self.address = HostPort("127.0.0.1", free_port())
         self.leader = leader or f"127.0.0.1:{self.address.port}"
         self.reports = []
-        self.directory = Directory()
+        self.taken = []
         self.link = PeerLink(
             self.address,
             lambda: LoadReport({"svc": [1, 2]}, {"s1": (10.0, 9.0)}),
             lambda: self.leader,
             self.reports.append,
-            self.directory.put_keymap,
         )
+        self.link.take(Told, self.taken.append)
+        self.link.take(Beacon, self.taken.append)
         self.tasks = [
             gevent.spawn(self.link.report_forever),
             gevent.spawn(self.link.receive_forever),
@@ -54,13 +48,6 @@
     follower.close()
 
 
-def keymap(revision, ranges=1):
-    made = first_assignment(KeyMap("svc"), [Move(0, LAST_KEY, HOLDER)])
-    moves = [Move(number * 10, number * 10 + 5, HOLDER) for number in range(1, ranges)]
-    made = begin_moves(made, moves)
-    return KeyMap("svc", made.ranges, made.token, revision)
-
-
 def test_reports_reach_the_leader_from_itself_and_others(pair):
     leader, follower = pair
     assert len(leader.reports) >= 4
@@ -70,27 +57,20 @@
     assert not all(report.answer_ms for report in leader.reports)
 
 
-def test_maps_reach_the_nodes_that_report(pair):
+@pytest.mark.parametrize("message", [TOLD, BEACON], ids=["told", "beacon"])
+def test_messages_reach_the_nodes_that_report_and_nobody_else(pair, message):
     leader, follower = pair
-    leader.link.publish(keymap(5))
+    leader.link.publish(message)
     gevent.sleep(0.02)
-    assert follower.directory.keymaps["svc"].revision == 5
-    assert follower.directory.keymaps["svc"].ranges == keymap(5).ranges
-
-
-def test_an_older_map_is_not_taken(pair):
-    leader, follower = pair
-    for revision in (5, 4):
-        leader.link.publish(keymap(revision))
-        gevent.sleep(0.02)
-    assert follower.directory.keymaps["svc"].revision == 5
+    assert follower.taken == [message]
+    assert leader.taken == []
 
 
-def test_a_map_too_long_for_a_datagram_is_left_to_the_watch(pair):
+def test_a_message_too_long_for_a_datagram_is_not_sent(pair):
     leader, follower = pair
-    leader.link.publish(keymap(5, ranges=900))
+    leader.link.publish(Told("kind", 4, 5, [ToldChange("a", 5, "x" * 9000)]))
     gevent.sleep(0.02)
-    assert "svc" not in follower.directory.keymaps
+    assert follower.taken == []
 
 
 def test_nodes_that_fell_silent_are_forgotten(pair, monkeypatch):
@@ -98,8 +78,8 @@
     gevent.killall(follower.tasks)
     monkeypatch.setattr("ploverhatch.gateway.peer_link.PEER_MEMORY_MS", 0.0)
     gevent.sleep(0.05)
-    leader.link.publish(keymap(5))
-    assert leader.link._peers == {}
+    leader.link.publish(TOLD)
+    assert leader.link.peers == frozenset()
 
 
 @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01\x02", b"[1]", b"\x92\x05\x01"])
@@ -108,6 +88,6 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         sender.sendto(data, tuple(follower.address))
     gevent.sleep(0.02)
-    leader.link.publish(keymap(5))
+    leader.link.publish(TOLD)
     gevent.sleep(0.02)
-    assert follower.directory.keymaps["svc"].revision == 5
+    assert follower.taken == [TOLD]
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -13,6 +13,7 @@
     StoreCallError,
 )
 from tests.standin.metadata_store import StoreServer
+from tests.standin.relay import NoRelay
 
 KIND = kinds.KEYMAPS
 
@@ -147,7 +148,7 @@
 
 def run_feed(store):
     seen = Seen()
-    task = gevent.spawn(FeedTask(store, seen.feed(), seen.failed).run)
+    task = gevent.spawn(FeedTask(store, seen.feed(), NoRelay(), seen.failed).run)
     gevent.sleep(0.05)
     return seen, task
 
--- /dev/null
+++ b/tests/standin/relay.py
@@ -0,0 +1,16 @@
+"""Relays for feeds under test."""
+
+
+class NoRelay:
+    """Nobody tells anything."""
+
+    first_wait_s = 0.0
+
+    def __init__(self):
+        self.told = []
+
+    def covered_until_ms(self, kind, cursor):
+        return float("-inf")
+
+    def read(self, kind, base, reached, changes):
+        self.told.append((kind, base, reached, changes))
