Count a beacon's age from when it was sent; test the relay

Cause (state machine test_relay.py, failing first): a beacon that was held up 1.1 s in transit, or read after a pause of the process, was taken as fresh, and a covered node missed a change for longer than the limit. Change: each report carries its sender's time, the beacon to that node echoes it plus what has passed since, so its age is reckoned on the reader's own clock. Ruled out: wall clocks (they may jump).

--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -7,10 +7,12 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 
 import gevent
 import msgspec
 from gevent import socket
+from msgspec.structs import replace
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
@@ -31,12 +33,21 @@
 
     keys: dict[str, list[int]]
     answer_ms: dict[str, tuple[float, float]]  # server -> mean and typical time
+    stamp_ms: float = 0.0  # when it was sent, on its sender's clock
 
 
 Message = LoadReport | Told | Beacon
 Address = tuple[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class _Peer:
+    """A node's last report: when it was sent, on its clock, and read, on ours."""
+
+    stamp_ms: float
+    heard_ms: float
+
+
 class PeerLink:
     """This node's socket towards the other nodes."""
 
@@ -52,7 +63,7 @@
         self._take_report = take_report
         self._takers: dict[type, Callable[..., None]] = {LoadReport: take_report}
         self._own = f"{address.host}:{address.port}"
-        self._peers: dict[Address, float] = {}  # reporters, and when last heard
+        self._peers: dict[Address, _Peer] = {}  # reporters
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(tuple(address))
 
@@ -78,17 +89,21 @@
             if leader == self._own:
                 self._take_report(report)
             elif leader:
+                report.stamp_ms = elapsed_ms()
                 self._send(msgspec.msgpack.encode(report), HostPort.parse(leader))
 
     def publish(self, message: Told | Beacon) -> None:
         """Send a message to all nodes that reported lately."""
         data = msgspec.msgpack.encode(message)
         now_ms = elapsed_ms()
-        for peer, heard_ms in list(self._peers.items()):
-            if now_ms - heard_ms < PEER_MEMORY_MS:
-                self._send(data, peer)
-            else:
-                del self._peers[peer]
+        for address, peer in list(self._peers.items()):
+            since_ms = now_ms - peer.heard_ms
+            if since_ms >= PEER_MEMORY_MS:
+                del self._peers[address]
+                continue
+            if isinstance(message, Beacon):
+                data = msgspec.msgpack.encode(replace(message, sent_ms=peer.stamp_ms + since_ms))
+            self._send(data, address)
 
     def _send(self, data: bytes, to: Address) -> None:
         if len(data) <= MAX_DATAGRAM:
@@ -105,7 +120,7 @@
                 LOG.warning("Datagram not read.", cause=error)
                 continue
             if isinstance(message, LoadReport):
-                self._peers[peer] = elapsed_ms()
+                self._peers[peer] = _Peer(message.stamp_ms, elapsed_ms())
             taker = self._takers.get(type(message))
             if taker is not None:
                 taker(message)
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -69,8 +69,8 @@
     def take_beacon(self, beacon: Beacon) -> None:
         """Take the leader's claims."""
         now_ms = elapsed_ms()
-        self._coverage = coverage.take_beacon(self._coverage, beacon, now_ms)
-        self._heard(beacon.lease_revision, now_ms - beacon.renewed_age_ms)
+        self._coverage = coverage.take_beacon(self._coverage, beacon)
+        self._heard(beacon.lease_revision, beacon.sent_ms - beacon.renewed_age_ms)
         behind = [
             task
             for task in self._tasks.values()
--- a/ploverhatch/relay/coverage.py
+++ b/ploverhatch/relay/coverage.py
@@ -30,12 +30,12 @@
     kinds: Mapping[str, KindCoverage] = field(default_factory=dict)
 
 
-def take_beacon(state: Coverage, beacon: Beacon, now_ms: float) -> Coverage:
+def take_beacon(state: Coverage, beacon: Beacon) -> Coverage:
     """Take a beacon; one of an earlier leader, or an overtaken one, changes nothing."""
     if beacon.lease_revision < state.lease_revision:
         return state
     kinds = {
-        kind: KindCoverage(claim.reached, now_ms - claim.age_ms + state.limit_ms)
+        kind: KindCoverage(claim.reached, beacon.sent_ms - claim.age_ms + state.limit_ms)
         for kind, claim in beacon.claims.items()
     }
     return replace(state, lease_revision=beacon.lease_revision, kinds=kinds)
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -46,9 +46,12 @@
 
     ``lease_revision`` rises with each renewal of the leader's lease, so that
     beacons of different leaders can be ordered; the last one was sent
-    ``renewed_age_ms`` ago.
+    ``renewed_age_ms`` ago. ``sent_ms`` is the earliest time at which the beacon
+    can have been sent, on the clock of the node that it is for: a beacon that
+    was held up, or is read after a pause of the process, is known to be old.
     """
 
     lease_revision: int
     renewed_age_ms: float
     claims: dict[str, Claim]
+    sent_ms: float = float("-inf")
--- /dev/null
+++ b/tests/functional/test_relay.py
@@ -0,0 +1,180 @@
+"""Two gateways: the follower is told of changes, and asks the store when it must."""
+
+import gevent
+import pytest
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.keymap_relay import KeymapRelay
+from ploverhatch.sharding.keymap import (
+    LAST_KEY,
+    Holder,
+    KeyMap,
+    Move,
+    begin_moves,
+    first_assignment,
+)
+from ploverhatch.store.objects import ObjectChange, StoreCallError, VersionedObject
+from tests.functional.test_gateway import CONFIG, Site
+
+HOLDERS = [Holder(f"s{number}", "10.0.0.1", 9000 + number) for number in range(3)]
+
+
+def until(condition, limit_s=8.0):
+    with gevent.Timeout(limit_s):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+@pytest.fixture
+def pair():
+    """A leader and a follower that is covered for all kinds."""
+    site = Site()
+    site.store.put("config", "main", CONFIG)
+    site.start_upstream("s1", "keyed", sharded=True)
+    site.start_upstream("p1", "plain")
+    leader = site.start_gateway("node-1")
+    until(lambda: leader.leads and leader.ready)
+    follower = site.start_gateway("node-2")
+    until(lambda: follower._relay.covered)
+    yield site, leader, follower
+    site.close()
+
+
+def watches(site, kind):
+    return sum(call[1] == kind and "watch" in call[3] for call in site.store.calls)
+
+
+def test_a_change_is_told_without_a_call_of_the_follower(pair):
+    site, leader, follower = pair
+    before = watches(site, "servers")
+    for number in range(4):
+        site.start_upstream(f"new-{number}", "plain")
+        until(lambda number=number: f"new-{number}" in follower.directory.servers.records, 1.0)
+    assert watches(site, "servers") - before <= 4  # the leader's own
+
+
+def test_key_maps_are_told_as_what_changed(pair):
+    site, leader, follower = pair
+    site.start_upstream("s2", "keyed", sharded=True)
+    site.store.remove("servers", "s1")
+    until(lambda: all_held_by(follower, "s2"))
+    assert follower.directory.keymaps["keyed"] == leader.directory.keymaps["keyed"]
+    assert follower._relay.covered
+
+
+def all_held_by(gateway, server_id):
+    ranges = gateway.directory.keymaps["keyed"].ranges
+    return all(item.settled and item.holder.server_id == server_id for item in ranges)
+
+
+@pytest.mark.parametrize("fault", ["gone", "cut off from the store"])
+def test_without_a_current_leader_a_change_is_known_in_time(pair, fault, monkeypatch):
+    site, leader, follower = pair
+    if fault == "gone":
+        leader.shut()
+    else:
+        for name in ("replace", "get", "watch", "list_all"):
+            monkeypatch.setattr(leader._store, name, refuse)
+        leader._store.interrupt()
+    start_ms = elapsed_ms()
+    site.store.put("config", "main", {**CONFIG, "version": "00000009"})
+    until(lambda: follower.directory.table.version == 9, 3.0)
+    limit_ms = follower._settings.relay_limit_ms
+    assert elapsed_ms() - start_ms < limit_ms + 500.0
+
+
+def refuse(*_args, **_options):
+    raise StoreCallError("refused")
+
+
+def test_a_follower_reads_the_lease_seldom(pair):
+    site, leader, follower = pair
+    gevent.sleep(0.2)
+    before = len([call for call in site.store.calls if call[3].get("stale")])
+    gevent.sleep(2.0)
+    assert len([call for call in site.store.calls if call[3].get("stale")]) - before <= 1
+
+
+def test_the_follower_takes_over_when_the_leader_ends(pair):
+    site, leader, follower = pair
+    leader.shut()
+    until(lambda: follower.leads, 8.0)
+
+
+# ---- key maps as differences ----------------------------------------------------------
+
+
+class Known:
+    """A directory with key maps alone."""
+
+    def __init__(self, *keymaps):
+        self.keymaps = {keymap.service: keymap for keymap in keymaps}
+
+    def put_keymap(self, keymap):
+        self.keymaps[keymap.service] = keymap
+        return True
+
+
+def keymaps():
+    """Return three successive maps."""
+    first = first_assignment(KeyMap("keyed"), [Move(0, LAST_KEY, HOLDERS[0])])
+    first = KeyMap("keyed", first.ranges, first.token, 5)
+    second = begin_moves(first, [Move(100, 200, HOLDERS[1]), Move(150, 300, HOLDERS[2])])
+    second = KeyMap("keyed", second.ranges, second.token, 6)
+    third = begin_moves(second, [Move(0, LAST_KEY, HOLDERS[1])])
+    return first, second, KeyMap("keyed", third.ranges, third.token, 9)
+
+
+def told(*sequence):
+    """Return what a leader tells that knew the first map when its term began."""
+    relay = KeymapRelay(Known(sequence[0]))
+    relay.begin_term()
+    return [relay.change_of(keymap) for keymap in sequence[1:]]
+
+
+def test_differences_build_the_same_map():
+    first, second, third = keymaps()
+    directory = Known(first)
+    for change in told(first, second, third):
+        assert KeymapRelay(directory).apply(change)
+    assert directory.keymaps["keyed"] == third
+
+
+def test_a_difference_from_a_map_that_is_not_known_is_not_taken():
+    first, second, third = keymaps()
+    _, change = told(first, second, third)
+    directory = Known(first)
+    assert not KeymapRelay(directory).apply(change)
+    assert directory.keymaps["keyed"] == first
+
+
+def test_a_difference_that_leaves_a_gap_is_not_taken():
+    pieces = [Move(0, 999, HOLDERS[0]), Move(1000, LAST_KEY, HOLDERS[1])]
+    dealt = first_assignment(KeyMap("keyed"), pieces)
+    before = KeyMap("keyed", dealt.ranges, dealt.token, 5)
+    after = begin_moves(before, [Move(10, 20, HOLDERS[2])])
+    (change,) = told(before, KeyMap("keyed", after.ranges, after.token, 6))
+    narrower = KeyMap("keyed", before.ranges[:1], before.token, 5)
+    assert KeymapRelay(Known(before)).apply(change)
+    assert not KeymapRelay(Known(narrower)).apply(change)
+
+
+def test_a_known_map_is_passed_over_and_told_once():
+    first, second, _ = keymaps()
+    relay = KeymapRelay(Known(first))
+    relay.begin_term()
+    change = relay.change_of(second)
+    assert relay.change_of(second) is None
+    assert relay.encode(ObjectChange(VersionedObject("keyed", 6, None), gone=False)) is None
+    assert KeymapRelay(Known(second)).apply(change)
+
+
+def test_a_first_map_is_told_whole():
+    first, *_ = keymaps()
+    relay = KeymapRelay(Known())
+    relay.begin_term()
+    change = relay.change_of(first)
+    assert change.base == 0
+    directory = Known()
+    assert KeymapRelay(directory).apply(change)
+    assert directory.keymaps["keyed"] == first
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -132,3 +132,25 @@
     lost = election.observe(state, LeaseObject(2, "b", "1"), 600.0)
     assert not election.has_authority(lost, 601.0)
     assert not election.has_authority(replace(state, leading=False), 501.0)
+
+
+def test_a_leader_that_is_heard_keeps_its_lease():
+    state = election.observe(ElectionState("n2", "l2"), LeaseObject(5, "n1", "l1", "a"), 0.0)
+    told = election.heard(state, 9, 4000.0)
+    assert election.wants_takeover(state, 4100.0)
+    assert not election.wants_takeover(told, 4100.0)
+    assert election.wants_takeover(told, 4000.0 + election.TAKEOVER_MS)
+    assert election.earlier_authority_ms(told, 5000.0) == election.AUTHORITY_MS - 1000.0
+
+
+def test_a_lease_that_was_told_of_counts_from_then():
+    state = election.heard(ElectionState("n2", "l2"), 9, 1000.0)
+    state = election.observe(state, LeaseObject(9, "n1", "l1", "a"), 3500.0)
+    assert election.wants_takeover(state, 1000.0 + election.TAKEOVER_MS)
+    newer = election.observe(state, LeaseObject(10, "n1", "l1", "a"), 3600.0)
+    assert not election.wants_takeover(newer, 3600.0 + election.TAKEOVER_MS - 1)
+
+
+def test_an_earlier_leaders_word_does_not_count():
+    state = election.heard(ElectionState("n2", "l2"), 9, 1000.0)
+    assert election.heard(state, 8, 5000.0) is state
--- /dev/null
+++ b/tests/unit/test_relay.py
@@ -0,0 +1,232 @@
+"""What nodes may rely on: tables, and a state machine with lost and overtaken messages."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from msgspec.structs import replace
+
+from ploverhatch.relay import coverage, publisher
+from ploverhatch.relay.coverage import Coverage, Cursor
+from ploverhatch.relay.messages import Beacon, Claim, Told, ToldChange
+from ploverhatch.relay.publisher import FeedView, Proof, Term
+
+KIND = "kind"
+LIMIT_MS = 1000.0
+
+
+def beacon(reached, age_ms=0.0, lease=1, sent_ms=0.0):
+    return Beacon(lease, age_ms, {KIND: Claim(reached, age_ms)}, sent_ms)
+
+
+@pytest.mark.parametrize(
+    ("claimed", "age_ms", "cursor", "until_ms"),
+    [
+        (7, 0.0, 7, 1000.0),
+        (7, 400.0, 7, 600.0),
+        (7, 0.0, 9, 1000.0),  # the node read more by itself
+        (7, 0.0, 6, float("-inf")),  # something told was lost
+        (7, 5000.0, 7, -4000.0),
+    ],
+)
+def test_coverage_ends_when_the_leaders_view_is_old(claimed, age_ms, cursor, until_ms):
+    state = coverage.take_beacon(Coverage(LIMIT_MS), beacon(claimed, age_ms))
+    assert coverage.covered_until_ms(state, KIND, cursor) == until_ms
+
+
+def test_a_kind_that_is_not_claimed_is_not_covered():
+    state = coverage.take_beacon(Coverage(LIMIT_MS), beacon(7))
+    state = coverage.take_beacon(state, Beacon(1, 0.0, {}, 10.0))
+    assert coverage.covered_until_ms(state, KIND, 9) == float("-inf")
+
+
+def test_a_beacon_of_an_earlier_leader_changes_nothing():
+    state = coverage.take_beacon(Coverage(LIMIT_MS), beacon(7, lease=5))
+    assert coverage.take_beacon(state, beacon(9, lease=4)) is state
+
+
+def test_a_beacon_that_was_held_up_is_as_old_as_it_is():
+    state = coverage.take_beacon(Coverage(LIMIT_MS), beacon(7, sent_ms=500.0))
+    assert coverage.covered_until_ms(state, KIND, 7) == 1500.0
+    unknown = coverage.take_beacon(Coverage(LIMIT_MS), Beacon(1, 0.0, {KIND: Claim(7, 0.0)}))
+    assert coverage.covered_until_ms(unknown, KIND, 7) == float("-inf")
+
+
+FOLLOWS = {
+    "the next": (Cursor(5), Told(KIND, 5, 6, []), True),
+    "overlapping": (Cursor(5), Told(KIND, 3, 6, []), True),
+    "known": (Cursor(5), Told(KIND, 3, 5, []), False),
+    "a gap": (Cursor(5), Told(KIND, 6, 7, []), False),
+    "nothing known": (Cursor(), Told(KIND, -1, 7, []), False),
+    "second part first": (Cursor(5), Told(KIND, 5, 6, [], 1, 2), False),
+    "second part": (Cursor(5, Told(KIND, 5, 6, [], 0, 2)), Told(KIND, 5, 6, [], 1, 2), True),
+    "part of another": (Cursor(5, Told(KIND, 4, 6, [], 0, 2)), Told(KIND, 5, 6, [], 1, 2), False),
+    "a part is missing": (Cursor(5, Told(KIND, 5, 6, [], 0, 3)), Told(KIND, 5, 6, [], 2, 3), False),
+}
+
+
+@pytest.mark.parametrize(("cursor", "told", "expected"), FOLLOWS.values(), ids=FOLLOWS.keys())
+def test_only_what_joins_is_taken(cursor, told, expected):
+    assert coverage.follows(cursor, told) is expected
+
+
+def test_the_cursor_moves_with_the_last_part():
+    first, last = Told(KIND, 5, 8, [], 0, 2), Told(KIND, 5, 8, [], 1, 2)
+    cursor = coverage.advanced(Cursor(5), first)
+    assert cursor.revision == 5
+    assert coverage.advanced(cursor, last) == Cursor(8)
+
+
+def test_a_proof_needs_a_watch_that_was_there_before_the_call():
+    proof = publisher.read(Proof(), 100.0)
+    assert publisher.store_answered(proof, 200.0).current_ms == 100.0
+    waiting = publisher.watch_sent(proof, 150.0)
+    assert publisher.store_answered(waiting, 140.0).current_ms == 100.0
+    assert publisher.store_answered(waiting, 200.0).current_ms == 200.0
+    assert publisher.watch_over(waiting).watching_since_ms is None
+
+
+def test_a_kind_that_has_to_be_listed_is_not_claimed():
+    views = {"a": FeedView(4, 900.0), "b": FeedView(-1, 900.0)}
+    told = publisher.beacon(Term(7, 800.0), views, 1000.0)
+    assert told == Beacon(7, 200.0, {"a": Claim(4, 100.0)})
+
+
+def change(revision):
+    return ToldChange("o", revision, revision)
+
+
+def test_changes_are_divided_into_messages():
+    sized = [(change(number), 40) for number in range(5)]
+    parts = publisher.in_parts(KIND, 1, 9, sized, 100)
+    assert [len(part.changes) for part in parts] == [2, 2, 1]
+    assert [(part.part, part.parts) for part in parts] == [(0, 3), (1, 3), (2, 3)]
+    assert publisher.in_parts(KIND, 1, 9, [], 100) == [Told(KIND, 1, 9, [], 0, 1)]
+
+
+def test_a_change_too_long_for_a_message_leaves_a_gap():
+    assert publisher.in_parts(KIND, 1, 9, [(change(2), 10), (change(3), 101)], 100) == []
+
+
+class RelayedStore(RuleBasedStateMachine):
+    """A store, a leader that reads it, and a follower that is told; time in milliseconds.
+
+    Messages get lost, overtake each other and come twice. Whenever the
+    follower is covered it knows every change that is older than the limit, and
+    its objects are those of its cursor.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 0.0
+        self.history = []  # (revision, when, name or gone)
+        self.leader = 0
+        self.proof = publisher.watch_sent(publisher.read(Proof(), 0.0), 0.0)
+        self.cut = False
+        self.in_flight = []
+        self.cursor = Cursor(0)
+        self.objects = {}
+        self.coverage = Coverage(LIMIT_MS)
+
+    @property
+    def revision(self):
+        return self.history[-1][0] if self.history else 0
+
+    def objects_at(self, revision):
+        objects = {}
+        for number, _, name, gone in self.history:
+            if number <= revision:
+                objects.pop(name, None)
+                if not gone:
+                    objects[name] = number
+        return objects
+
+    def changes(self, after):
+        return [
+            ToldChange(name, number, number, gone=gone)
+            for number, _, name, gone in self.history
+            if number > after
+        ]
+
+    @rule(name=st.sampled_from("abc"), gone=st.booleans(), step=st.integers(1, 3))
+    def store_changes(self, name, gone, step):
+        self.history.append((self.revision + step, self.now_ms, name, gone))
+
+    @precondition(lambda self: not self.cut)
+    @rule(most=st.integers(1, 3))
+    def leader_reads(self, most):
+        """The leader's watch returns, and is asked again."""
+        changes = self.changes(self.leader)
+        told = publisher.in_parts(
+            KIND, self.leader, self.revision, [(item, 1) for item in changes], most
+        )
+        self.leader = self.revision
+        self.proof = publisher.watch_sent(publisher.read(self.proof, self.now_ms), self.now_ms)
+        self.in_flight += told
+
+    @precondition(lambda self: not self.cut and self.leader == self.revision)
+    @rule()
+    def leader_renews(self):
+        """A change would have ended the watch that waits."""
+        self.proof = publisher.store_answered(self.proof, self.now_ms)
+
+    @rule()
+    def leader_is_cut_off(self):
+        self.cut = True
+
+    @rule()
+    def leader_returns(self):
+        self.cut = False
+
+    @rule()
+    def leader_tells_claims(self):
+        views = {KIND: FeedView(self.leader, self.proof.current_ms)}
+        told = publisher.beacon(Term(1, 0.0), views, self.now_ms)
+        self.in_flight.append(replace(told, sent_ms=self.now_ms))
+
+    @precondition(lambda self: self.in_flight)
+    @rule(data=st.data(), lost=st.booleans(), twice=st.booleans())
+    def message_arrives(self, data, lost, twice):
+        index = data.draw(st.integers(0, len(self.in_flight) - 1))
+        message = self.in_flight[index] if twice else self.in_flight.pop(index)
+        if lost:
+            return
+        if isinstance(message, Beacon):
+            self.coverage = coverage.take_beacon(self.coverage, message)
+        elif coverage.follows(self.cursor, message):
+            for item in message.changes:
+                self.take(item)
+            self.cursor = coverage.advanced(self.cursor, message)
+
+    def take(self, item):
+        self.objects.pop(item.name, None)
+        if not item.gone:
+            self.objects[item.name] = item.revision
+
+    @rule()
+    def follower_asks_the_store(self):
+        if coverage.covered_until_ms(self.coverage, KIND, self.cursor.revision) <= self.now_ms:
+            for item in self.changes(self.cursor.revision):
+                self.take(item)
+            self.cursor = Cursor(self.revision)
+
+    @rule(by_ms=st.sampled_from([1.0, 200.0, 900.0, 1100.0]))
+    def time_passes(self, by_ms):
+        self.now_ms += by_ms
+
+    @invariant()
+    def objects_are_those_of_the_cursor(self):
+        if self.cursor.pending is None:
+            assert self.objects == self.objects_at(self.cursor.revision)
+
+    @invariant()
+    def a_covered_follower_misses_nothing_old(self):
+        until_ms = coverage.covered_until_ms(self.coverage, KIND, self.cursor.revision)
+        if until_ms <= self.now_ms:
+            return
+        old = [row for row in self.history if row[1] < self.now_ms - LIMIT_MS]
+        assert not old or old[-1][0] <= self.cursor.revision
+
+
+TestRelayedStore = RelayedStore.TestCase
+TestRelayedStore.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
