--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -14,6 +14,8 @@
 
 LOG = PartLogger("directory")
 
+SLOW_MOVE_MS = 400.0  # a move that takes longer waits for a lease to lapse
+
 
 class Directory:
     """The present view; ``changed`` is raised on every change."""
@@ -26,6 +28,8 @@
         self.keymaps_known = False
         self.store_contact_ms = elapsed_ms()
         self._table: RouteTable | None = None
+        # Since when ranges move, by service and token.
+        self._moving_since_ms: dict[str, dict[int, float]] = {}
 
     @property
     def table(self) -> RouteTable | None:
@@ -87,9 +91,19 @@
         if known is not None and keymap.revision <= known.revision:
             return False
         self.keymaps[keymap.service] = keymap
+        earlier = self._moving_since_ms.get(keymap.service, {})
+        now_ms = elapsed_ms()
+        self._moving_since_ms[keymap.service] = {
+            item.token: earlier.get(item.token, now_ms) for item in keymap.moving
+        }
         self.changed.raise_()
         return True
 
+    def moves_slowly(self, service: str, token: int) -> bool:
+        """Whether a range has moved for longer than a move takes whose holder answers."""
+        since_ms = self._moving_since_ms.get(service, {}).get(token)
+        return since_ms is not None and elapsed_ms() - since_ms > SLOW_MOVE_MS
+
     def expire_servers(self) -> None:
         """Drop vanished servers whose grace is over."""
         if self.servers.expire(elapsed_ms()):
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -315,20 +315,33 @@
             upstream = self._holder(call) if call.partitioned else self._cheapest(call, tried)
             if upstream is not None:
                 return upstream
-            until_ms = call.move_by_ms if call.partitioned else call.offer_by_ms
-            left_ms = until_ms - elapsed_ms()
+            left_ms = self._wait_until_ms(call) - elapsed_ms()
             if left_ms <= 0:
                 raise self._out_of_time(call, history, results.NO_OWNER)
             self._directory.changed.wait(left_ms / 1000)
 
+    def _wait_until_ms(self, call: Call) -> float:
+        """Return until when a request waits for a server.
+
+        A move whose holder answers is over soon. Where the holder is silent, its
+        lease has to lapse, which takes seconds: then the caller is told early.
+        """
+        if call.partitioned and not self._directory.moves_slowly(call.service, call.token):
+            return call.move_by_ms
+        return call.offer_by_ms
+
     def _holder(self, call: Call) -> Upstream | None:
         keymap = self._directory.keymaps.get(call.service)
         key = call.facts.shard_key
         found = keymap.find(key) if keymap is not None and key is not None else None
-        if found is None or not found.settled or not self._directory.keymaps_trusted:
+        if found is None:
             return None
         call.token = found.token
+        if not found.settled or not self._directory.keymaps_trusted:
+            return None
         server_id = found.holder.server_id
+        if server_id not in self._directory.servers.records:
+            return None  # it has ended, though the pool may not know yet
         draining_ms = self._directory.servers.draining_since.get(server_id)
         if draining_ms is not None and elapsed_ms() - draining_ms > DRAINING_HOLDER_MS:
             return None
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -5,7 +5,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway.directory import Directory
-from ploverhatch.gateway.forwarder import Forwarder
+from ploverhatch.gateway.forwarder import MOVE_PART, OFFER_PART, Forwarder
 from ploverhatch.gateway.messages import CallerGoneError, CallerRequest
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.platform.dialect import PlatformDialect
@@ -253,3 +253,27 @@
         gevent.sleep(0.01)
     gevent.joinall(tasks)
     assert order == [0, 1, 2]
+
+
+@pytest.mark.parametrize(("moving_for_ms", "part"), [(0.0, MOVE_PART), (600.0, OFFER_PART)])
+def test_a_move_that_waits_for_a_lapse_is_told_early(bench, monkeypatch, moving_for_ms, part):
+    record = bench.add(Upstream("u1", sharded=True), service=KEYED)
+    with monkeypatch.context() as earlier:
+        seen_ms = elapsed_ms() - moving_for_ms
+        earlier.setattr("ploverhatch.gateway.directory.elapsed_ms", lambda: seen_ms)
+        bench.own_keys(record, settled=False)
+    started = elapsed_ms()
+    reply = bench.ask(b"/key/a", headers=[(b"Shard-Key", b"5")])
+    waited_ms = elapsed_ms() - started
+    assert (reply.status, bool(field(reply, b"retry-after"))) == (503, True)
+    assert 400 * part - 5 <= waited_ms <= 400 * part + 60
+
+
+def test_a_holder_that_was_seen_to_have_ended_is_asked_once(bench):
+    """Found on a grown site: a second attempt went to the same reused address."""
+    other = Upstream("other", sharded=True)
+    record = bench.add(other, "u1", service=KEYED)
+    bench.own_keys(record)
+    reply = bench.ask(b"/key/a", headers=[(b"Shard-Key", b"5")])
+    assert reply.status == 503
+    assert len(other.arrived) == 1
