Rest the leader's claims on answers of the store alone; go on by its word when turned away

Change: a claim rests on a watch that returned: the leader's wait 0.4 s at most. What a listing of the leader shows is told as changes, so followers need not list too. A node that the store turns away trusts its key maps by the leader's word. Simulated followers read the lease each second, as real ones do at most.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -85,6 +85,10 @@
         """Whether requests may go where the key maps say."""
         return election.view_is_trusted(self.store_contact_ms, elapsed_ms())
 
+    def note_view(self, current_ms: float) -> None:
+        """What is known was surely current at a time, on the elapsed clock."""
+        self.store_contact_ms = max(self.store_contact_ms, current_ms)
+
     def put_keymap(self, keymap: KeyMap) -> bool:
         """Take a key map unless it or a newer one is known; true if it was taken."""
         known = self.keymaps.get(keymap.service)
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -17,9 +17,10 @@
 from ploverhatch.relay import coverage, publisher
 from ploverhatch.relay.coverage import Cursor
 from ploverhatch.relay.messages import Told, ToldChange
-from ploverhatch.relay.publisher import FeedView, Proof
+from ploverhatch.relay.publisher import FeedView
 from ploverhatch.store.objects import (
     HistoryDroppedError,
+    Listing,
     ObjectChange,
     ObjectStore,
     StoreCallError,
@@ -29,7 +30,7 @@
 
 LOG = PartLogger("feed")
 
-WAIT_S = 25.0
+REBASE_MS = 5000.0  # a watch goes on from an older revision no longer: history is dropped
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
 
@@ -67,6 +68,10 @@
 
     first_wait_s: float  # after the first listing: a leader may tell of changes by then
 
+    @property
+    def watch_wait_s(self) -> float:
+        """How long a watch waits at the store; short where its answers are proofs."""
+
     def covered_until_ms(self, kind: str, cursor: int) -> float:
         """Return until when the store need not be asked for a kind."""
 
@@ -86,7 +91,9 @@
         self._failed = failed
         self._cursor = Cursor()
         self._must_list = True
-        self._proof = Proof()
+        self._names: set[str] = set()  # of the objects that are known
+        self._current_ms = -1e12  # the view was surely current then
+        self._moved_ms = -1e12  # when the cursor moved last
         self._nudged = Signal()
         self._pause_s = FIRST_PAUSE_S
         self._lost_ms = 0.0
@@ -100,7 +107,7 @@
     def view(self) -> FeedView:
         """How far and how current the view of the kind is."""
         reached = -1 if self._must_list else self._cursor.revision
-        return FeedView(reached, self._proof.current_ms)
+        return FeedView(reached, self._current_ms)
 
     @property
     def cursor(self) -> int:
@@ -109,10 +116,6 @@
 
     # ---- from others ------------------------------------------------------------------
 
-    def store_answered(self, sent_ms: float) -> None:
-        """The store answered another call of this node, sent at ``sent_ms``."""
-        self._proof = publisher.store_answered(self._proof, sent_ms)
-
     def nudge(self) -> None:
         """Look again whether the store has to be asked."""
         self._nudged.raise_()
@@ -125,6 +128,7 @@
             self._cursor = coverage.advanced(self._cursor, told)
 
     def _take_change(self, change: ToldChange) -> bool:
+        self._note_name(change.name, change.gone)
         if self._feed.take_told is not None:
             return self._feed.take_told(change)
         item = VersionedObject(change.name, change.revision, change.spec, change.status)
@@ -172,30 +176,57 @@
         sent_ms = elapsed_ms()
         listing = self._store.list_all(self.kind)
         if listing.revision >= self._cursor.revision:
+            base = self._cursor.revision
             self._feed.replace_all(listing.items)
-            self._cursor = Cursor(listing.revision)
-        self._proof = publisher.read(self._proof, sent_ms)
+            self._move_to(listing.revision)
+            self._tell_listing(base, listing)
+        self._current_ms = max(self._current_ms, sent_ms)
         self._must_list = False
         self._recovered()
 
+    def _tell_listing(self, base: int, listing: Listing) -> None:
+        """Tell what a listing shows to have changed since the last revision known."""
+        listed = {item.name for item in listing.items}
+        gone = self._names - listed
+        self._names = listed
+        if base < 0:
+            return
+        newer = [ObjectChange(item, gone=False) for item in listing.items if item.revision > base]
+        told = [item for change in newer if (item := self._feed.encode(change))]
+        told += [ToldChange(name, listing.revision, None, gone=True) for name in sorted(gone)]
+        self._relay.read(self.kind, base, listing.revision, told)
+
+    def _note_name(self, name: str, gone: bool) -> None:
+        if gone:
+            self._names.discard(name)
+        else:
+            self._names.add(name)
+
     def _watch(self) -> None:
         base = self._cursor.revision
+        wait_s = self._relay.watch_wait_s
         sent_ms = elapsed_ms()
-        self._proof = publisher.watch_sent(self._proof, sent_ms)
-        try:
-            batch = self._store.watch(self.kind, base, WAIT_S)
-        finally:
-            self._proof = publisher.watch_over(self._proof)
-        self._proof = publisher.read(self._proof, sent_ms)
+        batch = self._store.watch(self.kind, base, wait_s)
+        empty = not batch.changes
+        current_ms = publisher.proof_ms(sent_ms, elapsed_ms(), wait_s * 1000, empty)
+        self._current_ms = max(self._current_ms, current_ms)
+        if empty and elapsed_ms() - self._moved_ms < REBASE_MS:
+            return
         if batch.revision < self._cursor.revision and not self._feed.repeatable:
             return  # the leader told more meanwhile
         news = [change for change in batch.changes if self._feed.apply(change)]
-        self._cursor = Cursor(max(batch.revision, self._cursor.revision))
+        for change in batch.changes:
+            self._note_name(change.object.name, change.gone)
+        self._move_to(max(batch.revision, self._cursor.revision))
         told = [item for change in batch.changes if (item := self._feed.encode(change))]
         self._relay.read(self.kind, base, batch.revision, told)
-        if batch.changes:
+        if not empty:
             gevent.sleep(self._feed.pauses.news_s if news else self._feed.pauses.known_s)
 
+    def _move_to(self, revision: int) -> None:
+        self._cursor = Cursor(revision)
+        self._moved_ms = elapsed_ms()
+
     def _note_failure(self, error: StoreCallError) -> None:
         if not self._lost_ms:
             self._lost_ms = elapsed_ms()
--- a/ploverhatch/gateway/keymap_relay.py
+++ b/ploverhatch/gateway/keymap_relay.py
@@ -37,6 +37,8 @@
 
     def apply(self, change: ToldChange) -> bool:
         """Take a change; false when the map that it builds on is not known."""
+        if change.gone:
+            return True  # nobody takes a map away while its service is there
         known = self._directory.keymaps.get(change.name)
         if known is not None and known.revision >= change.revision:
             return True
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -99,6 +99,7 @@
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
             settings.relay_limit_ms,
+            self.directory,
             keymap_relay,
             self._term,
             self._elector.heard,
@@ -265,7 +266,7 @@
             return True
 
     def _store_answered(self) -> None:
-        self.directory.store_contact_ms = elapsed_ms()
+        self.directory.note_view(elapsed_ms())
 
     def _store_lost(self) -> None:
         self.directory.servers.note_store_failure(elapsed_ms())
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.feeds import FeedTask
 from ploverhatch.gateway.keymap_relay import KeymapRelay
 from ploverhatch.relay import coverage, publisher
@@ -22,6 +23,8 @@
 
 BEACON_S = 0.25
 FIRST_WAIT_S = 0.8
+LONG_WAIT_S = 25.0
+PROOF_WAIT_S = 0.4
 OVERTAKEN_S = 0.05  # a beacon may overtake the changes that it speaks of
 MAX_CHANGES = 7000  # bytes of changes in one datagram
 
@@ -39,6 +42,7 @@
     def __init__(
         self,
         limit_ms: float,
+        directory: Directory,
         keymaps: KeymapRelay,
         term: Callable[[], Term | None],
         heard: Callable[[int, float], None],
@@ -46,6 +50,7 @@
     ) -> None:
         self.first_wait_s = FIRST_WAIT_S
         self._coverage = Coverage(limit_ms)
+        self._directory = directory
         self._keymaps = keymaps
         self._term = term
         self._heard = heard
@@ -58,6 +63,11 @@
         """Take the tasks that follow the kinds."""
         self._tasks = {task.kind: task for task in tasks}
 
+    @property
+    def watch_wait_s(self) -> float:
+        """How long this node's watches wait: each answer of the leader's is a proof."""
+        return PROOF_WAIT_S if self._leading else LONG_WAIT_S
+
     # ---- as any node --------------------------------------------------------------------
 
     def covered_until_ms(self, kind: str, cursor: int) -> float:
@@ -71,6 +81,7 @@
         now_ms = elapsed_ms()
         self._coverage = coverage.take_beacon(self._coverage, beacon)
         self._heard(beacon.lease_revision, beacon.sent_ms - beacon.renewed_age_ms)
+        self._note_keymaps()
         behind = [
             task
             for task in self._tasks.values()
@@ -79,6 +90,15 @@
         if behind:
             gevent.spawn_later(OVERTAKEN_S, _nudge, behind)
 
+    def _note_keymaps(self) -> None:
+        """Trust the key maps for as long as if the store itself had answered.
+
+        So a node that the store turns away goes on by the leader's word.
+        """
+        task = self._tasks[kinds.KEYMAPS]
+        current_ms = coverage.current_ms(self._coverage, kinds.KEYMAPS, task.cursor)
+        self._directory.note_view(current_ms)
+
     def take_told(self, told: Told) -> None:
         """Take changes from the leader."""
         task = self._tasks.get(told.kind)
@@ -128,8 +148,6 @@
             self._change_part(term is not None)
         if term is None:
             return
-        for task in self._tasks.values():
-            task.store_answered(term.renewed_ms)
         views = {kind: self._view(kind) for kind in self._tasks}
         written = views[kinds.KEYMAPS]
         # What only a leader writes is current as long as this node leads.
--- a/ploverhatch/relay/coverage.py
+++ b/ploverhatch/relay/coverage.py
@@ -52,6 +52,11 @@
     return known.fresh_until_ms
 
 
+def current_ms(state: Coverage, kind: str, cursor: int) -> float:
+    """Return when a node's view of a kind was surely current, by the leader's word."""
+    return covered_until_ms(state, kind, cursor) - state.limit_ms
+
+
 @dataclass(frozen=True, slots=True)
 class Cursor:
     """Up to which revision a node knows all changes of a kind; below 0: it knows none."""
--- a/ploverhatch/relay/publisher.py
+++ b/ploverhatch/relay/publisher.py
@@ -1,44 +1,27 @@
 """What the leader tells, and what it may claim. Pure.
 
-A claim rests on two facts: the leader's watch has been waiting at the store,
-and the store answered a call of the leader after that watch had been sent. A
-change would have ended the watch.
+A claim rests on an answer of the store alone: a watch that returned, with
+changes or after its whole wait without any. A watch that still waits proves
+nothing, since a connection may have died without a word.
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ploverhatch.relay.messages import Beacon, Claim, Told, ToldChange
 
 
-@dataclass(frozen=True, slots=True)
-class Proof:
-    """When a node's own view of a kind was surely current; elapsed milliseconds."""
-
-    current_ms: float = -1e12
-    watching_since_ms: float | None = None  # when the watch that waits was sent
-
-
-def watch_sent(proof: Proof, now_ms: float) -> Proof:
-    """A watch leaves right now."""
-    return replace(proof, watching_since_ms=now_ms)
-
+def proof_ms(sent_ms: float, answered_ms: float, wait_ms: float, empty: bool) -> float:
+    """Return when a view was surely current, after a watch was answered.
 
-def watch_over(proof: Proof) -> Proof:
-    """No watch waits any more."""
-    return replace(proof, watching_since_ms=None)
+    An answer that was read late, by a process that stood still, may be as old
+    as the earliest time at which the store can have given it.
 
-
-def read(proof: Proof, sent_ms: float) -> Proof:
-    """A watch or a listing that was sent at ``sent_ms`` was answered."""
-    return Proof(max(proof.current_ms, sent_ms))
-
-
-def store_answered(proof: Proof, sent_ms: float) -> Proof:
-    """The store answered another call, sent at ``sent_ms``, while a watch waits or not."""
-    if proof.watching_since_ms is None or sent_ms < proof.watching_since_ms:
-        return proof
-    return replace(proof, current_ms=max(proof.current_ms, sent_ms))
+    :param wait_ms: how long the watch asked the store to wait.
+    :param empty: whether the answer held no changes.
+    """
+    waited = empty and answered_ms - sent_ms >= wait_ms
+    return sent_ms + wait_ms if waited else sent_ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -53,6 +53,7 @@
         self._not_before_ms = 0.0
         self._busy = False
         self._loading = False
+        self._looked_ms = -1e12
         self._contact_ms = self.now_ms
         cell.store.watchers[name] = self._on_change
         self._list()
@@ -96,8 +97,11 @@
         self._busy = True
         if self.state.leading:
             self._write_lease(self.state.seen.revision)
-        else:
+        elif self.now_ms - self._looked_ms >= election.LOOK_MS:
+            self._looked_ms = self.now_ms
             self.cell.store.read(self.name, LEASE, self._answer(self._lease_read))
+        else:
+            self._busy = False
 
     def _answer(self, task: Answer) -> Answer:
         def run(result: StoreResult, item: StoredItem | None) -> None:
--- a/tests/standin/relay.py
+++ b/tests/standin/relay.py
@@ -5,6 +5,7 @@
     """Nobody tells anything."""
 
     first_wait_s = 0.0
+    watch_wait_s = 25.0
 
     def __init__(self):
         self.told = []
