Trust key maps for 3 s only, and let a silent holder's keys wait as long

The bound of 12 s covered only changes of leader. Change: sharding/view.py: a map is trusted for 3 s after it was surely current, by an answer of the store for the maps themselves (not for any object) or by the leader's word; keys are granted away from a holder that did not release them 3.3 s after the map said so, or when its lease has lapsed if that is later. The leader's word holds while it has authority, so requests go on as long as before while the store is away. Watches wait 2 s at most. The simulation now carries the leader's word with loss and delay.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -7,8 +7,8 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
-from ploverhatch.leadership import election
 from ploverhatch.routing.route_table import ClientLimits, RouteTable
+from ploverhatch.sharding import view
 from ploverhatch.sharding.keymap import KeyMap
 from ploverhatch.state.servers import ServerRecord, ServerSet
 
@@ -26,7 +26,7 @@
         self.keymaps: dict[str, KeyMap] = {}
         self.servers_known = False
         self.keymaps_known = False
-        self.store_contact_ms = elapsed_ms()
+        self.keymaps_current_ms = elapsed_ms()  # the key maps were surely current then
         self._table: RouteTable | None = None
         # Since when ranges move, by service and token.
         self._moving_since_ms: dict[str, dict[int, float]] = {}
@@ -83,11 +83,11 @@
     @property
     def keymaps_trusted(self) -> bool:
         """Whether requests may go where the key maps say."""
-        return election.view_is_trusted(self.store_contact_ms, elapsed_ms())
+        return view.view_is_trusted(self.keymaps_current_ms, elapsed_ms())
 
-    def note_view(self, current_ms: float) -> None:
-        """What is known was surely current at a time, on the elapsed clock."""
-        self.store_contact_ms = max(self.store_contact_ms, current_ms)
+    def note_keymaps(self, current_ms: float) -> None:
+        """The key maps were surely current at a time, on the elapsed clock."""
+        self.keymaps_current_ms = max(self.keymaps_current_ms, current_ms)
 
     def put_keymap(self, keymap: KeyMap) -> bool:
         """Take a key map unless it or a newer one is known; true if it was taken."""
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -40,14 +40,12 @@
         node: str,
         life: str,
         address: str,
-        store_answered: Callable[[], None],
         store_lost: Callable[[], None],
         store_regained: Callable[[], None],
         covered: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._address = address
-        self._store_answered = store_answered
         self._store_lost = store_lost
         self._store_regained = store_regained
         self._covered = covered
@@ -102,7 +100,6 @@
             self._store_away = True
             self._store_lost()
             return
-        self._store_answered()
         if self._store_away:
             self._store_away = False
             LOG.info("Store answers again.")
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -61,6 +61,7 @@
     # Takes a told change; false when it does not join what is known.
     take_told: Callable[[ToldChange], bool] | None = None
     repeatable: bool = False  # a change may be taken again by itself
+    confirmed: Callable[[float], None] = lambda current_ms: None
 
 
 class FeedRelay(Protocol):
@@ -180,7 +181,7 @@
             self._feed.replace_all(listing.items)
             self._move_to(listing.revision)
             self._tell_listing(base, listing)
-        self._current_ms = max(self._current_ms, sent_ms)
+        self._note_current(sent_ms)
         self._must_list = False
         self._recovered()
 
@@ -209,11 +210,12 @@
         batch = self._store.watch(self.kind, base, wait_s)
         empty = not batch.changes
         current_ms = publisher.proof_ms(sent_ms, elapsed_ms(), wait_s * 1000, empty)
-        self._current_ms = max(self._current_ms, current_ms)
         if empty and elapsed_ms() - self._moved_ms < REBASE_MS:
+            self._note_current(current_ms)
             return
         if batch.revision < self._cursor.revision and not self._feed.repeatable:
             return  # the leader told more meanwhile
+        self._note_current(current_ms)
         news = [change for change in batch.changes if self._feed.apply(change)]
         for change in batch.changes:
             self._note_name(change.object.name, change.gone)
@@ -223,6 +225,10 @@
         if not empty:
             gevent.sleep(self._feed.pauses.news_s if news else self._feed.pauses.known_s)
 
+    def _note_current(self, current_ms: float) -> None:
+        self._current_ms = max(self._current_ms, current_ms)
+        self._feed.confirmed(self._current_ms)
+
     def _move_to(self, revision: int) -> None:
         self._cursor = Cursor(revision)
         self._moved_ms = elapsed_ms()
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -109,7 +109,7 @@
             renewable_ms = max(self._elector.state.inherited_until_ms, elapsed_ms())
             for keymap in keymaps:
                 self._directory.put_keymap(keymap)
-                self._core.inherit(keymap, renewable_ms)
+                self._core.inherit(keymap, renewable_ms, elapsed_ms())
             return
 
     def take_report(self, report: LoadReport) -> None:
@@ -135,7 +135,7 @@
         for service in views:
             seen = self._directory.keymaps.get(service)
             if seen is not None:
-                self._core.map_seen(seen)
+                self._core.map_seen(seen, now_ms)
         self._execute(self._core.tick(now_ms, views, self._elector.may_change))
 
     def _forget_gone(self) -> None:
@@ -178,7 +178,7 @@
             self._core.map_not_stored(keymap.service)
         else:
             before = self._core.keymap(keymap.service)
-            self._core.map_stored(keymap, written.revision)
+            self._core.map_stored(keymap, written.revision, elapsed_ms())
             stored = self._core.keymap(keymap.service)
             self._directory.put_keymap(stored)
             self._publish(stored)
@@ -199,7 +199,7 @@
             LOG.warning("Key map not read back.", service=service, cause=error)
         self._core.map_not_stored(service)
         if keymap is not None:
-            self._core.map_seen(keymap)
+            self._core.map_seen(keymap, elapsed_ms())
             self._directory.put_keymap(keymap)
 
     def _log_moves(self, keymap: KeyMap, logged_token: int) -> None:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -85,7 +85,6 @@
             settings.node,
             os.urandom(LIFE_BYTES).hex(),
             f"{settings.ip}:{settings.peer_port}",
-            self._store_answered,
             self._store_lost,
             store.interrupt,
             lambda: self._relay.covered,
@@ -215,13 +214,14 @@
                 keymap_relay.encode,
                 keymap_relay.apply,
                 repeatable=True,
+                confirmed=self.directory.note_keymaps,
             ),
         ]
 
     def _term(self) -> Term | None:
         """Return the term while this node leads."""
         state = self._elector.state
-        if not self._elector.may_change or self._draining:
+        if not self._elector.has_authority or self._draining:
             return None
         return Term(state.seen.revision, state.renewed_ms)
 
@@ -265,9 +265,6 @@
             LOG.error("Key map not understood.", service=item.name, cause=error)
             return True
 
-    def _store_answered(self) -> None:
-        self.directory.note_view(elapsed_ms())
-
     def _store_lost(self) -> None:
         self.directory.servers.note_store_failure(elapsed_ms())
 
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -23,7 +23,7 @@
 
 BEACON_S = 0.25
 FIRST_WAIT_S = 0.8
-LONG_WAIT_S = 25.0
+LONG_WAIT_S = 2.0  # shorter than key maps are trusted, and finds dead connections
 PROOF_WAIT_S = 0.4
 OVERTAKEN_S = 0.05  # a beacon may overtake the changes that it speaks of
 MAX_CHANGES = 7000  # bytes of changes in one datagram
@@ -97,7 +97,7 @@
         """
         task = self._tasks[kinds.KEYMAPS]
         current_ms = coverage.current_ms(self._coverage, kinds.KEYMAPS, task.cursor)
-        self._directory.note_view(current_ms)
+        self._directory.note_keymaps(current_ms)
 
     def take_told(self, told: Told) -> None:
         """Take changes from the leader."""
@@ -150,8 +150,10 @@
             return
         views = {kind: self._view(kind) for kind in self._tasks}
         written = views[kinds.KEYMAPS]
-        # What only a leader writes is current as long as this node leads.
-        views[kinds.KEYMAPS] = replace(written, current_ms=term.renewed_ms)
+        # Only a leader writes maps. Another one that takes over meanwhile waits
+        # until this one's authority has ended before keys move without a release.
+        views[kinds.KEYMAPS] = replace(written, current_ms=elapsed_ms())
+        self._directory.note_keymaps(elapsed_ms())
         self._send(publisher.beacon(term, views, elapsed_ms()))
 
     def _view(self, kind: str) -> FeedView:
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -19,9 +19,6 @@
 LOOK_COVERED_MS = 4000.0  # ... while the leader tells it that it renews
 TAKEOVER_MS = 2600.0
 AUTHORITY_MS = 8000.0
-# A node that has not reached the store for so long sends no request by its map
-# of keys: every lease that the map speaks of may have lapsed by then.
-VIEW_MS = 12_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,11 +136,3 @@
 def may_change(state: ElectionState, now_ms: float) -> bool:
     """Whether the leader may start changes of ownership."""
     return state.leading and now_ms - state.renewed_ms < TAKEOVER_MS
-
-
-def view_is_trusted(contact_ms: float, now_ms: float) -> bool:
-    """Whether what a node read from the store may still guide requests.
-
-    :param contact_ms: when the store last answered this node.
-    """
-    return now_ms - contact_ms < VIEW_MS
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -73,10 +73,10 @@
         state = self._services.get(service)
         return state.keymap if state else KeyMap(service)
 
-    def inherit(self, keymap: KeyMap, renewable_until_ms: float) -> None:
+    def inherit(self, keymap: KeyMap, renewable_until_ms: float, now_ms: float = 0.0) -> None:
         """Take a map over; its leases may be renewed by others until then."""
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
-        self._adopt(state, keymap)
+        self._adopt(state, keymap, now_ms)
         for item in keymap.ranges:
             for holder in (item.holder, *item.previous):
                 lease = self._lease(holder)
@@ -85,7 +85,9 @@
                 )
         for transfer in state.transfers.values():
             for server_id in transfer.lapses_ms:
-                transfer.lapses_ms[server_id] = self._leases[server_id].held_until_ms
+                transfer.lapses_ms[server_id] = max(
+                    transfer.lapses_ms[server_id], self._leases[server_id].held_until_ms
+                )
 
     def _lease(self, holder: Holder) -> HolderLease:
         lease = self._leases.get(holder.server_id)
@@ -322,30 +324,30 @@
 
     # ---- the map in the store -------------------------------------------------------------
 
-    def map_stored(self, keymap: KeyMap, revision: int) -> None:
-        """The store took a map."""
+    def map_stored(self, keymap: KeyMap, revision: int, now_ms: float) -> None:
+        """The store took a map; its answer was read at ``now_ms``."""
         state = self._services[keymap.service]
         state.storing = None
-        self._adopt(state, replace(keymap, revision=revision))
+        self._adopt(state, replace(keymap, revision=revision), now_ms)
 
     def map_not_stored(self, service: str) -> None:
         """The store did not take a map, or it is not known whether it did."""
         self._services[service].storing = None
 
-    def map_seen(self, keymap: KeyMap) -> None:
+    def map_seen(self, keymap: KeyMap, now_ms: float) -> None:
         """A map was read from the store."""
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
         if state.storing is None and keymap.revision > state.keymap.revision:
-            self._adopt(state, keymap)
+            self._adopt(state, keymap, now_ms)
 
-    def _adopt(self, state: _ServiceState, keymap: KeyMap) -> None:
+    def _adopt(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
         state.keymap = keymap
         moving = {range_id(keymap.service, item): item for item in keymap.moving}
         for name in [known for known in state.transfers if known not in moving]:
             del state.transfers[name]
         for name, item in moving.items():
             if name not in state.transfers:
-                state.transfers[name] = Transfer.start(name, item, self._leases)
+                state.transfers[name] = Transfer.start(name, item, self._leases, now_ms)
         self._prepare_leases(keymap.ranges)
 
     def _prepare_leases(self, ranges: Iterable[KeyRange]) -> None:
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from ploverhatch.sharding import view
 from ploverhatch.sharding.holders import RETRY_MS, HolderLease
 from ploverhatch.sharding.keymap import Holder, KeyRange
 from ploverhatch.sharding.messages import RangeId, SendGrant, SendRelease
@@ -27,11 +28,22 @@
     done: bool = False
 
     @classmethod
-    def start(cls, name: RangeId, item: KeyRange, leases: dict[str, HolderLease]) -> "Transfer":
-        """Begin with the leases as they are; none is renewed from here on."""
+    def start(
+        cls, name: RangeId, item: KeyRange, leases: dict[str, HolderLease], now_ms: float
+    ) -> "Transfer":
+        """Begin with the leases as they are; none is renewed from here on.
+
+        A holder that does not release is also waited for until no node sends it
+        requests any more: a late grant may revive its lease.
+
+        :param now_ms: the map that says that the range moves is in the store by then.
+        """
         waiting = {holder.server_id: holder for holder in item.previous}
+        unused_ms = view.unused_from_ms(now_ms)
         lapses = {
-            server_id: leases[server_id].held_until_ms if server_id in leases else 0.0
+            server_id: max(leases[server_id].held_until_ms, unused_ms)
+            if server_id in leases
+            else unused_ms
             for server_id in waiting
         }
         return cls(name, item.holder, waiting, lapses)
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -1,10 +1,12 @@
 """A simulated node: the product's decisions, with virtual time around them."""
 
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ploverhatch.leadership import election
 from ploverhatch.leadership.election import ElectionState
+from ploverhatch.sharding import view
 from ploverhatch.sharding.holders import HOLD_MS
 from ploverhatch.sharding.keymap import KeyMap
 from ploverhatch.sharding.leader_core import LeaderCore
@@ -36,6 +38,9 @@
 SLOW_CONNECT_SHARE = 0.1
 CALL_TIMEOUT_MS = 600.0
 LATE_ORDER_MS = (2000.0, 12_000.0)
+BEACON_MS = 250.0
+BEACON_LOSS = 0.1
+BEACON_DELAY_MS = (0.2, 3.0)
 
 
 class SimKeyNode(Process):
@@ -60,6 +65,7 @@
         self._every(TICK_MS, self._tick)
         self._every(REQUEST_MS, self._send_request)
         self._every(election.RENEW_MS, self._elect)
+        self._every(BEACON_MS, self._tell)
 
     @property
     def now_ms(self) -> float:
@@ -179,12 +185,38 @@
                 return
             if item is not None:
                 keymap = replace(item.value, revision=item.revision)
-                core.inherit(keymap, max(self.state.inherited_until_ms, self.now_ms))
+                core.inherit(keymap, max(self.state.inherited_until_ms, self.now_ms), self.now_ms)
             self.core = core
 
         self._loading = True
         self.cell.store.read(self.name, SERVICE, self._answer(loaded))
 
+    # ---- the leader's word ----------------------------------------------------------------
+
+    def _tell(self) -> None:
+        """Tell the others that this node's map is current, as the relay does."""
+        if not self.has_authority or self.core is None:
+            return
+        self._contact_ms = self.now_ms
+        told = (self.state.seen.revision, self.core.keymap(SERVICE).revision)
+        for node in list(self.cell.nodes.values()):
+            if node is not self and self.world.random.random() >= BEACON_LOSS:
+                delay_ms = self.world.random.uniform(*BEACON_DELAY_MS)
+                self.world.after(delay_ms, partial(node.hear, *told, self.world.now_ms))
+
+    def hear(self, lease_revision: int, map_revision: int, sent_ms: float) -> None:
+        """Take a beacon; a paused process reads it late and knows how old it is."""
+
+        def take() -> None:
+            if lease_revision < self.state.heard_revision:
+                return
+            said_ms = self.now_ms - (self.world.now_ms - sent_ms)
+            self.state = election.heard(self.state, lease_revision, said_ms)
+            if self.keymap.revision >= map_revision:
+                self._contact_ms = max(self._contact_ms, said_ms)
+
+        self.do(take)
+
     # ---- leading --------------------------------------------------------------------------
 
     def _on_change(self, name: str, item: StoredItem) -> None:
@@ -202,13 +234,13 @@
             if not self._loading:
                 self._start_leading()
             return
-        self.core.map_seen(self.keymap)
+        self.core.map_seen(self.keymap, self.now_ms)
         records = [
             record for record in self.cell.records() if record.server_id not in self.known_ended
         ]
-        view = ServiceView(records, self.cell.rates(), {})
+        known = ServiceView(records, self.cell.rates(), {})
         may_change = election.may_change(self.state, self.now_ms)
-        self._execute(self.core, self.core.tick(self.now_ms, {SERVICE: view}, may_change))
+        self._execute(self.core, self.core.tick(self.now_ms, {SERVICE: known}, may_change))
 
     def _execute(self, core: LeaderCore, actions: list[Action]) -> None:
         if core is not self.core:
@@ -231,7 +263,7 @@
     def _store_map(self, core: LeaderCore, keymap: KeyMap) -> None:
         def done(result: StoreResult, item: StoredItem | None) -> None:
             if result is StoreResult.DONE and item is not None:
-                core.map_stored(keymap, item.revision)
+                core.map_stored(keymap, item.revision, self.now_ms)
                 self.keymap = core.keymap(SERVICE)
             elif result is StoreResult.FAILED:
                 core.map_not_stored(SERVICE)
@@ -241,7 +273,7 @@
         def read_back(result: StoreResult, item: StoredItem | None) -> None:
             core.map_not_stored(SERVICE)
             if result is StoreResult.DONE and item is not None:
-                core.map_seen(replace(item.value, revision=item.revision))
+                core.map_seen(replace(item.value, revision=item.revision), self.now_ms)
 
         self.cell.store.write(self.name, SERVICE, keymap, keymap.revision, self._answer(done))
 
@@ -288,7 +320,7 @@
     def _send_request(self) -> None:
         key = self.world.random.choice(SAMPLE_KEYS)
         found = self.keymap.find(key)
-        trusted = election.view_is_trusted(self._contact_ms, self.now_ms)
+        trusted = view.view_is_trusted(self._contact_ms, self.now_ms)
         if found is None or not found.settled or not trusted:
             return
         server = self.cell.servers.get(found.holder.server_id)
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -219,7 +219,7 @@
 def test_an_old_map_guides_no_request(bench):
     upstream = Upstream("u1", sharded=True)
     bench.own_keys(bench.add(upstream, service=KEYED))
-    bench.directory.store_contact_ms -= 60_000
+    bench.directory.keymaps_current_ms -= 60_000
     assert bench.ask(b"/keyonce/", headers=[(b"Shard-Key", b"7")]).status == 503
     assert upstream.arrived == []
 
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -108,7 +108,7 @@
 
 def test_a_node_that_the_store_turns_away_goes_on_by_the_leaders_word(pair, monkeypatch):
     site, leader, follower = pair
-    monkeypatch.setattr("ploverhatch.leadership.election.VIEW_MS", 1000.0)
+    monkeypatch.setattr("ploverhatch.sharding.view.VIEW_MS", 1000.0)
     for name in ("replace", "get", "watch", "list_all"):
         monkeypatch.setattr(follower._store, name, refuse)
     gevent.sleep(1.5)
--- a/tests/unit/key_mutations.py
+++ b/tests/unit/key_mutations.py
@@ -4,12 +4,12 @@
 from unittest import mock
 
 from ploverhatch.leadership import election
-from ploverhatch.sharding import holders
+from ploverhatch.sharding import holders, view
 from ploverhatch.sharding.leader_core import LeaderCore, _ServiceState
 from ploverhatch.sharding.transfer import Transfer
 
 
-def start_without_waiting(cls, name, item, leases):
+def start_without_waiting(cls, name, item, leases, now_ms):
     return cls(name, item.holder, {}, {})
 
 
@@ -25,9 +25,9 @@
     return state.leading
 
 
-def inherit_nothing(self, keymap, renewable_until_ms):
+def inherit_nothing(self, keymap, renewable_until_ms, now_ms):
     state = self._services.setdefault(keymap.service, _ServiceState(keymap))
-    self._adopt(state, keymap)
+    self._adopt(state, keymap, now_ms)
 
 
 MUTATIONS = {
@@ -44,7 +44,7 @@
     "leases of the last leader not inherited": [
         mock.patch.object(LeaderCore, "inherit", inherit_nothing)
     ],
-    "old maps trusted": [mock.patch.object(election, "view_is_trusted", lambda *args: True)],
+    "old maps trusted": [mock.patch.object(view, "view_is_trusted", lambda *args: True)],
     "leader acts past its authority": [
         mock.patch.object(election, "has_authority", always_authority),
         mock.patch.object(election, "may_change", always_authority),
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -15,6 +15,7 @@
     StepDown,
     StoreMap,
 )
+from ploverhatch.sharding.view import unused_from_ms
 from ploverhatch.state.servers import ServerRecord
 
 SERVICE = "svc"
@@ -48,7 +49,7 @@
 
 def store(core, actions, revision):
     (action,) = of_kind(actions, StoreMap)
-    core.map_stored(action.keymap, revision)
+    core.map_stored(action.keymap, revision, 0.0)
 
 
 def test_first_deal_waits_for_a_stable_set_of_servers():
@@ -187,14 +188,14 @@
     records = view(record(0, draining=True), record(1))
     (action,) = of_kind(core.tick(1000.0, records, True), StoreMap)
     core.map_not_stored(SERVICE)
-    core.map_seen(replace(action.keymap, revision=9))  # it had been stored after all
+    core.map_seen(replace(action.keymap, revision=9), 1000.0)  # it had been stored after all
     assert core.keymap(SERVICE).revision == 9
     assert of_kind(core.tick(1050.0, records, True), SendRelease)
 
 
 def test_an_older_map_is_not_taken():
     core = two_servers()
-    core.map_seen(replace(KeyMap(SERVICE), revision=1))
+    core.map_seen(replace(KeyMap(SERVICE), revision=1), 0.0)
     assert core.keymap(SERVICE).ranges
 
 
@@ -237,7 +238,7 @@
     (moved,) = of_kind(core.tick(1000.0, views, True), StoreMap)
     assert moved.keymap.find(5).holder == holder(1)
     settled = settle(moved.keymap, lambda item: True)
-    core.map_stored(settled, 2)
+    core.map_stored(settled, 2, 1000.0)
     faster = {"s0": 100.0, "s1": 100.0, "s2": 40.0}
     views = {SERVICE: replace(records[SERVICE], work_ms=faster)}
     for action in of_kind(core.tick(1500.0, views, True), StoreMap):
@@ -252,3 +253,25 @@
     lapsed_ms = TIMING.lapse_ms(0.0) + 1.0
     assert core.forget_gone(["s5"], lapsed_ms - 10.0) == {"s0", "s1", "s5", "s7"}
     assert core.forget_gone(["s5"], lapsed_ms) == {"s0", "s1", "s5"}
+
+
+def test_keys_of_a_silent_holder_wait_until_no_node_uses_the_old_map():
+    """Found by the simulation (seed 194): a late grant revived a lapsed lease."""
+    core = two_servers()
+    core.grant_sent(holder(0), 0.0)
+    stored_ms = TIMING.lapse_ms(0.0) - 500.0  # the lease lapses soon after
+    records = view(record(1))
+    actions = core.tick(stored_ms, records, True)
+    (action,) = of_kind(actions, StoreMap)
+    core.map_stored(action.keymap, 2, stored_ms)
+    (release,) = of_kind(core.tick(stored_ms, records, True), SendRelease)
+    core.release_ended(release, CallOutcome.NO_ANSWER, "", stored_ms + 100.0)
+    unused_ms = unused_from_ms(stored_ms)
+    assert unused_ms > TIMING.lapse_ms(0.0)
+
+    def first_grants(now_ms):
+        grants = of_kind(core.tick(now_ms, records, True), SendGrant)
+        return [grant for grant in grants if not grant.renewal]
+
+    assert first_grants(unused_ms - 1.0) == []
+    assert [grant.holder for grant in first_grants(unused_ms)] == [holder(1)]
