--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -69,9 +69,8 @@
 
     first_wait_s: float  # after the first listing: a leader may tell of changes by then
 
-    @property
-    def watch_wait_s(self) -> float:
-        """How long a watch waits at the store; short where its answers are proofs."""
+    def watch_wait_s(self, kind: str) -> float:
+        """Return how long a watch waits at the store; short where its answers are proofs."""
 
     def covered_until_ms(self, kind: str, cursor: int) -> float:
         """Return until when the store need not be asked for a kind."""
@@ -205,7 +204,7 @@
 
     def _watch(self) -> None:
         base = self._cursor.revision
-        wait_s = self._relay.watch_wait_s
+        wait_s = self._relay.watch_wait_s(self.kind)
         sent_ms = elapsed_ms()
         batch = self._store.watch(self.kind, base, wait_s)
         empty = not batch.changes
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -24,7 +24,7 @@
 BEACON_S = 0.25
 FIRST_WAIT_S = 0.8
 LONG_WAIT_S = 2.0  # shorter than key maps are trusted, and finds dead connections
-PROOF_WAIT_S = 0.4
+PROOF_WAIT_PART = 0.5  # of how old the leader's view may be
 OVERTAKEN_S = 0.05  # a beacon may overtake the changes that it speaks of
 MAX_CHANGES = 7000  # bytes of changes in one datagram
 
@@ -63,10 +63,14 @@
         """Take the tasks that follow the kinds."""
         self._tasks = {task.kind: task for task in tasks}
 
-    @property
-    def watch_wait_s(self) -> float:
-        """How long this node's watches wait: each answer of the leader's is a proof."""
-        return PROOF_WAIT_S if self._leading else LONG_WAIT_S
+    def watch_wait_s(self, kind: str) -> float:
+        """Return how long a watch waits: each answer of the leader's is a proof.
+
+        Not for key maps, which the leader writes itself.
+        """
+        if not self._leading or kind == kinds.KEYMAPS:
+            return LONG_WAIT_S
+        return self._coverage.limit_ms * PROOF_WAIT_PART / 1000
 
     # ---- as any node --------------------------------------------------------------------
 
