--- a/ploverhatch/simulation/keys/cell.py
+++ b/ploverhatch/simulation/keys/cell.py
@@ -93,6 +93,10 @@
                 return server if server.life == holder.server_id else CallOutcome.OTHER_INSTANCE
         return CallOutcome.NO_ANSWER
 
+    def can_connect(self, node: SimKeyNode, holder: Holder) -> bool:
+        """Whether something answers at a holder's address."""
+        return self._reach(node, holder) is not CallOutcome.NO_ANSWER
+
     def deliver(
         self,
         node: SimKeyNode,
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -198,20 +198,24 @@
         if not self.has_authority or self.core is None:
             return
         self._contact_ms = self.now_ms
-        told = (self.state.seen.revision, self.core.keymap(SERVICE).revision)
+        renewed_age_ms = self.now_ms - self.state.renewed_ms
+        map_revision = self.core.keymap(SERVICE).revision
+        told = (self.state.seen.revision, renewed_age_ms, map_revision)
         for node in list(self.cell.nodes.values()):
             if node is not self and self.world.random.random() >= BEACON_LOSS:
                 delay_ms = self.world.random.uniform(*BEACON_DELAY_MS)
                 self.world.after(delay_ms, partial(node.hear, *told, self.world.now_ms))
 
-    def hear(self, lease_revision: int, map_revision: int, sent_ms: float) -> None:
+    def hear(
+        self, lease_revision: int, renewed_age_ms: float, map_revision: int, sent_ms: float
+    ) -> None:
         """Take a beacon; a paused process reads it late and knows how old it is."""
 
         def take() -> None:
             if lease_revision < self.state.heard_revision:
                 return
             said_ms = self.now_ms - (self.world.now_ms - sent_ms)
-            self.state = election.heard(self.state, lease_revision, said_ms)
+            self.state = election.heard(self.state, lease_revision, said_ms - renewed_age_ms)
             if self.keymap.revision >= map_revision:
                 self._contact_ms = max(self._contact_ms, said_ms)
 
@@ -282,6 +286,9 @@
             self._execute(core, core.grant_ended(action, outcome, self.now_ms))
 
         def connected() -> None:
+            if not self.cell.can_connect(self, action.holder):
+                ended(CallOutcome.NO_ANSWER)  # nothing was sent
+                return
             right = self.has_authority and core.may_send(
                 action.holder, action.range_id, action.renewal
             )
