Ask the leader for whole kinds of objects; tell all members who leads

And each node that starts, or misses a change, reads every kind from the store. Change: nodes write their address into their own object; the leader's beacons carry its address and some go to all members; a node that starts or is behind asks the leader for the whole kind over TCP, checked by revision and by age. A leader that hears of a later lease stops at once. The leader's word on key maps stays good for its term though the store answers nobody: before, followers stopped to trust them 3 s into an outage (test failed first). Ruled out: slow moves (no range of those keys was moving then).

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import gevent
+from gevent.event import Event
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
@@ -53,10 +54,17 @@
         self._store_away = False
         self._registered = False
         self._renewal = 0
+        self._nodes: dict[str, VersionedObject] = {}
         self._not_before_ms = 0.0
         self._stopped = False
+        self._looked = Event()  # the lease was read once, or a leader was heard
         self.state = ElectionState(node, life)
-        self.node_count = 1
+        self.members: frozenset[str] = frozenset()  # addresses of all nodes known
+
+    @property
+    def address(self) -> str:
+        """Where this node takes reports and answers other nodes."""
+        return self._address
 
     @property
     def has_authority(self) -> bool:
@@ -71,7 +79,16 @@
     @property
     def leader_address(self) -> str:
         """Where the leader takes reports; empty when there is none."""
-        return "" if self.state.seen.released else self.state.seen.address
+        return self.state.leader_address
+
+    @property
+    def node_count(self) -> int:
+        """Number of nodes that share the budgets; 1 at least."""
+        return max(len(self._nodes), 1)
+
+    def await_leader(self, timeout_s: float) -> None:
+        """Wait until it is known who leads, if the store or a leader tells."""
+        self._looked.wait(timeout_s)
 
     def run(self) -> None:
         """Take part until stopped."""
@@ -87,6 +104,7 @@
                 self._look()
                 self._looked_ms = elapsed_ms()
         except StoreCallError as error:
+            self._looked.set()
             self._note_store(error)
             return RETRY_S + random.uniform(0.0, RETRY_S)
         self._note_store(None)
@@ -110,22 +128,27 @@
         """Whether the leader was heard lately, so that its lease need not be read."""
         return self._covered() and elapsed_ms() - self._looked_ms < election.LOOK_COVERED_MS
 
-    def heard(self, lease_revision: int, renewed_ms: float) -> None:
+    def heard(self, lease_revision: int, renewed_ms: float, address: str) -> None:
         """The leader told of its lease: renewed at ``renewed_ms``, elapsed clock of this node."""
-        self.state = election.heard(self.state, lease_revision, renewed_ms)
+        before = self.state
+        self.state = election.heard(before, lease_revision, renewed_ms, address)
+        self._looked.set()
+        if before.leading and not self.state.leading:
+            LOG.warning("Another node tells that it leads.", address=address)
 
     # ---- following --------------------------------------------------------------------
 
     def _look(self) -> None:
         stale = self._registered
         listing = self._store.list_all(kinds.LEASES, stale=stale)
-        nodes = 0
+        self._nodes = {
+            item.name: item for item in listing.items if item.name.startswith(NODE_PREFIX)
+        }
+        self.members = frozenset(map(keymap_codec.decode_member, self._nodes.values())) - {""}
         for item in listing.items:
             if item.name == kinds.LEADER_LEASE:
                 self._observe(keymap_codec.decode_lease(item))
-            elif item.name.startswith(NODE_PREFIX):
-                nodes += 1
-        self.node_count = max(nodes, 1)
+        self._looked.set()
         if not self._registered:
             self._register()
         now_ms = elapsed_ms()
@@ -139,9 +162,15 @@
             LOG.warning("Leadership lost.", to=lease.node)
 
     def _register(self) -> None:
-        """Add this node to those that share the budgets."""
-        with suppress(RevisionConflictError):  # an earlier life of this node did
-            self._store.create(kinds.LEASES, NODE_PREFIX + self.state.node, None)
+        """Add this node, with its address, to those that share the budgets."""
+        name = NODE_PREFIX + self.state.node
+        content = keymap_codec.encode_member(self._address)
+        known = self._nodes.get(name)
+        with suppress(RevisionConflictError):  # an earlier call of this node was late
+            if known is None:
+                self._store.create(kinds.LEASES, name, content)
+            elif keymap_codec.decode_member(known) != self._address:
+                self._store.replace(kinds.LEASES, name, content, known.revision)
         self._registered = True
 
     def _claim(self, read_again: bool) -> None:
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -3,6 +3,8 @@
 A task lists its kind and watches it. While the leader tells all changes of the
 kind and shows that its view is current, the task takes these and leaves the
 store alone; when that ends, it goes on from the last change that it was told.
+At the start, and where changes were missed, the leader is asked for the whole
+kind before the store is.
 """
 
 from collections.abc import Callable
@@ -10,13 +12,14 @@
 from typing import Protocol
 
 import gevent
+import msgspec
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
 from ploverhatch.relay import coverage, publisher
 from ploverhatch.relay.coverage import Cursor
-from ploverhatch.relay.messages import Told, ToldChange
+from ploverhatch.relay.messages import Snapshot, SnapshotItem, Told, ToldChange
 from ploverhatch.relay.publisher import FeedView
 from ploverhatch.store.objects import (
     HistoryDroppedError,
@@ -31,6 +34,7 @@
 LOG = PartLogger("feed")
 
 REBASE_MS = 5000.0  # a watch goes on from an older revision no longer: history is dropped
+UNKNOWN_CONTENT = msgspec.Raw(msgspec.msgpack.encode(None))
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
 
@@ -62,6 +66,8 @@
     take_told: Callable[[ToldChange], bool] | None = None
     repeatable: bool = False  # a change may be taken again by itself
     confirmed: Callable[[float], None] = lambda current_ms: None
+    # All objects, where the node keeps them in another form than the store's.
+    items: Callable[[], list[SnapshotItem]] | None = None
 
 
 class FeedRelay(Protocol):
@@ -78,6 +84,21 @@
     def read(self, kind: str, base: int, reached: int, changes: list[ToldChange]) -> None:
         """All changes of a kind between two revisions were read from the store."""
 
+    def await_leader(self) -> None:
+        """Wait a little until it is known who leads."""
+
+    def knows_more(self, kind: str, cursor: int, missed: bool) -> bool:
+        """Whether the leader is to be asked for a kind.
+
+        :param missed: whether changes may have been missed since the cursor.
+        """
+
+    def fetch(self, kind: str) -> Snapshot | None:
+        """Return all objects of a kind from the leader, or ``None``."""
+
+    def relied_on_until_ms(self, current_ms: float) -> float:
+        """Return until when a view may be relied on that was surely current at a time."""
+
 
 class FeedTask:
     """Follows one kind."""
@@ -91,7 +112,8 @@
         self._failed = failed
         self._cursor = Cursor()
         self._must_list = True
-        self._names: set[str] = set()  # of the objects that are known
+        self._items: dict[str, SnapshotItem] = {}  # the objects that are known
+        self._relied_until_ms = -1e12  # on what the leader told as a whole
         self._current_ms = -1e12  # the view was surely current then
         self._moved_ms = -1e12  # when the cursor moved last
         self._nudged = Signal()
@@ -109,6 +131,11 @@
         reached = -1 if self._must_list else self._cursor.revision
         return FeedView(reached, self._current_ms)
 
+    @property
+    def items(self) -> list[SnapshotItem]:
+        """All objects, as other nodes are told them."""
+        return self._feed.items() if self._feed.items else list(self._items.values())
+
     @property
     def cursor(self) -> int:
         """Revision up to which all changes are known; below 0: none."""
@@ -128,10 +155,10 @@
             self._cursor = coverage.advanced(self._cursor, told)
 
     def _take_change(self, change: ToldChange) -> bool:
-        self._note_name(change.name, change.gone)
+        item = VersionedObject(change.name, change.revision, change.spec, change.status)
+        self._keep(item, change.gone)
         if self._feed.take_told is not None:
             return self._feed.take_told(change)
-        item = VersionedObject(change.name, change.revision, change.spec, change.status)
         self._feed.apply(ObjectChange(item, change.gone))
         return True
 
@@ -139,8 +166,9 @@
 
     def run(self) -> None:
         """Follow forever."""
+        self._relay.await_leader()
         while True:
-            if self._wait_while_covered():
+            if self._wait_while_covered() or self._ask_leader():
                 continue
             try:
                 if self._must_list:
@@ -166,41 +194,70 @@
 
     def _wait_while_covered(self) -> bool:
         until_ms = self._relay.covered_until_ms(self.kind, self._cursor.revision)
-        left_ms = until_ms - elapsed_ms()
+        left_ms = max(until_ms, self._relied_until_ms) - elapsed_ms()
         if left_ms <= 0:
             return False
         self._nudged.wait(left_ms / 1000)
         return True
 
+    def _ask_leader(self) -> bool:
+        """Take the whole kind from the leader; true if it can be relied on."""
+        if not self._relay.knows_more(self.kind, self._cursor.revision, self._must_list):
+            return False
+        sent_ms = elapsed_ms()
+        snapshot = self._relay.fetch(self.kind)
+        if snapshot is None or snapshot.reached < self._cursor.revision:
+            return False
+        # Its age counts from when it was answered, which was after it was asked for.
+        current_ms = sent_ms - snapshot.age_ms
+        self._replace_all(tuple(_typed(item) for item in snapshot.items))
+        self._move_to(snapshot.reached)
+        self._note_current(current_ms)
+        self._must_list = False
+        self._relied_until_ms = self._relay.relied_on_until_ms(current_ms)
+        return elapsed_ms() < self._relied_until_ms
+
+    def _replace_all(self, items: tuple[VersionedObject, ...]) -> None:
+        self._feed.replace_all(items)
+        self._items.clear()
+        for item in items:
+            self._keep(item, gone=False)
+
     def _list(self) -> None:
         sent_ms = elapsed_ms()
         listing = self._store.list_all(self.kind)
         if listing.revision >= self._cursor.revision:
             base = self._cursor.revision
-            self._feed.replace_all(listing.items)
+            known = self._items.keys()
+            gone = sorted(known - {item.name for item in listing.items})
+            self._replace_all(listing.items)
             self._move_to(listing.revision)
-            self._tell_listing(base, listing)
+            self._tell_listing(base, listing, gone)
         self._note_current(sent_ms)
         self._must_list = False
         self._recovered()
 
-    def _tell_listing(self, base: int, listing: Listing) -> None:
+    def _tell_listing(self, base: int, listing: Listing, gone: list[str]) -> None:
         """Tell what a listing shows to have changed since the last revision known."""
-        listed = {item.name for item in listing.items}
-        gone = self._names - listed
-        self._names = listed
         if base < 0:
             return
         newer = [ObjectChange(item, gone=False) for item in listing.items if item.revision > base]
         told = [item for change in newer if (item := self._feed.encode(change))]
-        told += [ToldChange(name, listing.revision, None, gone=True) for name in sorted(gone)]
+        told += [ToldChange(name, listing.revision, None, gone=True) for name in gone]
         self._relay.read(self.kind, base, listing.revision, told)
 
-    def _note_name(self, name: str, gone: bool) -> None:
+    def _keep(self, item: VersionedObject, gone: bool) -> None:
+        """Keep an object in the form in which other nodes are told it."""
         if gone:
-            self._names.discard(name)
+            self._items.pop(item.name, None)
+        elif self._feed.items is not None:
+            self._items[item.name] = SnapshotItem(
+                item.name, item.revision, UNKNOWN_CONTENT, UNKNOWN_CONTENT
+            )
         else:
-            self._names.add(name)
+            spec = msgspec.Raw(msgspec.msgpack.encode(item.spec))
+            status = msgspec.Raw(msgspec.msgpack.encode(item.status))
+            self._items[item.name] = SnapshotItem(item.name, item.revision, spec, status)
 
     def _watch(self) -> None:
         base = self._cursor.revision
@@ -217,7 +274,7 @@
         self._note_current(current_ms)
         news = [change for change in batch.changes if self._feed.apply(change)]
         for change in batch.changes:
-            self._note_name(change.object.name, change.gone)
+            self._keep(change.object, change.gone)
         self._move_to(max(batch.revision, self._cursor.revision))
         told = [item for change in batch.changes if (item := self._feed.encode(change))]
         self._relay.read(self.kind, base, batch.revision, told)
@@ -244,3 +301,9 @@
             away_ms = int(elapsed_ms() - self._lost_ms)
             LOG.info("Store regained.", kind=self.kind, away_ms=away_ms)
             self._lost_ms = 0.0
+
+
+def _typed(item: SnapshotItem) -> VersionedObject:
+    """Return an object of a snapshot as the store would."""
+    spec = msgspec.msgpack.decode(item.spec)
+    return VersionedObject(item.name, item.revision, spec, msgspec.msgpack.decode(item.status))
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -32,6 +32,10 @@
     ranges: list[_StoredRange]
 
 
+class _StoredMember(msgspec.Struct):
+    address: str = ""
+
+
 class _StoredLease(msgspec.Struct):
     node: str
     life: str
@@ -114,6 +118,19 @@
     )
 
 
+def encode_member(address: str) -> object:
+    """Return the content of a node's own object: where it takes datagrams."""
+    return msgspec.to_builtins(_StoredMember(address))
+
+
+def decode_member(item: VersionedObject) -> str:
+    """Return a node's address; empty where an earlier version wrote none.
+
+    :raises UnreadableObjectError: when the object has another form.
+    """
+    return _read(item, _StoredMember).address if item.spec is not None else ""
+
+
 def _read(item: VersionedObject, form: type[T]) -> T:
     try:
         return msgspec.convert(item.spec, form)
--- a/ploverhatch/gateway/keymap_relay.py
+++ b/ploverhatch/gateway/keymap_relay.py
@@ -1,9 +1,11 @@
 """Key maps as they are told between nodes: what changed since the last one told."""
 
+import msgspec
+
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway import keymap_codec
 from ploverhatch.gateway.directory import Directory
-from ploverhatch.relay.messages import ToldChange
+from ploverhatch.relay.messages import SnapshotItem, ToldChange
 from ploverhatch.sharding.keymap import KeyMap, changed_ranges, patched
 from ploverhatch.store.objects import ObjectChange, UnreadableObjectError, VersionedObject
 
@@ -35,6 +37,14 @@
         keymap = self._directory.keymaps.get(change.object.name)
         return None if change.gone or keymap is None else self.change_of(keymap)
 
+    def items(self) -> list[SnapshotItem]:
+        """Return all maps that this node knows, whole."""
+        nothing = msgspec.Raw(msgspec.msgpack.encode(None))
+        return [
+            SnapshotItem(service, keymap.revision, _encoded(keymap), nothing)
+            for service, keymap in self._directory.keymaps.items()
+        ]
+
     def apply(self, change: ToldChange) -> bool:
         """Take a change; false when the map that it builds on is not known."""
         if change.gone:
@@ -57,3 +67,7 @@
     def begin_term(self) -> None:
         """Tell what changes from here on: the others know the same maps, or ask."""
         self._told = dict(self._directory.keymaps)
+
+
+def _encoded(keymap: KeyMap) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.msgpack.encode(keymap_codec.encode_keymap(keymap)))
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -5,7 +5,7 @@
 replaces a newer one.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -22,10 +22,12 @@
 LOG = PartLogger("peer")
 
 REPORT_S = 0.5
+FIRST_REPORT_S = 0.1  # between looks for a leader to report to for the first time
 MAX_KEYS = 400  # of one report and service
 MAX_DATAGRAM = 8192
 TIMES_EVERY = 4  # answer times go with every fourth report
 PEER_MEMORY_MS = 3000.0  # a node that reported within that time is told of changes
+MEMBERS_EVERY = 4  # every fourth beacon also goes to nodes that do not report
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=1):
@@ -57,7 +59,10 @@
         collect: Callable[[], LoadReport],
         leader: Callable[[], str],
         take_report: Callable[[LoadReport], None],
+        members: Callable[[], Collection[str]] = frozenset,
     ) -> None:
+        self._members = members
+        self._beacons = 0
         self._collect = collect
         self._leader = leader
         self._take_report = take_report
@@ -79,8 +84,9 @@
     def report_forever(self) -> None:
         """Report to the leader at a steady pace, also when there is no load."""
         round_number = 0
+        while not self._leader():
+            gevent.sleep(FIRST_REPORT_S)
         while True:
-            gevent.sleep(REPORT_S)
             round_number += 1
             report = self._collect()
             if round_number % TIMES_EVERY:
@@ -91,9 +97,16 @@
             elif leader:
                 report.stamp_ms = elapsed_ms()
                 self._send(msgspec.msgpack.encode(report), HostPort.parse(leader))
+            gevent.sleep(REPORT_S)
 
     def publish(self, message: Told | Beacon) -> None:
-        """Send a message to all nodes that reported lately."""
+        """Send a message to all nodes that reported lately.
+
+        Some beacons go to all members: a node that cannot read the lease learns
+        from them who leads, and reports there from then on.
+        """
+        if isinstance(message, Beacon):
+            self._call_members(message)
         data = msgspec.msgpack.encode(message)
         now_ms = elapsed_ms()
         for address, peer in list(self._peers.items()):
@@ -105,6 +118,16 @@
                 data = msgspec.msgpack.encode(replace(message, sent_ms=peer.stamp_ms + since_ms))
             self._send(data, address)
 
+    def _call_members(self, beacon: Beacon) -> None:
+        self._beacons += 1
+        if self._beacons % MEMBERS_EVERY:
+            return
+        data = msgspec.msgpack.encode(beacon)
+        for member in self._members():
+            address = HostPort.parse(member)
+            if member != self._own and tuple(address) not in self._peers:
+                self._send(data, address)
+
     def _send(self, data: bytes, to: Address) -> None:
         if len(data) <= MAX_DATAGRAM:
             with suppress(OSError):
--- /dev/null
+++ b/ploverhatch/gateway/peer_objects.py
@@ -0,0 +1,97 @@
+"""Whole kinds of objects from the leader, for nodes that start or missed changes.
+
+The leader knows all objects and how current its view is, so a node need not read
+them from the store, where each call is priced and some nodes may be turned away.
+Too long for a datagram, they travel over a TCP connection to the leader.
+"""
+
+from collections.abc import Callable
+
+import gevent
+import msgspec
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.caller_server import CallerServer
+from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.relay.messages import Snapshot
+from ploverhatch.routing.route_table import ClientLimits
+from ploverhatch.transport.http_connection import (
+    AnswerCutError,
+    HostPort,
+    HttpConnection,
+    NotConnectedError,
+)
+
+LOG = PartLogger("peer")
+
+PATH = b"/objects/"
+TIMEOUT_S = 0.6
+CONNECT_TIMEOUT_S = 0.2
+ASK_AGAIN_MS = 1000.0  # after a leader did not answer
+MAX_CONNECTIONS = 256
+
+
+class SnapshotServer:
+    """Answers other nodes.
+
+    :param snapshot: returns a kind, or ``None`` where this node can't speak for it.
+    """
+
+    def __init__(self, address: HostPort, snapshot: Callable[[str], Snapshot | None]) -> None:
+        self._snapshot = snapshot
+        self._server = CallerServer(
+            address, self._answer, ClientLimits, max_connections=MAX_CONNECTIONS
+        )
+
+    def start(self) -> None:
+        """Start to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop to listen."""
+        self._server.stop()
+
+    def _answer(self, request: CallerRequest) -> CallerReply:
+        if not request.path.startswith(PATH):
+            return CallerReply(404)
+        snapshot = self._snapshot(request.path[len(PATH) :].decode("latin-1"))
+        if snapshot is None:
+            return CallerReply(503)
+        return CallerReply(200, body=msgspec.msgpack.encode(snapshot))
+
+
+class SnapshotClient:
+    """Asks the leader.
+
+    :param leader: its address; empty when none is known.
+    :param own: this node's address.
+    """
+
+    def __init__(self, leader: Callable[[], str], own: str) -> None:
+        self._leader = leader
+        self._own = own
+        self._failed: dict[str, float] = {}  # kind -> when the leader did not tell it
+
+    def may_ask(self, kind: str) -> bool:
+        """Whether there is another node to ask, and it did not just fail to answer."""
+        leader = self._leader()
+        rested = elapsed_ms() - self._failed.get(kind, -1e12) >= ASK_AGAIN_MS
+        return bool(leader) and leader != self._own and rested
+
+    def fetch(self, kind: str) -> Snapshot | None:
+        """Return all objects of a kind as the leader knows them, or ``None``."""
+        connection = HttpConnection(HostPort.parse(self._leader()))
+        payload = b"GET %s%s HTTP/1.1\r\nConnection: close\r\n\r\n" % (PATH, kind.encode())
+        try:
+            connection.open(CONNECT_TIMEOUT_S)
+            with gevent.Timeout(TIMEOUT_S):
+                answer = connection.exchange(b"GET", payload)
+            if answer.status == 200:
+                return msgspec.msgpack.decode(answer.body, type=Snapshot)
+        except (NotConnectedError, AnswerCutError, gevent.Timeout, ValueError) as error:
+            LOG.info("Leader did not tell.", kind=kind, cause=error)
+        finally:
+            connection.close()
+        self._failed[kind] = elapsed_ms()
+        return None
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -21,6 +21,7 @@
 from ploverhatch.gateway.keymap_relay import KeymapRelay
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
 from ploverhatch.gateway.peer_link import MAX_KEYS, LoadReport, PeerLink
+from ploverhatch.gateway.peer_objects import SnapshotClient, SnapshotServer
 from ploverhatch.gateway.relay import Relay
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.gateway.supervisor import run_forever
@@ -94,6 +95,7 @@
             self._collect_load,
             lambda: self._elector.leader_address,
             self._take_load,
+            lambda: self._elector.members,
         )
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
@@ -101,9 +103,11 @@
             self.directory,
             keymap_relay,
             self._term,
-            self._elector.heard,
+            self._elector,
+            SnapshotClient(lambda: self._elector.leader_address, self._elector.address),
             self._peers.publish,
         )
+        self._snapshots = SnapshotServer(peer_address, self._relay.snapshot)
         self._peers.take(Told, self._relay.take_told)
         self._peers.take(Beacon, self._relay.take_beacon)
         self._feeds = [
@@ -130,6 +134,7 @@
         gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(self.reload))
         self._readiness.start()
         self._callers.start()
+        self._snapshots.start()
         self._tasks = [
             gevent.spawn(run_forever, name, job, failed) for name, job, failed in self._jobs()
         ]
@@ -177,6 +182,7 @@
         gevent.killall(self._tasks)
         self._callers.stop()
         self._readiness.stop()
+        self._snapshots.stop()
         self._peers.close()
         self._stopped.set()
 
@@ -215,6 +221,7 @@
                 keymap_relay.apply,
                 repeatable=True,
                 confirmed=self.directory.note_keymaps,
+                items=keymap_relay.items,
             ),
         ]
 
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -12,17 +12,20 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.elector import Elector
 from ploverhatch.gateway.feeds import FeedTask
 from ploverhatch.gateway.keymap_relay import KeymapRelay
+from ploverhatch.gateway.peer_objects import SnapshotClient
 from ploverhatch.relay import coverage, publisher
 from ploverhatch.relay.coverage import Coverage
-from ploverhatch.relay.messages import Beacon, Told, ToldChange
+from ploverhatch.relay.messages import Beacon, Snapshot, Told, ToldChange
 from ploverhatch.relay.publisher import FeedView, Term
 from ploverhatch.sharding.keymap import KeyMap
 from ploverhatch.store import kinds
 
 BEACON_S = 0.25
 FIRST_WAIT_S = 0.8
+LEADER_WAIT_S = 0.5  # until it is known at the start who leads
 LONG_WAIT_S = 2.0  # shorter than key maps are trusted, and finds dead connections
 PROOF_WAIT_PART = 0.5  # of how old the leader's view may be
 OVERTAKEN_S = 0.05  # a beacon may overtake the changes that it speaks of
@@ -34,8 +37,8 @@
 
     :param limit_ms: how old the leader's view may be to be relied on.
     :param term: the term while this node leads; ``None`` while it does not.
-    :param heard: called with the lease's revision and the time of its renewal,
-        as the leader tells them.
+    :param elector: told of the leader's beacons; knows who leads.
+    :param leader: asks the leader for whole kinds.
     :param send: sends a message to all nodes that reported lately.
     """
 
@@ -45,7 +48,8 @@
         directory: Directory,
         keymaps: KeymapRelay,
         term: Callable[[], Term | None],
-        heard: Callable[[int, float], None],
+        elector: Elector,
+        leader: SnapshotClient,
         send: Callable[[Told | Beacon], None],
     ) -> None:
         self.first_wait_s = FIRST_WAIT_S
@@ -53,7 +57,8 @@
         self._directory = directory
         self._keymaps = keymaps
         self._term = term
-        self._heard = heard
+        self._elector = elector
+        self._leader = leader
         self._send = send
         self._tasks: dict[str, FeedTask] = {}
         self._told_reached: dict[str, int] = {}  # by kind, in this term
@@ -84,7 +89,9 @@
         """Take the leader's claims."""
         now_ms = elapsed_ms()
         self._coverage = coverage.take_beacon(self._coverage, beacon)
-        self._heard(beacon.lease_revision, beacon.sent_ms - beacon.renewed_age_ms)
+        self._elector.heard(
+            beacon.lease_revision, beacon.sent_ms - beacon.renewed_age_ms, beacon.address
+        )
         self._note_keymaps()
         behind = [
             task
@@ -103,6 +110,37 @@
         current_ms = coverage.current_ms(self._coverage, kinds.KEYMAPS, task.cursor)
         self._directory.note_keymaps(current_ms)
 
+    # ---- whole kinds --------------------------------------------------------------------
+
+    def await_leader(self) -> None:
+        """Wait a little until it is known who leads."""
+        self._elector.await_leader(LEADER_WAIT_S)
+
+    def knows_more(self, kind: str, cursor: int, missed: bool) -> bool:
+        """Whether the leader is to be asked for a kind."""
+        if self._term() is not None or not self._leader.may_ask(kind):
+            return False
+        return missed or coverage.is_behind(self._coverage, kind, cursor, elapsed_ms())
+
+    def fetch(self, kind: str) -> Snapshot | None:
+        """Return all objects of a kind from the leader, or ``None``."""
+        return self._leader.fetch(kind)
+
+    def relied_on_until_ms(self, current_ms: float) -> float:
+        """Return until when a view may be relied on that was surely current at a time."""
+        return current_ms + self._coverage.limit_ms
+
+    def snapshot(self, kind: str) -> Snapshot | None:
+        """Return a kind for another node, while this one leads and its view is current."""
+        task = self._tasks.get(kind)
+        if task is None or self._term() is None:
+            return None
+        view = self._claimed(kind)
+        age_ms = max(0.0, elapsed_ms() - view.current_ms)
+        if view.reached < 0 or age_ms >= self._coverage.limit_ms:
+            return None
+        return Snapshot(kind, view.reached, age_ms, task.items)
+
     def take_told(self, told: Told) -> None:
         """Take changes from the leader."""
         task = self._tasks.get(told.kind)
@@ -152,13 +190,24 @@
             self._change_part(term is not None)
         if term is None:
             return
-        views = {kind: self._view(kind) for kind in self._tasks}
-        written = views[kinds.KEYMAPS]
-        # Only a leader writes maps. Another one that takes over meanwhile waits
-        # until this one's authority has ended before keys move without a release.
-        views[kinds.KEYMAPS] = replace(written, current_ms=elapsed_ms())
+        views = {kind: self._claimed(kind) for kind in self._tasks}
         self._directory.note_keymaps(elapsed_ms())
-        self._send(publisher.beacon(term, views, elapsed_ms()))
+        self._send(publisher.beacon(term, views, elapsed_ms(), self._elector.address))
+
+    def _claimed(self, kind: str) -> FeedView:
+        """Return what this node may claim of a kind while it leads.
+
+        Only a leader writes key maps, so it knows them all for the rest of its term
+        once it has, though the store answers nobody. Another one that takes over
+        meanwhile waits until this one's authority has ended before keys move without
+        a release.
+        """
+        view = self._view(kind)
+        if kind != kinds.KEYMAPS:
+            return view
+        reached = max(view.reached, self._told_reached.get(kind, -1))
+        self._told_reached[kind] = reached
+        return FeedView(reached, elapsed_ms())
 
     def _view(self, kind: str) -> FeedView:
         view = self._tasks[kind].view
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -46,12 +46,20 @@
     inherited_until_ms: float = -1e12  # until when earlier leaders may act
     heard_revision: int = 0  # of the lease, as its leader last told
     heard_ms: float = -1e12  # when that renewal was sent
+    heard_address: str = ""  # of that leader
 
     @property
     def identity(self) -> tuple[str, str]:
         """Node and life."""
         return self.node, self.life
 
+    @property
+    def leader_address(self) -> str:
+        """Where the latest leader known takes reports; empty when there is none."""
+        if self.heard_address and self.heard_revision > self.seen.revision:
+            return self.heard_address
+        return "" if self.seen.released else self.seen.address
+
 
 def observe(state: ElectionState, lease: LeaseObject, now_ms: float) -> ElectionState:
     """Take a reading of the lease object, which may be old."""
@@ -63,11 +71,24 @@
     return replace(state, seen=lease, seen_since_ms=since_ms, leading=state.leading and not lost)
 
 
-def heard(state: ElectionState, lease_revision: int, renewed_ms: float) -> ElectionState:
-    """The leader told that it renewed its lease; what is older than known changes nothing."""
+def heard(
+    state: ElectionState, lease_revision: int, renewed_ms: float, address: str = ""
+) -> ElectionState:
+    """The leader told that it renewed its lease; what is older than known changes nothing.
+
+    A node that leads itself, and hears of a lease later than its own, was replaced:
+    it stops at once, though the store may not answer it.
+    """
     if lease_revision < state.heard_revision:
         return state
-    return replace(state, heard_revision=lease_revision, heard_ms=max(renewed_ms, state.heard_ms))
+    replaced = state.leading and lease_revision > state.seen.revision
+    return replace(
+        state,
+        heard_revision=lease_revision,
+        heard_ms=max(renewed_ms, state.heard_ms),
+        heard_address=address or state.heard_address,
+        leading=state.leading and not replaced,
+    )
 
 
 def silent_ms(state: ElectionState, now_ms: float) -> float:
--- a/ploverhatch/relay/coverage.py
+++ b/ploverhatch/relay/coverage.py
@@ -52,6 +52,12 @@
     return known.fresh_until_ms
 
 
+def is_behind(state: Coverage, kind: str, cursor: int, now_ms: float) -> bool:
+    """Whether the leader, with a current view, knows changes that the node does not."""
+    known = state.kinds.get(kind)
+    return known is not None and cursor < known.reached and now_ms < known.fresh_until_ms
+
+
 def current_ms(state: Coverage, kind: str, cursor: int) -> float:
     """Return when a node's view of a kind was surely current, by the leader's word."""
     return covered_until_ms(state, kind, cursor) - state.limit_ms
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -1,4 +1,4 @@
-"""What the leader tells: changes of a kind of objects, and how current its view is."""
+"""What the leader tells: changes of objects, whole kinds, and how current its view is."""
 
 from typing import Any
 
@@ -49,9 +49,30 @@
     ``renewed_age_ms`` ago. ``sent_ms`` is the earliest time at which the beacon
     can have been sent, on the clock of the node that it is for: a beacon that
     was held up, or is read after a pause of the process, is known to be old.
+    ``address`` is where the leader takes reports, for a node that cannot read
+    the lease.
     """
 
     lease_revision: int
     renewed_age_ms: float
     claims: dict[str, Claim]
     sent_ms: float = float("-inf")
+    address: str = ""
+
+
+class SnapshotItem(msgspec.Struct, array_like=True, frozen=True):
+    """One object of a snapshot; its content is encoded once and passed on as it is."""
+
+    name: str
+    revision: int
+    spec: msgspec.Raw
+    status: msgspec.Raw
+
+
+class Snapshot(msgspec.Struct, array_like=True, frozen=True):
+    """All objects of a kind at a revision; nothing was missing ``age_ms`` before the answer."""
+
+    kind: str
+    reached: int
+    age_ms: float
+    items: list[SnapshotItem]
--- a/ploverhatch/relay/publisher.py
+++ b/ploverhatch/relay/publisher.py
@@ -40,14 +40,14 @@
     renewed_ms: float
 
 
-def beacon(term: Term, views: Mapping[str, FeedView], now_ms: float) -> Beacon:
+def beacon(term: Term, views: Mapping[str, FeedView], now_ms: float, address: str = "") -> Beacon:
     """Return the claims for all kinds that can be spoken for."""
     claims = {
         kind: Claim(view.reached, max(0.0, now_ms - view.current_ms))
         for kind, view in views.items()
         if view.reached >= 0
     }
-    return Beacon(term.lease_revision, now_ms - term.renewed_ms, claims)
+    return Beacon(term.lease_revision, now_ms - term.renewed_ms, claims, address=address)
 
 
 def in_parts(
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -211,3 +211,94 @@
     directory = Known()
     assert KeymapRelay(directory).apply(change)
     assert directory.keymaps["keyed"] == first
+
+
+# ---- whole kinds from the leader --------------------------------------------------------
+
+
+def calls_for(site, kind, since):
+    return [call for call in site.store.calls[since:] if call[1] == kind]
+
+
+def test_a_node_that_starts_learns_from_the_leader(pair):
+    site, leader, follower = pair
+    before = len(site.store.calls)
+    late = site.start_gateway("node-3")
+    until(lambda: late.ready and late._relay.covered)
+    after = site.store.calls[before:]
+    listed = [call for call in after if call[1] != "leases" and "watch" not in call[3]]
+    assert listed == []
+    assert late.directory.keymaps == leader.directory.keymaps
+    assert late.directory.table.version == leader.directory.table.version
+    assert late.directory.servers.records == leader.directory.servers.records
+
+
+def test_a_node_that_starts_reads_the_store_when_no_leader_answers(pair, monkeypatch):
+    site, leader, follower = pair
+    leader._snapshots.stop()
+    late = site.start_gateway("node-3")
+    until(lambda: late.ready, 4.0)
+
+
+def test_a_long_configuration_costs_the_follower_no_call(pair):
+    site, leader, follower = pair
+    route = CONFIG["virtual_hosts"][0]["route_paths"][0]
+    routes = [{**route, "name": f"r{n}", "path_prefix": f"/r{n}/"} for n in range(400)]
+    hosts = [*CONFIG["virtual_hosts"], {"host": "long.example", "route_paths": routes}]
+    before = len(site.store.calls)
+    site.store.put("config", "main", {**CONFIG, "version": "00000009", "virtual_hosts": hosts})
+    until(lambda: follower.directory.table.version == 9, 2.0)
+    until(lambda: follower._relay.covered)
+    limit = 4  # the leader's watches meanwhile
+    assert len(calls_for(site, "config", before)) <= limit
+
+
+def test_an_old_view_of_the_leader_is_not_passed_on(pair, monkeypatch):
+    site, leader, follower = pair
+    assert leader._relay.snapshot("servers") is not None
+    assert follower._relay.snapshot("servers") is None
+    for name in ("replace", "get", "watch", "list_all"):
+        monkeypatch.setattr(leader._store, name, refuse)
+    leader._store.interrupt()
+    gevent.sleep(leader._settings.relay_limit_ms / 1000 + 0.1)
+    assert leader._relay.snapshot("servers") is None
+    assert leader._relay.snapshot("keymaps") is not None  # its own authority is the proof
+
+
+def test_a_node_without_the_store_finds_the_next_leader(monkeypatch):
+    """Found on a day of the new customer: cut-off nodes refused all keys after a change."""
+    site = Site()
+    site.store.put("config", "main", CONFIG)
+    site.start_upstream("s1", "keyed", sharded=True)
+    first = site.start_gateway("node-1")
+    until(lambda: first.leads and first.ready)
+    second = site.start_gateway("node-2")
+    until(lambda: second._relay.covered)
+    cut = site.start_gateway("node-3")
+    until(lambda: cut._relay.covered)
+    until(lambda: len(second._elector.members) >= 2, 8.0)
+    monkeypatch.setattr("ploverhatch.sharding.view.VIEW_MS", 1500.0)
+    for name in ("create", "replace", "get", "watch", "list_all"):
+        monkeypatch.setattr(cut._store, name, refuse)
+    first.shut()
+    until(lambda: second.leads)
+    until(lambda: cut._elector.leader_address == second._elector.address, 3.0)
+    until(lambda: cut.directory.keymaps_trusted, 3.0)
+    site.start_upstream("late", "plain")
+    until(lambda: "late" in cut.directory.servers.records, 3.0)
+    gevent.sleep(2.0)
+    assert cut.directory.keymaps_trusted
+    site.close()
+
+
+def test_key_maps_stay_trusted_while_the_store_answers_nobody(pair, monkeypatch):
+    site, leader, follower = pair
+    monkeypatch.setattr("ploverhatch.sharding.view.VIEW_MS", 1000.0)
+    for gateway in (leader, follower):
+        for name in ("create", "replace", "get", "watch", "list_all"):
+            monkeypatch.setattr(gateway._store, name, refuse)
+        gateway._store.interrupt()
+    gevent.sleep(2.0)
+    assert leader._elector.has_authority
+    assert leader.directory.keymaps_trusted
+    assert follower.directory.keymaps_trusted
--- a/tests/standin/relay.py
+++ b/tests/standin/relay.py
@@ -17,3 +17,15 @@
 
     def read(self, kind, base, reached, changes):
         self.told.append((kind, base, reached, changes))
+
+    def await_leader(self):
+        pass
+
+    def knows_more(self, kind, cursor, missed):
+        return False
+
+    def fetch(self, kind):
+        return None
+
+    def relied_on_until_ms(self, current_ms):
+        return current_ms
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -154,3 +154,20 @@
 def test_an_earlier_leaders_word_does_not_count():
     state = election.heard(ElectionState("n2", "l2"), 9, 1000.0)
     assert election.heard(state, 8, 5000.0) is state
+
+
+def test_a_leader_that_hears_of_a_later_lease_stops():
+    state = election.acquired(ElectionState("a", "1"), LeaseObject(5, "a", "1", "here"), 500.0)
+    assert election.has_authority(election.heard(state, 4, 400.0, "there"), 600.0)
+    replaced = election.heard(state, 6, 600.0, "there")
+    assert not election.has_authority(replaced, 601.0)
+    assert replaced.leader_address == "there"
+
+
+def test_the_latest_leader_known_is_reported_to():
+    state = election.observe(ElectionState("a", "1"), LeaseObject(5, "b", "1", "old"), 0.0)
+    assert state.leader_address == "old"
+    state = election.heard(state, 7, 10.0, "new")
+    assert state.leader_address == "new"
+    state = election.observe(state, LeaseObject(8, "c", "1", "newest"), 20.0)
+    assert state.leader_address == "newest"
