--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -44,7 +44,9 @@
         store_lost: Callable[[], None],
         store_regained: Callable[[], None],
         covered: Callable[[], bool] = lambda: False,
+        claim_delay_ms: float = 0.0,
     ) -> None:
+        self._claim_delay_s = claim_delay_ms / 1000
         self._store = store
         self._address = address
         self._store_lost = store_lost
@@ -153,7 +155,8 @@
             self._register()
         now_ms = elapsed_ms()
         if now_ms >= self._not_before_ms and election.wants_takeover(self.state, now_ms):
-            self._claim(read_again=stale)
+            gevent.sleep(self._claim_delay_s)  # stronger machines go first
+            self._claim(read_again=stale or self._claim_delay_s > 0)
 
     def _observe(self, lease: LeaseObject) -> None:
         before = self.state
@@ -174,7 +177,7 @@
         self._registered = True
 
     def _claim(self, read_again: bool) -> None:
-        if read_again:
+        if read_again and election.wants_takeover(self.state, elapsed_ms()):
             current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
             if current is not None:
                 self._observe(keymap_codec.decode_lease(current))
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -17,7 +17,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
-from ploverhatch.relay import coverage, publisher
+from ploverhatch.relay import coverage, packing, publisher
 from ploverhatch.relay.coverage import Cursor
 from ploverhatch.relay.messages import Snapshot, SnapshotItem, Told, ToldChange
 from ploverhatch.relay.publisher import FeedView
@@ -36,7 +36,7 @@
 REBASE_MS = 5000.0  # a watch goes on from an older revision no longer: history is dropped
 UNKNOWN_CONTENT = msgspec.Raw(msgspec.msgpack.encode(None))
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 2.0  # a node that leads: half of it, since it tells the others
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +75,10 @@
 
     first_wait_s: float  # after the first listing: a leader may tell of changes by then
 
+    @property
+    def leads(self) -> bool:
+        """Whether this node tells the others."""
+
     def watch_wait_s(self, kind: str) -> float:
         """Return how long a watch waits at the store; short where its answers are proofs."""
 
@@ -87,11 +91,8 @@
     def await_leader(self) -> None:
         """Wait a little until it is known who leads."""
 
-    def knows_more(self, kind: str, cursor: int, missed: bool) -> bool:
-        """Whether the leader is to be asked for a kind.
-
-        :param missed: whether changes may have been missed since the cursor.
-        """
+    def knows_more(self, kind: str, cursor: int) -> bool:
+        """Whether the leader is to be asked for a kind."""
 
     def fetch(self, kind: str) -> Snapshot | None:
         """Return all objects of a kind from the leader, or ``None``."""
@@ -189,7 +190,7 @@
                 # a watch that is asked again may hear nothing for a while.
                 self._must_list = True
                 self._note_failure(error)
-                self._nudged.wait(self._pause_s)
+                self._nudged.wait(self._pause_s / 2 if self._relay.leads else self._pause_s)
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
 
     def _wait_while_covered(self) -> bool:
@@ -202,7 +203,7 @@
 
     def _ask_leader(self) -> bool:
         """Take the whole kind from the leader; true if it can be relied on."""
-        if not self._relay.knows_more(self.kind, self._cursor.revision, self._must_list):
+        if not self._relay.knows_more(self.kind, self._cursor.revision):
             return False
         sent_ms = elapsed_ms()
         snapshot = self._relay.fetch(self.kind)
@@ -210,7 +211,12 @@
             return False
         # Its age counts from when it was answered, which was after it was asked for.
         current_ms = sent_ms - snapshot.age_ms
-        self._replace_all(tuple(_typed(item) for item in snapshot.items))
+        try:
+            items = packing.unpack(snapshot.packed, list[SnapshotItem])
+        except ValueError as error:
+            LOG.error("What the leader told is not understood.", kind=self.kind, cause=error)
+            return False
+        self._replace_all(tuple(_typed(item) for item in items))
         self._move_to(snapshot.reached)
         self._note_current(current_ms)
         self._must_list = False
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -16,7 +16,9 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.relay.messages import Beacon, Told
+from ploverhatch.common.signal import Signal
+from ploverhatch.relay import packing
+from ploverhatch.relay.messages import Beacon, Fragment, Told
 from ploverhatch.transport.http_connection import HostPort
 
 LOG = PartLogger("peer")
@@ -38,7 +40,7 @@
     stamp_ms: float = 0.0  # when it was sent, on its sender's clock
 
 
-Message = LoadReport | Told | Beacon
+Message = LoadReport | Told | Beacon | Fragment
 Address = tuple[str, int]
 
 
@@ -63,6 +65,10 @@
     ) -> None:
         self._members = members
         self._beacons = 0
+        self._beacon_ms = -1e12
+        self._leader_changed = Signal()
+        self._divided = 0  # messages that were longer than a datagram
+        self._assembly = packing.Assembly()
         self._collect = collect
         self._leader = leader
         self._take_report = take_report
@@ -97,7 +103,7 @@
             elif leader:
                 report.stamp_ms = elapsed_ms()
                 self._send(msgspec.msgpack.encode(report), HostPort.parse(leader))
-            gevent.sleep(REPORT_S)
+            self._leader_changed.wait(REPORT_S)
 
     def publish(self, message: Told | Beacon) -> None:
         """Send a message to all nodes that reported lately.
@@ -107,7 +113,7 @@
         """
         if isinstance(message, Beacon):
             self._call_members(message)
-        data = msgspec.msgpack.encode(message)
+        datagrams = self._datagrams(message)
         now_ms = elapsed_ms()
         for address, peer in list(self._peers.items()):
             since_ms = now_ms - peer.heard_ms
@@ -115,12 +121,26 @@
                 del self._peers[address]
                 continue
             if isinstance(message, Beacon):
-                data = msgspec.msgpack.encode(replace(message, sent_ms=peer.stamp_ms + since_ms))
-            self._send(data, address)
+                stamped = replace(message, sent_ms=peer.stamp_ms + since_ms)
+                datagrams = [msgspec.msgpack.encode(stamped)]
+            for data in datagrams:
+                self._send(data, address)
+
+    def _datagrams(self, message: Told | Beacon) -> list[bytes]:
+        """Encode a message; a long one is compressed and divided."""
+        data = msgspec.msgpack.encode(message)
+        if len(data) <= MAX_DATAGRAM:
+            return [data]
+        self._divided += 1
+        return [msgspec.msgpack.encode(part) for part in packing.divide(self._divided, data)]
 
     def _call_members(self, beacon: Beacon) -> None:
+        now_ms = elapsed_ms()
+        if now_ms - self._beacon_ms > PEER_MEMORY_MS:
+            self._beacons = 0  # the first one of a term goes to all
+        self._beacon_ms = now_ms
         self._beacons += 1
-        if self._beacons % MEMBERS_EVERY:
+        if self._beacons % MEMBERS_EVERY != 1:
             return
         data = msgspec.msgpack.encode(beacon)
         for member in self._members():
@@ -138,15 +158,32 @@
         while True:
             try:
                 data, peer = self._socket.recvfrom(MAX_DATAGRAM)
-                message = msgspec.msgpack.decode(data, type=Message)
+                message = self._decode(data, peer)
             except (OSError, ValueError) as error:
                 LOG.warning("Datagram not read.", cause=error)
                 continue
             if isinstance(message, LoadReport):
                 self._peers[peer] = _Peer(message.stamp_ms, elapsed_ms())
-            taker = self._takers.get(type(message))
-            if taker is not None:
-                taker(message)
+            self._take(message)
+
+    def _take(self, message: Message | None) -> None:
+        leader = self._leader()
+        taker = self._takers.get(type(message))
+        if taker is not None:
+            taker(message)
+        if self._leader() != leader:
+            self._leader_changed.raise_()
+
+    def _decode(self, data: bytes, peer: Address) -> Message | None:
+        """Return a message; ``None`` until the last fragment of a long one came.
+
+        :raises ValueError: when it has another form.
+        """
+        message = msgspec.msgpack.decode(data, type=Message)
+        if not isinstance(message, Fragment):
+            return message
+        whole = self._assembly.add(peer, message)
+        return None if whole is None else msgspec.msgpack.decode(whole, type=Told)
 
     def close(self) -> None:
         """Close the socket."""
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -89,6 +89,7 @@
             self._store_lost,
             store.interrupt,
             lambda: self._relay.covered,
+            settings.claim_delay_ms,
         )
         self._peers = PeerLink(
             peer_address,
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -16,7 +16,7 @@
 from ploverhatch.gateway.feeds import FeedTask
 from ploverhatch.gateway.keymap_relay import KeymapRelay
 from ploverhatch.gateway.peer_objects import SnapshotClient
-from ploverhatch.relay import coverage, publisher
+from ploverhatch.relay import coverage, packing, publisher
 from ploverhatch.relay.coverage import Coverage
 from ploverhatch.relay.messages import Beacon, Snapshot, Told, ToldChange
 from ploverhatch.relay.publisher import FeedView, Term
@@ -25,11 +25,12 @@
 
 BEACON_S = 0.25
 FIRST_WAIT_S = 0.8
+OWN_MAPS_MS = 500.0  # until the leader asks itself again whether it still leads
 LEADER_WAIT_S = 0.5  # until it is known at the start who leads
 LONG_WAIT_S = 2.0  # shorter than key maps are trusted, and finds dead connections
-PROOF_WAIT_PART = 0.5  # of how old the leader's view may be
+PROOF_WAIT_PART = 0.65  # of how old the leader's view may be
 OVERTAKEN_S = 0.05  # a beacon may overtake the changes that it speaks of
-MAX_CHANGES = 7000  # bytes of changes in one datagram
+MAX_CHANGES = 200_000  # bytes of changes in one message; what is longer is asked for
 
 
 class Relay:
@@ -62,6 +63,7 @@
         self._send = send
         self._tasks: dict[str, FeedTask] = {}
         self._told_reached: dict[str, int] = {}  # by kind, in this term
+        self._packed: dict[str, tuple[int, bytes]] = {}  # by kind: revision, objects
         self._leading = False
 
     def attach(self, tasks: Sequence[FeedTask]) -> None:
@@ -81,9 +83,11 @@
 
     def covered_until_ms(self, kind: str, cursor: int) -> float:
         """Return until when the store need not be asked for a kind."""
-        if self._leading:
-            return float("-inf")
-        return coverage.covered_until_ms(self._coverage, kind, cursor)
+        if not self._leading:
+            return coverage.covered_until_ms(self._coverage, kind, cursor)
+        if kind == kinds.KEYMAPS and self._told_reached.get(kind, -1) >= 0:
+            return elapsed_ms() + OWN_MAPS_MS  # nobody else writes them
+        return float("-inf")
 
     def take_beacon(self, beacon: Beacon) -> None:
         """Take the leader's claims."""
@@ -116,16 +120,21 @@
         """Wait a little until it is known who leads."""
         self._elector.await_leader(LEADER_WAIT_S)
 
-    def knows_more(self, kind: str, cursor: int, missed: bool) -> bool:
+    def knows_more(self, kind: str, cursor: int) -> bool:
         """Whether the leader is to be asked for a kind."""
         if self._term() is not None or not self._leader.may_ask(kind):
             return False
-        return missed or coverage.is_behind(self._coverage, kind, cursor, elapsed_ms())
+        return cursor < 0 or coverage.is_behind(self._coverage, kind, cursor, elapsed_ms())
 
     def fetch(self, kind: str) -> Snapshot | None:
         """Return all objects of a kind from the leader, or ``None``."""
         return self._leader.fetch(kind)
 
+    @property
+    def leads(self) -> bool:
+        """Whether this node tells the others."""
+        return self._leading
+
     def relied_on_until_ms(self, current_ms: float) -> float:
         """Return until when a view may be relied on that was surely current at a time."""
         return current_ms + self._coverage.limit_ms
@@ -139,7 +148,15 @@
         age_ms = max(0.0, elapsed_ms() - view.current_ms)
         if view.reached < 0 or age_ms >= self._coverage.limit_ms:
             return None
-        return Snapshot(kind, view.reached, age_ms, task.items)
+        return Snapshot(kind, view.reached, age_ms, self._packed_items(task, view.reached))
+
+    def _packed_items(self, task: FeedTask, reached: int) -> bytes:
+        """Return a kind's objects packed; once for all nodes that ask at a revision."""
+        known = self._packed.get(task.kind)
+        if known is None or known[0] != reached:
+            known = (reached, packing.pack(task.items))
+            self._packed[task.kind] = known
+        return known[1]
 
     def take_told(self, told: Told) -> None:
         """Take changes from the leader."""
@@ -218,6 +235,7 @@
     def _change_part(self, leading: bool) -> None:
         self._leading = leading
         self._told_reached.clear()
+        self._packed.clear()
         self._keymaps.begin_term()
         _nudge(list(self._tasks.values()))
 
--- a/ploverhatch/gateway/settings.py
+++ b/ploverhatch/gateway/settings.py
@@ -5,7 +5,10 @@
 
 from ploverhatch.transport.http_connection import HostPort
 
-RELAY_PART = 0.5  # of the time within which a change must be in force
+RELAY_PART = 0.65  # of the time within which a change must be in force
+LEADER_CORES = 0.5  # what leading some hundreds of machines takes
+LEADER_LINK_MBPS = 50.0
+LONGEST_CLAIM_DELAY_MS = 600.0
 CALLERS_PART = 0.6  # of the descriptors
 
 
@@ -35,17 +38,25 @@
     retry_window_s: float = 10.0
     lease_max_ms: float = 10_000.0
     max_descriptors: int = 4096
+    cores: float = 1.0  # share of a core that the machine gives
+    link_mbps: float = 1000.0
 
     @property
     def max_caller_connections(self) -> int:
         """How many callers may be connected; the other descriptors are for servers and files."""
         return max(1, int(self.max_descriptors * CALLERS_PART))
 
+    @property
+    def claim_delay_ms(self) -> float:
+        """How long this machine leaves the lead to stronger ones."""
+        strength = min(self.cores / LEADER_CORES, self.link_mbps / LEADER_LINK_MBPS, 1.0)
+        return LONGEST_CLAIM_DELAY_MS * (1.0 - strength)
+
     @property
     def relay_limit_ms(self) -> float:
         """How old the leader's view may be while others rely on it.
 
-        Half of the shortest time within which a change must be in force, so
+        A part of the shortest time within which a change must be in force, so
         that a node that then asks the store itself is still in time.
         """
         return min(self.drain_ms, self.config_apply_ms) * RELAY_PART
--- a/ploverhatch/platform/settings.py
+++ b/ploverhatch/platform/settings.py
@@ -15,6 +15,9 @@
 
 class _Limits(msgspec.Struct):
     max_fds: int = 4096
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class _SelfNode(msgspec.Struct):
@@ -89,6 +92,7 @@
 
 def _translate(file: _SettingsFile) -> GatewaySettings:
     bounds = file.terms.bounds
+    limits = file.self_node.limits
     return GatewaySettings(
         node=file.self_node.node,
         zone=file.self_node.zone,
@@ -104,7 +108,9 @@
         retry_slack=bounds.retry_slack,
         retry_window_s=bounds.budget_window_s,
         lease_max_ms=bounds.hold_max_ms,
-        max_descriptors=file.self_node.limits.max_fds,
+        max_descriptors=limits.max_fds,
+        cores=limits.cpu_share * limits.cpu_cores,
+        link_mbps=limits.link_mbps,
     )
 
 
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -70,9 +70,21 @@
 
 
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
-    """All objects of a kind at a revision; nothing was missing ``age_ms`` before the answer."""
+    """All objects of a kind at a revision; nothing was missing ``age_ms`` before the answer.
+
+    ``packed`` is the list of items, encoded and compressed.
+    """
 
     kind: str
     reached: int
     age_ms: float
-    items: list[SnapshotItem]
+    packed: bytes
+
+
+class Fragment(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """A part of a message that is longer than a datagram, after its compression."""
+
+    number: int  # of the message, at its sender
+    part: int
+    parts: int
+    data: bytes
