Estimate servers' work from the answers of all nodes, and busy keys at their latest rate

Cause: the leader knew servers' speeds (3 to 1) only after many seconds, since each node tracked a slow quantile of its own few answers and told it each 2 s; until then it moved keys blindly. A key that became hot counted at a third of its rate after one second (window of 3 s). Change: reports each 0.3 s carry the answer times themselves; the leader takes the fastest quarter of the last 64 of each server. A key whose count of the last second is 3 standard deviations above the expected one counts at that rate.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -117,8 +117,8 @@
         now_ms = elapsed_ms()
         for service, keys in report.keys.items():
             self._loads.setdefault(service, KeyLoad()).add(now_ms, keys)
-        for server_id, (mean_ms, typical_ms) in report.answer_ms.items():
-            self._answer_times.add(server_id, mean_ms, typical_ms)
+        for server_id, times_ms in report.answer_ms.items():
+            self._answer_times.add(server_id, times_ms)
 
     # ---- rounds -------------------------------------------------------------------------
 
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -23,20 +23,19 @@
 
 LOG = PartLogger("peer")
 
-REPORT_S = 0.5
+REPORT_S = 0.3
 FIRST_REPORT_S = 0.1  # between looks for a leader to report to for the first time
 MAX_KEYS = 400  # of one report and service
 MAX_DATAGRAM = 8192
-TIMES_EVERY = 4  # answer times go with every fourth report
 PEER_MEMORY_MS = 3000.0  # a node that reported within that time is told of changes
 MEMBERS_EVERY = 4  # every fourth beacon also goes to nodes that do not report
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=1):
-    """Keys of the requests since the last report, and servers' answer times."""
+    """Keys of the requests since the last report, and the answer times they saw."""
 
     keys: dict[str, list[int]]
-    answer_ms: dict[str, tuple[float, float]]  # server -> mean and typical time
+    answer_ms: dict[str, list[int]]  # by server
     stamp_ms: float = 0.0  # when it was sent, on its sender's clock
 
 
@@ -89,14 +88,10 @@
 
     def report_forever(self) -> None:
         """Report to the leader at a steady pace, also when there is no load."""
-        round_number = 0
         while not self._leader():
             gevent.sleep(FIRST_REPORT_S)
         while True:
-            round_number += 1
             report = self._collect()
-            if round_number % TIMES_EVERY:
-                report.answer_ms = {}
             leader = self._leader()
             if leader == self._own:
                 self._take_report(report)
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -314,7 +314,14 @@
             service: found if len(found) <= MAX_KEYS else random.sample(found, MAX_KEYS)
             for service, found in sampled.items()
         }
-        return LoadReport(keys, self._pool.answer_times())
+        return LoadReport(keys, self._pool.take_answer_times(self._partitioned))
+
+    @property
+    def _partitioned(self) -> frozenset[str]:
+        """Services that are divided by key."""
+        table = self.directory.table
+        services = table.services.values() if table else ()
+        return frozenset(service.name for service in services if service.partitioned)
 
     def _take_load(self, report: LoadReport) -> None:
         if self._leader is not None:
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -1,5 +1,7 @@
 """Connections to servers, and what this node learned of each while using it."""
 
+from collections import deque
+from collections.abc import Collection
 from contextlib import AbstractContextManager
 
 from ploverhatch.common.clock import elapsed_ms
@@ -9,6 +11,7 @@
 from ploverhatch.state.servers import ServerRecord
 from ploverhatch.transport.http_connection import HostPort, HttpConnection
 
+MAX_TIMES = 16  # answer times kept of one server until they are reported
 DEFAULT_IDLE_S = 4.0  # where a server does not state how long it keeps idle connections
 IDLE_MARGIN_S = 1.0
 FAILING_MS = 1000.0
@@ -33,6 +36,7 @@
         self._queue = SlotQueue(lambda: self.limit, record.slots, elapsed_ms)
         self._used_ms = elapsed_ms()
         self._idle: list[HttpConnection] = []
+        self._recent_ms: deque[int] = deque(maxlen=MAX_TIMES)
 
     # ---- admission ------------------------------------------------------------------
 
@@ -53,6 +57,7 @@
     def answered(self, took_ms: float, objective_ms: float) -> None:
         """A whole answer came; adapt to whether it had to queue."""
         self.answer_time.add(took_ms)
+        self._recent_ms.append(round(took_ms))
         queued = took_ms > QUEUED_FACTOR * self.answer_time.typical_ms
         if queued and took_ms > QUEUED_PART * objective_ms:
             self.limit = max(LEAST_LIMIT, self.limit - QUEUED_STEP)
@@ -61,6 +66,12 @@
         self.failing_until_ms = 0.0
         self._used_ms = elapsed_ms()
 
+    def take_answer_times(self) -> list[int]:
+        """Return the latest answer times since the last call."""
+        times = list(self._recent_ms)
+        self._recent_ms.clear()
+        return times
+
     def overloaded(self) -> None:
         """The server refused for want of room, or did not answer in time."""
         self.limit = max(LEAST_LIMIT, self.limit / 2)
@@ -140,10 +151,11 @@
         """Return a server's state, or ``None`` when it is not known."""
         return self._upstreams.get(server_id)
 
-    def answer_times(self) -> dict[str, tuple[float, float]]:
-        """Return mean and typical time of each server that answered, by id."""
-        return {
-            server_id: (round(time.mean_ms, 1), round(time.typical_ms, 1))
+    def take_answer_times(self, services: Collection[str]) -> dict[str, list[int]]:
+        """Return the answer times of servers of some services since the last call, by id."""
+        taken = {
+            server_id: upstream.take_answer_times()
             for server_id, upstream in self._upstreams.items()
-            if (time := upstream.answer_time).count
+            if upstream.record.service in services
         }
+        return {server_id: times for server_id, times in taken.items() if times}
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -1,12 +1,17 @@
 """How busy keys and servers have been lately. Pure; times in milliseconds."""
 
+import math
 from collections import Counter, deque
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 WINDOW_MS = 3000.0
+RECENT_MS = 1000.0
 MIN_SPAN_MS = 500.0
-SMOOTHING = 0.2  # weight of a new reading of a server's answer time
+SURE_RISE = 3.0  # standard deviations that a key's recent count is above the expected one
+KEPT_TIMES = 64  # of one server
+LEAST_TIMES = 6  # fewer say nothing of a server
+TYPICAL_PART = 0.25  # of the answers are faster than the typical time
 
 
 def median(values: Iterable[float]) -> float:
@@ -31,13 +36,27 @@
         self._trim(now_ms)
 
     def rates(self, now_ms: float) -> dict[int, float]:
-        """Return requests per second by key."""
+        """Return requests per second by key.
+
+        The mean of the whole window, but for keys that surely became busier: theirs
+        is the rate of the last second, so that they are acted on at once.
+        """
         self._trim(now_ms)
         total: Counter[int] = Counter()
-        for _, counts in self._samples:
+        recent: Counter[int] = Counter()
+        for taken_ms, counts in self._samples:
             total.update(counts)
-        span_ms = min(WINDOW_MS, max(now_ms - self._since_ms, MIN_SPAN_MS))
-        return {key: count * 1000 / span_ms for key, count in total.items()}
+            if taken_ms > now_ms - RECENT_MS:
+                recent.update(counts)
+        known_ms = max(now_ms - self._since_ms, MIN_SPAN_MS)
+        span_ms = min(WINDOW_MS, known_ms)
+        recent_ms = min(RECENT_MS, known_ms)
+        rates = {key: count * 1000 / span_ms for key, count in total.items()}
+        for key, count in recent.items():
+            expected = total[key] * recent_ms / span_ms
+            if count > expected + SURE_RISE * math.sqrt(expected):
+                rates[key] = count * 1000 / recent_ms
+        return rates
 
     def _trim(self, now_ms: float) -> None:
         while self._samples and self._samples[0][0] < now_ms - WINDOW_MS:
@@ -46,37 +65,44 @@
 
 @dataclass
 class AnswerTimes:
-    """How long each server works on a request, from the reports of all nodes.
+    """How long each server works on a request, from the answers of all nodes.
 
-    A server's mean answer time includes its queue, its typical one is below
-    the mean. The work is taken as the typical time, scaled by what the mean
-    is of the typical time on the middle one of the servers.
+    A server's mean answer time includes its queue. Its *typical* time, that of the
+    fastest quarter, hardly does. The work is taken as the typical time, scaled by
+    what the mean is of the typical time on the middle one of the servers. The
+    latest answers of all nodes together tell it within a second or two, while
+    each node alone sees a few answers of a server a second.
     """
 
     default_ms: float = 100.0
-    _readings: dict[str, tuple[float, float]] = field(default_factory=dict)
+    _times: dict[str, deque[float]] = field(default_factory=dict)
 
-    def add(self, server_id: str, mean_ms: float, typical_ms: float) -> None:
-        """Add one node's reading."""
-        known = self._readings.get(server_id)
-        if known is not None:
-            mean_ms = known[0] + SMOOTHING * (mean_ms - known[0])
-            typical_ms = known[1] + SMOOTHING * (typical_ms - known[1])
-        self._readings[server_id] = (mean_ms, typical_ms)
+    def add(self, server_id: str, times_ms: Iterable[float]) -> None:
+        """Add answer times of a server, as one node saw them."""
+        self._times.setdefault(server_id, deque(maxlen=KEPT_TIMES)).extend(times_ms)
 
     def work_ms(self, server_ids: Collection[str]) -> dict[str, float]:
         """Return the time per request of each of the servers of one service."""
-        known = [self._readings[name] for name in server_ids if name in self._readings]
-        if not known:
+        readings = {
+            name: _reading(times)
+            for name in server_ids
+            if len(times := self._times.get(name, ())) >= LEAST_TIMES
+        }
+        if not readings:
             return dict.fromkeys(server_ids, self.default_ms)
-        ratio = median(mean / max(typical, 0.1) for mean, typical in known)
-        usual_ms = median(typical for _, typical in known) * ratio
+        ratio = median(mean / max(typical, 0.1) for mean, typical in readings.values())
+        usual_ms = median(typical for _, typical in readings.values()) * ratio
         return {
-            name: self._readings[name][1] * ratio if name in self._readings else usual_ms
-            for name in server_ids
+            name: readings[name][1] * ratio if name in readings else usual_ms for name in server_ids
         }
 
     def keep_only(self, server_ids: Collection[str]) -> None:
         """Forget servers that are gone."""
-        for server_id in [known for known in self._readings if known not in server_ids]:
-            del self._readings[server_id]
+        for server_id in [known for known in self._times if known not in server_ids]:
+            del self._times[server_id]
+
+
+def _reading(times_ms: Collection[float]) -> tuple[float, float]:
+    """Return mean and typical time."""
+    ordered = sorted(times_ms)
+    return sum(ordered) / len(ordered), ordered[int(len(ordered) * TYPICAL_PART)]
--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -26,7 +26,7 @@
         self.taken = []
         self.link = PeerLink(
             self.address,
-            lambda: LoadReport({"svc": [1, 2]}, {"s1": (10.0, 9.0)}),
+            lambda: LoadReport({"svc": [1, 2]}, {"s1": [10, 9]}),
             lambda: self.leader,
             self.reports.append,
         )
@@ -58,8 +58,7 @@
     assert len(leader.reports) >= 4
     assert follower.reports == []
     assert {"svc": [1, 2]} in [report.keys for report in leader.reports]
-    assert any(report.answer_ms for report in leader.reports)
-    assert not all(report.answer_ms for report in leader.reports)
+    assert {"s1": [10, 9]} in [report.answer_ms for report in leader.reports]
 
 
 @pytest.mark.parametrize("message", [TOLD, BEACON], ids=["told", "beacon"])
--- a/tests/unit/test_routing_decisions.py
+++ b/tests/unit/test_routing_decisions.py
@@ -13,7 +13,7 @@
 )
 from ploverhatch.routing.balancer import ServerLoad, choose
 from ploverhatch.routing.route_table import Route, RouteTable, ServiceShare, ShareSplitter
-from ploverhatch.sharding.load import AnswerTimes, KeyLoad
+from ploverhatch.sharding.load import KEPT_TIMES, AnswerTimes, KeyLoad
 from ploverhatch.state.servers import VANISH_GRACE_MS, ServerRecord, ServerSet
 
 
@@ -196,15 +196,38 @@
 
 def test_work_is_compared_by_typical_times():
     times = AnswerTimes()
-    for name, mean, typical in (("a", 120, 100), ("b", 130, 110), ("c", 900, 60)):
-        times.add(name, mean, typical)
-    work = times.work_ms(["a", "b", "c", "new"])
+    for name, fast, slow in (("a", 100, 140), ("b", 110, 150), ("c", 60, 1700)):
+        times.add(name, [fast, slow] * 10)
+    times.add("few", [1, 1])
+    work = times.work_ms(["a", "b", "c", "new", "few"])
     assert work["c"] < work["a"] < work["b"]
     assert work["a"] <= work["new"] <= work["b"]
+    assert work["few"] == work["new"]
     times.keep_only(["a"])
     assert set(times.work_ms(["a"])) == {"a"}
 
 
+def test_a_server_that_turns_slow_is_known_by_its_latest_answers():
+    times = AnswerTimes()
+    for name in ("a", "b", "c"):
+        times.add(name, [100] * 100)
+    before = times.work_ms(["a", "b", "c"])
+    times.add("a", [500] * KEPT_TIMES)
+    after = times.work_ms(["a", "b", "c"])
+    assert after["a"] == pytest.approx(5 * before["a"])
+    assert after["b"] == pytest.approx(before["b"])
+
+
+def test_a_key_that_became_busy_counts_at_its_latest_rate():
+    keys = KeyLoad()
+    for number in range(10):
+        hot = 20 if number >= 8 else 0
+        keys.add(number * 500.0, [7] * hot + [9, 9])
+    rates = keys.rates(4500.0)
+    assert rates[7] == pytest.approx(40.0)
+    assert rates[9] == pytest.approx(4.0, rel=0.3)
+
+
 def test_key_rates_cover_a_sliding_window():
     keys = KeyLoad()
     for number in range(10):
