--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -229,18 +229,26 @@
 def _narrowest_window(
     plan: _Plan, keymap: KeyMap, source: _Share, target: _Share, gap: float
 ) -> tuple[int, int] | None:
-    """Return the narrowest range whose move closes a good part of the gap."""
+    """Return the range whose move closes a good part of the gap, the narrowest of them.
+
+    Where the busy keys are divided into so many ranges that none does, the one
+    that closes most of it.
+    """
     per_request = source.candidate.utilisation(1.0) + target.candidate.utilisation(1.0)
     wanted = gap / per_request  # the rate that would make both equal
-    best: tuple[int, int] | None = None
-    for item in keymap.held_by(source.candidate.holder.server_id):
-        if not item.settled:
-            continue
-        for keys in _untouched_runs(plan, item):
-            window = _window(plan, keys, wanted)
-            if window and (best is None or window[1] - window[0] < best[1] - best[0]):
-                best = window
-    return best
+    runs = [
+        keys
+        for item in keymap.held_by(source.candidate.holder.server_id)
+        if item.settled
+        for keys in _untouched_runs(plan, item)
+    ]
+    windows = [window for keys in runs if (window := _window(plan, keys, wanted))]
+    good = [window for window in windows if window.rate >= wanted / 2]
+    if good:
+        chosen = min(good, key=lambda window: window.last - window.first)
+    else:
+        chosen = max(windows, key=lambda window: window.rate, default=None)
+    return (chosen.first, chosen.last) if chosen else None
 
 
 def _untouched_runs(plan: _Plan, item: KeyRange) -> list[list[int]]:
@@ -254,9 +262,22 @@
     return runs
 
 
-def _window(plan: _Plan, keys: list[int], wanted: float) -> tuple[int, int] | None:
-    """Return the narrowest run of keys with between half and all of ``wanted``."""
-    best: tuple[int, int] | None = None
+@dataclass(frozen=True, slots=True)
+class _Window:
+    """A run of busy keys and its requests per second."""
+
+    first: int
+    last: int
+    rate: float
+
+
+def _window(plan: _Plan, keys: list[int], wanted: float) -> _Window | None:
+    """Return the narrowest run of keys with between half and all of ``wanted``.
+
+    Where there is none, the busiest one below that.
+    """
+    narrowest: _Window | None = None
+    busiest: _Window | None = None
     start = 0
     gathered = 0.0
     for end, key in enumerate(keys):
@@ -264,11 +285,16 @@
         while gathered > wanted and start < end:
             gathered -= plan.rates[keys[start]]
             start += 1
-        if wanted / 2 <= gathered <= wanted:
-            window = (keys[start], key)
-            if best is None or window[1] - window[0] < best[1] - best[0]:
-                best = window
-    return best
+        if gathered > wanted:
+            continue
+        window = _Window(keys[start], key, gathered)
+        if busiest is None or gathered > busiest.rate:
+            busiest = window
+        width = window.last - window.first
+        narrower = narrowest is None or width < narrowest.last - narrowest.first
+        if gathered >= wanted / 2 and narrower:
+            narrowest = window
+    return narrowest or busiest
 
 
 def _tidy(plan: _Plan, keymap: KeyMap) -> None:
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -74,6 +74,21 @@
     assert max(utilisation(keymap, candidates, rates).values()) < 0.85
 
 
+def test_a_busy_server_is_relieved_also_when_its_keys_lie_in_many_ranges():
+    """Found on a day of the new customer: no single range closed half of the gap."""
+    candidates = [candidate(number) for number in range(4)]
+    keymap = settled_map(candidates)
+    for number in range(40):  # every second busy key lies in a range of its own
+        keymap = apply(keymap, [Move(number * 20, number * 20, candidates[1].holder)])
+        keymap = apply(keymap, [Move(number * 20, number * 20, candidates[0].holder)])
+    for number in range(40):
+        keymap = apply(keymap, [Move(number * 20 + 5, number * 20 + 9, candidates[3].holder)])
+    rates = {number * 20: 1.2 for number in range(40)}  # 48 a second, a server runs 20
+    for _ in range(10):
+        keymap = apply(keymap, plan_moves(keymap, candidates, rates))
+    assert max(utilisation(keymap, candidates, rates).values()) < 0.85
+
+
 def test_a_dominant_key_goes_to_the_fastest_server_and_the_rest_leaves_it():
     candidates = [candidate(0, answer_ms=160.0), candidate(1), candidate(2, answer_ms=60.0)]
     keymap = settled_map(candidates)
