--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -4,7 +4,7 @@
 again when it is about to be sent, after every wait.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 
@@ -31,6 +31,7 @@
     StepDown,
     StoreMap,
 )
+from ploverhatch.state.servers import ServerRecord
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
     ObjectStore,
@@ -118,7 +119,7 @@
         for service, keys in report.keys.items():
             self._loads.setdefault(service, KeyLoad()).add(now_ms, keys)
         for server_id, times_ms in report.answer_ms.items():
-            self._answer_times.add(server_id, times_ms)
+            self._answer_times.add(server_id, times_ms, now_ms)
 
     # ---- rounds -------------------------------------------------------------------------
 
@@ -147,9 +148,18 @@
     def _view(self, service: str, now_ms: float) -> ServiceView:
         records = self._directory.servers.of_service(service)
         load = self._loads.setdefault(service, KeyLoad())
-        work_ms = self._answer_times.work_ms([record.server_id for record in records])
+        work_ms = {
+            record.server_id: min(
+                work, self._answer_times.most_work_ms(record.server_id, record.slots, now_ms)
+            )
+            for record, work in self._work(records)
+        }
         return ServiceView(records, load.rates(now_ms), work_ms)
 
+    def _work(self, records: list[ServerRecord]) -> Iterable[tuple[ServerRecord, float]]:
+        times = self._answer_times.work_ms([record.server_id for record in records])
+        return [(record, times[record.server_id]) for record in records]
+
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
             task = gevent.spawn(self._handlers[type(action)], action)
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -8,6 +8,7 @@
 WINDOW_MS = 3000.0
 RECENT_MS = 1000.0
 MIN_SPAN_MS = 500.0
+COMPLETED_MS = 1500.0  # over which answers are counted
 SURE_RISE = 3.0  # standard deviations that a key's recent count is above the expected one
 KEPT_TIMES = 64  # of one server
 LEAST_TIMES = 6  # fewer say nothing of a server
@@ -72,14 +73,28 @@
     what the mean is of the typical time on the middle one of the servers. The
     latest answers of all nodes together tell it within a second or two, while
     each node alone sees a few answers of a server a second.
+
+    On an overloaded server each answer has queued. But what it completes tells
+    how fast it works at least, whatever its queue.
     """
 
     default_ms: float = 100.0
     _times: dict[str, deque[float]] = field(default_factory=dict)
+    _completed: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
 
-    def add(self, server_id: str, times_ms: Iterable[float]) -> None:
-        """Add answer times of a server, as one node saw them."""
+    def add(self, server_id: str, times_ms: Collection[float], now_ms: float) -> None:
+        """Add answer times of a server, as one node saw them since its last report."""
         self._times.setdefault(server_id, deque(maxlen=KEPT_TIMES)).extend(times_ms)
+        completed = self._completed.setdefault(server_id, deque())
+        completed.append((now_ms, len(times_ms)))
+        while completed[0][0] < now_ms - COMPLETED_MS:
+            completed.popleft()
+
+    def most_work_ms(self, server_id: str, slots: int, now_ms: float) -> float:
+        """Return what a request can take at most, from what the server completed lately."""
+        counts = self._completed.get(server_id, ())
+        done = sum(count for taken_ms, count in counts if taken_ms >= now_ms - COMPLETED_MS)
+        return slots * COMPLETED_MS / done if done else math.inf
 
     def work_ms(self, server_ids: Collection[str]) -> dict[str, float]:
         """Return the time per request of each of the servers of one service."""
@@ -100,6 +115,7 @@
         """Forget servers that are gone."""
         for server_id in [known for known in self._times if known not in server_ids]:
             del self._times[server_id]
+            self._completed.pop(server_id, None)
 
 
 def _reading(times_ms: Collection[float]) -> tuple[float, float]:
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -244,11 +244,13 @@
     ]
     windows = [window for keys in runs if (window := _window(plan, keys, wanted))]
     good = [window for window in windows if window.rate >= wanted / 2]
+    if not windows:
+        return None
     if good:
         chosen = min(good, key=lambda window: window.last - window.first)
     else:
-        chosen = max(windows, key=lambda window: window.rate, default=None)
-    return (chosen.first, chosen.last) if chosen else None
+        chosen = max(windows, key=lambda window: window.rate)
+    return chosen.first, chosen.last
 
 
 def _untouched_runs(plan: _Plan, item: KeyRange) -> list[list[int]]:
--- a/tests/unit/test_routing_decisions.py
+++ b/tests/unit/test_routing_decisions.py
@@ -197,8 +197,8 @@
 def test_work_is_compared_by_typical_times():
     times = AnswerTimes()
     for name, fast, slow in (("a", 100, 140), ("b", 110, 150), ("c", 60, 1700)):
-        times.add(name, [fast, slow] * 10)
-    times.add("few", [1, 1])
+        times.add(name, [fast, slow] * 10, 0.0)
+    times.add("few", [1, 1], 0.0)
     work = times.work_ms(["a", "b", "c", "new", "few"])
     assert work["c"] < work["a"] < work["b"]
     assert work["a"] <= work["new"] <= work["b"]
@@ -210,14 +210,24 @@
 def test_a_server_that_turns_slow_is_known_by_its_latest_answers():
     times = AnswerTimes()
     for name in ("a", "b", "c"):
-        times.add(name, [100] * 100)
+        times.add(name, [100] * 100, 0.0)
     before = times.work_ms(["a", "b", "c"])
-    times.add("a", [500] * KEPT_TIMES)
+    times.add("a", [500] * KEPT_TIMES, 0.0)
     after = times.work_ms(["a", "b", "c"])
     assert after["a"] == pytest.approx(5 * before["a"])
     assert after["b"] == pytest.approx(before["b"])
 
 
+def test_what_a_server_completes_bounds_its_work():
+    """Found on a day of the new customer: queued answers made overload look like slowness."""
+    times = AnswerTimes()
+    for report in range(10):
+        times.add("busy", [400] * 15, report * 150.0)
+    assert times.most_work_ms("busy", 4, 1350.0) == pytest.approx(40.0)
+    assert times.most_work_ms("busy", 4, 9000.0) == float("inf")
+    assert times.most_work_ms("new", 4, 1350.0) == float("inf")
+
+
 def test_a_key_that_became_busy_counts_at_its_latest_rate():
     keys = KeyLoad()
     for number in range(10):
