Take a connection that is reset at once as a full server, and pause before it again

Cause: full servers of this customer reset connections. Change: a break in less than a fifth of a typical answer time halves the node's limit; the same server is tried again after a random part of a typical time.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -183,7 +183,7 @@
             if result is AttemptResult.SERVER_ERROR:
                 last_answer = answer
             history = history.after(result)
-            self._learn(upstream, result)
+            self._learn(upstream, result, call.trace.attempts[-1].took_ms)
             step = self._decide(call, history, result)
             if step is not NextStep.RETRY:
                 return self._give_up(call, step, result, last_answer)
@@ -191,6 +191,8 @@
                 tried.add(upstream.record.server_id)
             elif result in {AttemptResult.NOT_HOLDER, AttemptResult.NOT_CONNECTED}:
                 self._directory.changed.wait(RETRY_PAUSE_S)
+            else:  # the same server again: not while it is as full as it was
+                gevent.sleep(upstream.answer_time.typical_ms / 1000 * random.random())
 
     def _sample(self, call: Call) -> None:
         key = call.facts.shard_key
@@ -229,11 +231,13 @@
     def _pass_on(self, answer: WireAnswer) -> CallerReply:
         return CallerReply(answer.status, self._dialect.reply_headers(answer), answer.body)
 
-    def _learn(self, upstream: Upstream, result: AttemptResult) -> None:
+    def _learn(self, upstream: Upstream, result: AttemptResult, took_ms: float) -> None:
         if result is AttemptResult.WRONG_INSTANCE:
             self._directory.server_ended(upstream.record.server_id)
         elif result in {AttemptResult.DECLINED, AttemptResult.TIMED_OUT}:
             upstream.overloaded()
+        elif result is AttemptResult.LOST and upstream.turned_away(took_ms):
+            upstream.overloaded()
         if result in {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}:
             upstream.failed()
 
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -20,6 +20,7 @@
 QUEUED_FACTOR = 2.5  # an answer so much slower than typical had to queue
 QUEUED_PART = 0.5  # of the objective: faster answers are good whatever they waited
 QUEUED_STEP = 0.25
+TURNED_AWAY_PART = 0.2  # of a typical answer time: a request that runs does not end so soon
 
 
 class Upstream:
@@ -72,6 +73,10 @@
         self._recent_ms.clear()
         return times
 
+    def turned_away(self, took_ms: float) -> bool:
+        """Whether a connection that broke so soon was broken by a server that is full."""
+        return took_ms < TURNED_AWAY_PART * self.answer_time.typical_ms
+
     def overloaded(self) -> None:
         """The server refused for want of room, or did not answer in time."""
         self.limit = max(LEAST_LIMIT, self.limit / 2)
