Send requests to a new holder when it has its grant, and store that later

Change: beacons name the tokens of granted ranges, told at once and repeated; the map is stored as settled with the next move or after 0.5 s. A granted range is renewed, and may move on. A later leader takes the range as moving, and releases and grants it again: a token names one grant for ever.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -4,12 +4,14 @@
 configuration or key map never replaces a newer one within one life.
 """
 
+from collections.abc import Iterable
+
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
 from ploverhatch.routing.route_table import ClientLimits, RouteTable
 from ploverhatch.sharding import view
-from ploverhatch.sharding.keymap import KeyMap
+from ploverhatch.sharding.keymap import KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord, ServerSet
 
 LOG = PartLogger("directory")
@@ -27,6 +29,8 @@
         self.servers_known = False
         self.keymaps_known = False
         self.keymaps_current_ms = elapsed_ms()  # the key maps were surely current then
+        # Tokens of moving ranges whose new holder acknowledged the grant, by service.
+        self.granted: dict[str, frozenset[int]] = {}
         self._table: RouteTable | None = None
         # Since when ranges move, by service and token.
         self._moving_since_ms: dict[str, dict[int, float]] = {}
@@ -100,9 +104,33 @@
         self._moving_since_ms[keymap.service] = {
             item.token: earlier.get(item.token, now_ms) for item in keymap.moving
         }
+        self._keep_granted(keymap.service, self.granted.get(keymap.service, frozenset()))
         self.changed.raise_()
         return True
 
+    def note_granted(self, service: str, tokens: Iterable[int]) -> None:
+        """New holders have acknowledged ranges that move, though no map says so yet.
+
+        A token names one grant for ever, so it does not matter who tells it, or when.
+        """
+        known = self.granted.get(service, frozenset())
+        news = frozenset(tokens) - known
+        if news:
+            self._keep_granted(service, known | news)
+            self.changed.raise_()
+
+    def _keep_granted(self, service: str, tokens: frozenset[int]) -> None:
+        """Keep the tokens of ranges that move, or that are newer than the map."""
+        keymap = self.keymaps.get(service)
+        if keymap is not None:
+            moving = {item.token for item in keymap.moving}
+            tokens = frozenset(t for t in tokens if t in moving or t > keymap.token)
+        self.granted[service] = tokens
+
+    def is_granted(self, service: str, item: KeyRange) -> bool:
+        """Whether a range's holder may be sent requests."""
+        return item.settled or item.token in self.granted.get(service, ())
+
     def moves_slowly(self, service: str, token: int) -> bool:
         """Whether a range has moved for longer than a move takes whose holder answers."""
         since_ms = self._moving_since_ms.get(service, {}).get(token)
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -234,9 +234,8 @@
     def _learn(self, upstream: Upstream, result: AttemptResult, took_ms: float) -> None:
         if result is AttemptResult.WRONG_INSTANCE:
             self._directory.server_ended(upstream.record.server_id)
-        elif result in {AttemptResult.DECLINED, AttemptResult.TIMED_OUT}:
-            upstream.overloaded()
-        elif result is AttemptResult.LOST and upstream.turned_away(took_ms):
+        turned_away = result is AttemptResult.LOST and upstream.turned_away(took_ms)
+        if turned_away or result in {AttemptResult.DECLINED, AttemptResult.TIMED_OUT}:
             upstream.overloaded()
         if result in {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}:
             upstream.failed()
@@ -341,7 +340,9 @@
         if found is None:
             return None
         call.token = found.token
-        if not found.settled or not self._directory.keymaps_trusted:
+        if not self._directory.is_granted(call.service, found):
+            return None
+        if not self._directory.keymaps_trusted:
             return None
         server_id = found.holder.server_id
         if server_id not in self._directory.servers.records:
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -59,12 +59,14 @@
         dialect: Dialect,
         lease_max_ms: float,
         publish: Callable[[KeyMap], None],
+        tell_granted: Callable[[str, int], None],
     ) -> None:
         self._store = store
         self._directory = directory
         self._elector = elector
         self._dialect = dialect
         self._publish = publish
+        self._tell_granted = tell_granted
         self._hold_ms = min(HOLD_MS, lease_max_ms)
         self._core = LeaderCore(LeaseTiming(self._hold_ms))
         self._controls: dict[str, ServerControl] = {}
@@ -247,6 +249,8 @@
 
         call = GrantCall(name.first, name.last, name.token, self._hold_ms, action.handover)
         outcome = self._control(action.holder).grant(call, may_send)
+        if outcome is CallOutcome.DONE and not action.renewal:
+            self._tell_granted(name.service, name.token)
         if outcome not in {CallOutcome.DONE, CallOutcome.NOT_SENT}:
             LOG.warning(
                 "Grant failed.",
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -301,6 +301,7 @@
                     self._dialect,
                     self._settings.lease_max_ms,
                     self._relay.tell_map,
+                    self._relay.tell_granted,
                 )
                 try:
                     self._leader.run()
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -24,6 +24,7 @@
 from ploverhatch.store import kinds
 
 BEACON_S = 0.25
+URGENT_S = 0.01  # grants that end together are told together
 FIRST_WAIT_S = 0.8
 OWN_MAPS_MS = 500.0  # until the leader asks itself again whether it still leads
 LEADER_WAIT_S = 0.5  # until it is known at the start who leads
@@ -63,6 +64,7 @@
         self._send = send
         self._tasks: dict[str, FeedTask] = {}
         self._told_reached: dict[str, int] = {}  # by kind, in this term
+        self._urgent = False  # a beacon is about to be sent out of turn
         self._packed: dict[str, tuple[int, bytes]] = {}  # by kind: revision, objects
         self._leading = False
 
@@ -96,6 +98,8 @@
         self._elector.heard(
             beacon.lease_revision, beacon.sent_ms - beacon.renewed_age_ms, beacon.address
         )
+        for service, tokens in beacon.granted.items():
+            self._directory.note_granted(service, tokens)
         self._note_keymaps()
         behind = [
             task
@@ -195,6 +199,13 @@
         for told in publisher.in_parts(kind, base, reached, sized, MAX_CHANGES):
             self._send(told)
 
+    def tell_granted(self, service: str, token: int) -> None:
+        """Tell soon that a moving range's new holder has it."""
+        self._directory.note_granted(service, [token])
+        if not self._urgent:
+            self._urgent = True
+            gevent.spawn_later(URGENT_S, self._beacon)
+
     def beacon_forever(self) -> None:
         """Tell the claims at a steady pace while this node leads."""
         while True:
@@ -202,6 +213,7 @@
             gevent.sleep(BEACON_S)
 
     def _beacon(self) -> None:
+        self._urgent = False
         term = self._term()
         if (term is not None) != self._leading:
             self._change_part(term is not None)
@@ -209,7 +221,9 @@
             return
         views = {kind: self._claimed(kind) for kind in self._tasks}
         self._directory.note_keymaps(elapsed_ms())
-        self._send(publisher.beacon(term, views, elapsed_ms(), self._elector.address))
+        beacon = publisher.beacon(term, views, elapsed_ms(), self._elector.address)
+        granted = {name: sorted(tokens) for name, tokens in self._directory.granted.items()}
+        self._send(msgspec.structs.replace(beacon, granted=granted))
 
     def _claimed(self, kind: str) -> FeedView:
         """Return what this node may claim of a kind while it leads.
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -50,7 +50,8 @@
     can have been sent, on the clock of the node that it is for: a beacon that
     was held up, or is read after a pause of the process, is known to be old.
     ``address`` is where the leader takes reports, for a node that cannot read
-    the lease.
+    the lease. ``granted`` holds, by service, the fencing tokens of moving ranges
+    whose new holders have them, before a map in the store says so.
     """
 
     lease_revision: int
@@ -58,6 +59,7 @@
     claims: dict[str, Claim]
     sent_ms: float = float("-inf")
     address: str = ""
+    granted: dict[str, list[int]] = {}
 
 
 class SnapshotItem(msgspec.Struct, array_like=True, frozen=True):
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -39,6 +39,7 @@
 from ploverhatch.sharding.transfer import Transfer
 
 PLAN_EVERY_MS = 400.0
+SETTLE_MS = 500.0  # a grant is told to all nodes at once, and stored with the next move or then
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
@@ -73,6 +74,12 @@
         state = self._services.get(service)
         return state.keymap if state else KeyMap(service)
 
+    def granted(self, service: str) -> frozenset[int]:
+        """Return the tokens of moving ranges that their new holders have."""
+        state = self._services.get(service)
+        transfers = state.transfers.items() if state else ()
+        return frozenset(name.token for name, transfer in transfers if transfer.done)
+
     def inherit(self, keymap: KeyMap, renewable_until_ms: float, now_ms: float = 0.0) -> None:
         """Take a map over; its leases may be renewed by others until then."""
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
@@ -121,20 +128,33 @@
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
         if state.storing is not None:
             return []
-        done = {name for name, transfer in state.transfers.items() if transfer.done}
-        if done:
-            service = state.keymap.service
-            keymap = settle(state.keymap, lambda item: range_id(service, item) in done)
-            return self._store(state, merge_neighbours(keymap))
         candidates = self._candidates(state, view, now_ms)
         if not candidates:
-            return []
+            return self._settle(state, now_ms)
         if not state.keymap.ranges:
             if now_ms - state.servers_since_ms < FIRST_SERVERS_MS:
                 return []
             pieces = planner.initial_pieces(candidates)
             return self._store(state, first_assignment(state.keymap, pieces))
-        return self._plan_moves(state, candidates, view.rates, now_ms)
+        return self._plan_moves(state, candidates, view.rates, now_ms) or self._settle(
+            state, now_ms
+        )
+
+    def _settle(self, state: _ServiceState, now_ms: float) -> list[Action]:
+        """Store that ranges are with their new holders, if that waits for long enough."""
+        times = [transfer.done_ms for transfer in state.transfers.values()]
+        done = [done_ms for done_ms in times if done_ms is not None]
+        if not done or now_ms - min(done) < SETTLE_MS:
+            return []
+        return self._store(state, merge_neighbours(self._granted_map(state)))
+
+    def _granted_map(self, state: _ServiceState) -> KeyMap:
+        """Return the map with the ranges settled that their new holders have."""
+        service = state.keymap.service
+        done = {name for name, transfer in state.transfers.items() if transfer.done}
+        if not done:
+            return state.keymap
+        return settle(state.keymap, lambda item: range_id(service, item) in done)
 
     def _plan_moves(
         self,
@@ -153,11 +173,14 @@
             for key, moved_ms in state.dominant_moved_ms.items()
             if now_ms - moved_ms < DOMINANT_REST_MS
         }
-        moves = planner.plan_moves(state.keymap, candidates, rates, resting)
+        keymap = self._granted_map(state)
+        moves = planner.plan_moves(keymap, candidates, rates, resting)
         for move in moves:
             if move.first == move.last:
                 state.dominant_moved_ms[move.first] = now_ms
-        return self._store(state, begin_moves(state.keymap, moves)) if moves else []
+        if not moves:
+            return []
+        return self._store(state, begin_moves(merge_neighbours(keymap), moves))
 
     def _store(self, state: _ServiceState, keymap: KeyMap) -> list[Action]:
         state.storing = keymap
@@ -234,7 +257,7 @@
         return [
             range_id(state.keymap.service, item)
             for state in self._services.values()
-            for item in state.keymap.held_by(server_id)
+            for item in self._granted_map(state).held_by(server_id)
             if item.settled
         ]
 
@@ -259,7 +282,7 @@
         planned = state.storing or state.keymap
         return any(
             item.settled and range_id(name.service, item) == name and item.holder == holder
-            for item in state.keymap.ranges
+            for item in self._granted_map(state).ranges
         ) and self._stays(planned, holder, name)
 
     def _stays(self, planned: KeyMap, holder: Holder, name: RangeId) -> bool:
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -25,7 +25,12 @@
     releasing: set[str] = field(default_factory=set)
     granting: bool = False
     handover: str = ""
-    done: bool = False
+    done_ms: float | None = None  # when the new holder acknowledged its grant
+
+    @property
+    def done(self) -> bool:
+        """Whether the new holder has the range."""
+        return self.done_ms is not None
 
     @classmethod
     def start(
@@ -89,5 +94,6 @@
     def grant_ended(self, done: bool, now_ms: float) -> None:
         """The grant to the new holder was answered, or not."""
         self.granting = False
-        self.done = self.done or done
+        if done and self.done_ms is None:
+            self.done_ms = now_ms
         self.retry_ms[self.target.server_id] = now_ms + RETRY_MS
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -60,6 +60,7 @@
         self._loading = False
         self._looked_ms = -1e12
         self._contact_ms = self.now_ms
+        self.granted: frozenset[int] = frozenset()  # tokens, as the leader tells
         cell.store.watchers[name] = self._on_change
         self._list()
         self._every(TICK_MS, self._tick)
@@ -200,14 +201,20 @@
         self._contact_ms = self.now_ms
         renewed_age_ms = self.now_ms - self.state.renewed_ms
         map_revision = self.core.keymap(SERVICE).revision
-        told = (self.state.seen.revision, renewed_age_ms, map_revision)
+        self.granted = self.core.granted(SERVICE)
+        told = (self.state.seen.revision, renewed_age_ms, map_revision, self.granted)
         for node in list(self.cell.nodes.values()):
             if node is not self and self.world.random.random() >= BEACON_LOSS:
                 delay_ms = self.world.random.uniform(*BEACON_DELAY_MS)
                 self.world.after(delay_ms, partial(node.hear, *told, self.world.now_ms))
 
     def hear(
-        self, lease_revision: int, renewed_age_ms: float, map_revision: int, sent_ms: float
+        self,
+        lease_revision: int,
+        renewed_age_ms: float,
+        map_revision: int,
+        granted: frozenset[int],
+        sent_ms: float,
     ) -> None:
         """Take a beacon; a paused process reads it late and knows how old it is."""
 
@@ -216,6 +223,7 @@
                 return
             said_ms = self.now_ms - (self.world.now_ms - sent_ms)
             self.state = election.heard(self.state, lease_revision, said_ms - renewed_age_ms)
+            self.granted = granted
             if self.keymap.revision >= map_revision:
                 self._contact_ms = max(self._contact_ms, said_ms)
 
@@ -328,7 +336,9 @@
         key = self.world.random.choice(SAMPLE_KEYS)
         found = self.keymap.find(key)
         trusted = view.view_is_trusted(self._contact_ms, self.now_ms)
-        if found is None or not found.settled or not trusted:
+        if found is None or not trusted:
+            return
+        if not found.settled and found.token not in self.granted:
             return
         server = self.cell.servers.get(found.holder.server_id)
         if server is None:
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -304,3 +304,29 @@
     assert leader._elector.has_authority
     assert leader.directory.keymaps_trusted
     assert follower.directory.keymaps_trusted
+
+
+def test_a_move_goes_on_while_the_store_takes_no_map(pair, monkeypatch):
+    """Found on a day of the new customer: hot ranges stood still for 3.7 s."""
+    site, leader, follower = pair
+    site.start_upstream("s2", "keyed", sharded=True)
+    replace_object = leader._store.replace
+    stored = []
+
+    def replace_once(kind, name, spec, revision):
+        if kind == "keymaps" and stored:
+            raise StoreCallError("refused")
+        stored.append(kind) if kind == "keymaps" else None
+        return replace_object(kind, name, spec, revision)
+
+    monkeypatch.setattr(leader._store, "replace", replace_once)
+    site.store.remove("servers", "s1")
+
+    def usable(gateway):
+        keymap = gateway.directory.keymaps["keyed"]
+        ranges = [item for item in keymap.ranges if item.holder.server_id == "s2"]
+        granted = [gateway.directory.is_granted("keyed", item) for item in ranges]
+        return bool(granted) and all(granted)
+
+    until(lambda: usable(follower) and usable(leader), 6.0)
+    assert stored == ["keymaps"]
--- a/tests/unit/key_mutations.py
+++ b/tests/unit/key_mutations.py
@@ -1,6 +1,7 @@
 """Mechanisms of the key leadership that tests switch off to see the proof fail."""
 
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
 from unittest import mock
 
 from ploverhatch.leadership import election
@@ -25,6 +26,14 @@
     return state.leading
 
 
+def heard_without_stopping(state, lease_revision, renewed_ms, address=""):
+    told = _heard(state, lease_revision, renewed_ms, address)
+    return replace(told, leading=state.leading)
+
+
+_heard = election.heard
+
+
 def inherit_nothing(self, keymap, renewable_until_ms, now_ms):
     state = self._services.setdefault(keymap.service, _ServiceState(keymap))
     self._adopt(state, keymap, now_ms)
@@ -50,7 +59,9 @@
         mock.patch.object(LeaderCore, "inherit", inherit_nothing),
     ],
     "old maps trusted": [mock.patch.object(view, "view_is_trusted", lambda *args: True)],
+    # A leader that was replaced also stops when it hears of its successor.
     "leader acts past its authority": [
+        mock.patch.object(election, "heard", heard_without_stopping),
         mock.patch.object(election, "has_authority", always_authority),
         mock.patch.object(election, "may_change", always_authority),
     ],
