--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -277,3 +277,31 @@
     reply = bench.ask(b"/key/a", headers=[(b"Shard-Key", b"5")])
     assert reply.status == 503
     assert len(other.arrived) == 1
+
+
+@pytest.mark.parametrize(("path", "status"), [(b"/key/", 200), (b"/keyonce/", 502)])
+def test_a_connection_that_is_reset_at_once_is_a_full_server(bench, monkeypatch, path, status):
+    """Found on days of the new customer: the same full server was asked again at once."""
+    upstream = Upstream("u1", sharded=True)
+    upstream.held[(0, LAST_KEY)] = (1, float("inf"))
+    bench.own_keys(bench.add(upstream, service=KEYED))
+    upstream.behaviour.work_s = 0.05
+    for _ in range(3):
+        assert bench.ask(b"/key/", headers=[(b"Shard-Key", b"5")]).status == 200
+    known = bench.pool.get("u1")
+    limit = known.limit
+    monkeypatch.setattr("random.random", lambda: 1.0)
+    upstream.behaviour.reset = 1
+    start_ms = elapsed_ms()
+    assert bench.ask(path, headers=[(b"Shard-Key", b"5")]).status == status
+    assert known.limit < limit
+    if status == 200:
+        assert elapsed_ms() - start_ms > 90.0  # a pause of a typical time, then the work
+
+
+def test_a_connection_that_breaks_after_a_while_says_nothing_of_room(bench):
+    upstream = Upstream("u1")
+    known = bench.pool.get(bench.add(upstream).server_id)
+    known.answer_time.add(100.0)
+    assert known.turned_away(5.0)
+    assert not known.turned_away(50.0)
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -21,6 +21,7 @@
     work_s: float = 0.0
     status: int = 200
     refuse: int = 0  # so many of the next requests are answered as not executed
+    reset: int = 0  # so many of the next requests are not answered: the connection ends
     wrong_id: bool = False
     sealed: bool = True
     hang: bool = False
@@ -99,6 +100,9 @@
         if behaviour.refuse:
             behaviour.refuse -= 1
             return CallerReply(503, [*base, (b"Not-Executed", b"1")])
+        if behaviour.reset:
+            behaviour.reset -= 1
+            raise ConnectionResetError
         if behaviour.hang:
             gevent.sleep(60)
         with self._slots:
