Take ports for tests from below the range of outgoing connections

Change: ports come from 12,000 to 27,999, checked for TCP and UDP, at different places in parallel processes; the system hands out 32,768 and above. Ruled out: the gateway itself binds each of its ports once. Measured: 28 tests of gateway and relay pass.

--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -13,6 +13,7 @@
 from ploverhatch.platform.store import PlatformStore
 from ploverhatch.transport.http_connection import HostPort
 from tests.standin.metadata_store import StoreServer
+from tests.standin.site import free_port
 from tests.standin.upstream import Upstream
 
 CONFIG = {
@@ -50,12 +51,6 @@
 }
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class GivenSettings(SettingsSource):
     """Settings that a test changes."""
 
--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -1,5 +1,6 @@
 """A whole stand-in site: store, upstreams whose keys are judged, real gateways."""
 
+import itertools
 import os
 import signal
 import subprocess
@@ -20,9 +21,29 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that is free for TCP and UDP, and stays so until it is bound.
+
+    A port that the system proposes may be taken meanwhile by an outgoing connection
+    of any process; these come from its own range, so a lower one is taken here.
+    """
+    while True:
+        port = next(_PORTS)
+        if all(_is_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+            return port
+
+
+def _is_free(port, kind):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+# Parallel test processes begin at different places.
+_FIRST_PORT, _PORT_COUNT = 12_000, 16_000
+_PORTS = (_FIRST_PORT + (os.getpid() * 1009 + number) % _PORT_COUNT for number in itertools.count())
 
 
 def route(name, service):
