--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -45,12 +45,32 @@
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
+@dataclass(frozen=True, slots=True)
+class _GrantedRanges:
+    """A map with the ranges settled that their new holders have, and its settled ranges."""
+
+    keymap: KeyMap
+    holders: dict[RangeId, Holder]
+    by_server: dict[str, list[RangeId]]
+
+    @classmethod
+    def of(cls, keymap: KeyMap) -> "_GrantedRanges":
+        holders = {
+            range_id(keymap.service, item): item.holder for item in keymap.ranges if item.settled
+        }
+        by_server: dict[str, list[RangeId]] = {}
+        for name, holder in holders.items():
+            by_server.setdefault(holder.server_id, []).append(name)
+        return cls(keymap, holders, by_server)
+
+
 @dataclass(slots=True)
 class _ServiceState:
     """One partitioned service."""
 
     keymap: KeyMap
     storing: KeyMap | None = None
+    granted: _GrantedRanges | None = None  # kept until the map or a transfer changes
     transfers: dict[RangeId, Transfer] = field(default_factory=dict)
     server_ids: frozenset[str] = frozenset()
     servers_since_ms: float = 0.0
@@ -150,11 +170,16 @@
 
     def _granted_map(self, state: _ServiceState) -> KeyMap:
         """Return the map with the ranges settled that their new holders have."""
-        service = state.keymap.service
-        done = {name for name, transfer in state.transfers.items() if transfer.done}
-        if not done:
-            return state.keymap
-        return settle(state.keymap, lambda item: range_id(service, item) in done)
+        return self._granted_ranges(state).keymap
+
+    def _granted_ranges(self, state: _ServiceState) -> _GrantedRanges:
+        """Return that map indexed; each renewal asks for it, so it is kept."""
+        if state.granted is None:
+            service = state.keymap.service
+            done = {name for name, transfer in state.transfers.items() if transfer.done}
+            settled = settle(state.keymap, lambda item: range_id(service, item) in done)
+            state.granted = _GrantedRanges.of(settled if done else state.keymap)
+        return state.granted
 
     def _plan_moves(
         self,
@@ -255,10 +280,9 @@
 
     def _settled_ranges(self, server_id: str) -> list[RangeId]:
         return [
-            range_id(state.keymap.service, item)
+            name
             for state in self._services.values()
-            for item in self._granted_map(state).held_by(server_id)
-            if item.settled
+            for name in self._granted_ranges(state).by_server.get(server_id, ())
         ]
 
     def _next_renewal(self, lease: HolderLease, now_ms: float) -> list[Action]:
@@ -280,10 +304,8 @@
             transfer = state.transfers.get(name)
             return transfer is not None and transfer.target == holder
         planned = state.storing or state.keymap
-        return any(
-            item.settled and range_id(name.service, item) == name and item.holder == holder
-            for item in self._granted_map(state).ranges
-        ) and self._stays(planned, holder, name)
+        granted = self._granted_ranges(state).holders.get(name)
+        return granted == holder and self._stays(planned, holder, name)
 
     def _stays(self, planned: KeyMap, holder: Holder, name: RangeId) -> bool:
         """Whether a range stays with its holder in the map that is being stored."""
@@ -301,8 +323,9 @@
         if not call.renewal:
             state = self._services.get(call.range_id.service)
             transfer = state.transfers.get(call.range_id) if state else None
-            if transfer is not None:
+            if state is not None and transfer is not None:
                 transfer.grant_ended(outcome is CallOutcome.DONE, now_ms)
+                state.granted = None
             return actions
         if outcome is CallOutcome.DONE:
             return actions + self._next_renewal(lease, now_ms)
@@ -365,6 +388,7 @@
 
     def _adopt(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
         state.keymap = keymap
+        state.granted = None
         moving = {range_id(keymap.service, item): item for item in keymap.moving}
         for name in [known for known in state.transfers if known not in moving]:
             del state.transfers[name]
