--- /dev/null
+++ b/ploverhatch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests to servers' slots, shared by all nodes."""
--- /dev/null
+++ b/ploverhatch/admission/dispatcher.py
@@ -0,0 +1,251 @@
+"""One group's slots and the requests that wait for them. Pure.
+
+A slot is given for a stated time, so that one whose node died, or whose return
+was lost, comes free by itself. Requests wait in order of priority, then those
+first that can still be answered within their objective, then in order of arrival.
+None waits beyond the time for which a slot is of use to it: one that cannot be
+expected to get a slot by then is told so at once, and one that will be late is
+told while others wait that can be in time.
+
+Nothing here is needed for a promise to callers. Two nodes may keep the queue of
+one group for a while, and nodes that hear of no dispatcher decide by themselves:
+the server then queues what is beyond its slots.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from ploverhatch.state.servers import ServerRecord
+
+QUEUED_AT_SERVER_PART = 0.5  # of the slots: hides the way of a returned slot to the next request
+DEFAULT_WORK_MS = 150.0  # of a server that has answered nothing yet
+WORK_WEIGHT = 0.15  # of a new answer time
+FAILING_MS = 1000.0  # a server that failed is given to nobody for so long, while others are there
+COLD_FACTOR = 2.0  # a server that has just started works about so much slower
+OTHER_ZONE_FACTOR = 1.6  # bytes between zones cost money: a server there has to be faster by it
+LEAST_AFTER_MS = 50.0  # what a request that is turned away is told at least
+WAITING_PER_SLOT = 32  # places in the queue
+
+
+class Asker(NamedTuple):
+    """A request: the address of its node and its number there."""
+
+    node: tuple[str, int]
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request asks for; times are elapsed milliseconds of this node."""
+
+    asker: Asker
+    priority: int
+    useful_ms: float  # a slot that is given by then lets the answer be in time
+    until_ms: float  # a slot is of no use later
+    hold_ms: float
+    avoid: str = ""
+    zone: str = ""  # of the node that asks
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """A slot of a server."""
+
+    asker: Asker
+    server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """A place in the queue."""
+
+    asker: Asker
+
+
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """No slot can be expected in time, but perhaps after a while."""
+
+    asker: Asker
+    after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """This node knows no server of the group: the request's node decides by itself."""
+
+    asker: Asker
+
+
+Answer = Given | Queued | TurnedAway | Unknown
+
+
+@dataclass(slots=True)
+class _Server:
+    """A member of the group."""
+
+    slots: int
+    zone: str
+    cold_until_ms: float
+    work_ms: float = 0.0  # 0: unknown
+    failing_until_ms: float = 0.0
+    in_use: int = 0
+
+    @property
+    def room(self) -> int:
+        """Most slots given at once."""
+        return self.slots + math.floor(self.slots * QUEUED_AT_SERVER_PART)
+
+
+@dataclass(frozen=True, slots=True)
+class _Lease:
+    """A slot in use; ``queued``: all slots of the server were in use when it was given."""
+
+    server_id: str
+    until_ms: float
+    queued: bool
+
+
+@dataclass(slots=True)
+class Group:
+    """State of one group at its dispatcher."""
+
+    _servers: dict[str, _Server] = field(default_factory=dict)
+    _leases: dict[Asker, _Lease] = field(default_factory=dict)
+    _waiting: list[Wish] = field(default_factory=list)  # in the order in which slots are given
+
+    @property
+    def in_use(self) -> int:
+        """Slots that are given."""
+        return len(self._leases)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    def set_members(self, records: Sequence[ServerRecord], now_ms: float) -> None:
+        """Take the servers that may get requests; what is known of others is kept for none."""
+        ids = {record.server_id for record in records}
+        for server_id in [known for known in self._servers if known not in ids]:
+            del self._servers[server_id]
+        for record in records:
+            if record.server_id not in self._servers:
+                server = _Server(record.slots, record.zone, now_ms + record.warmup_ms)
+                server.in_use = sum(
+                    lease.server_id == record.server_id for lease in self._leases.values()
+                )
+                self._servers[record.server_id] = server
+
+    # ---- events -------------------------------------------------------------------------
+
+    def ask(self, wish: Wish, now_ms: float) -> list[Answer]:
+        """A request asks for a slot; an answer that was lost is repeated."""
+        answers = self.expire(now_ms)
+        if not self._servers:
+            return [*answers, Unknown(wish.asker)]
+        held = self._leases.get(wish.asker)
+        if held is not None:
+            return [*answers, Given(wish.asker, held.server_id)]
+        if any(other.asker == wish.asker for other in self._waiting):
+            return [*answers, Queued(wish.asker)]
+        ahead = sum(other.priority <= wish.priority for other in self._waiting)
+        server_id = None if ahead else self._choose(wish, now_ms)
+        if server_id is not None:
+            return [*answers, self._give(wish, server_id, now_ms)]
+        wait_ms = self._expected_wait_ms(ahead)
+        if wait_ms > wish.until_ms - now_ms or len(self._waiting) >= self._capacity:
+            return [*answers, TurnedAway(wish.asker, max(wait_ms, LEAST_AFTER_MS))]
+        self._waiting.insert(ahead, wish)
+        return [*answers, Queued(wish.asker)]
+
+    def give_back(self, asker: Asker, took_ms: float, failed: bool, now_ms: float) -> list[Answer]:
+        """A request needs its slot, or its place in the queue, no more."""
+        self._waiting = [wish for wish in self._waiting if wish.asker != asker]
+        lease = self._leases.pop(asker, None)
+        server = self._servers.get(lease.server_id) if lease else None
+        if server is not None:
+            server.in_use -= 1
+            if failed:
+                server.failing_until_ms = now_ms + FAILING_MS
+            elif took_ms > 0 and lease is not None and not lease.queued:
+                before_ms = server.work_ms or took_ms
+                server.work_ms = before_ms + WORK_WEIGHT * (took_ms - before_ms)
+        return self.expire(now_ms)
+
+    def expire(self, now_ms: float) -> list[Answer]:
+        """Take back slots whose time is over, and give what is free to those who wait."""
+        for asker in [asker for asker, held in self._leases.items() if held.until_ms <= now_ms]:
+            server = self._servers.get(self._leases.pop(asker).server_id)
+            if server is not None:
+                server.in_use -= 1
+        answers = self._turn_away([w for w in self._waiting if w.until_ms <= now_ms])
+        while self._waiting:
+            self._waiting.sort(key=lambda wish: (wish.priority, wish.useful_ms <= now_ms))
+            server_id = self._choose(self._waiting[0], now_ms)
+            if server_id is None:
+                break
+            answers.append(self._give(self._waiting.pop(0), server_id, now_ms))
+        if any(wish.useful_ms > now_ms for wish in self._waiting):
+            answers += self._turn_away([w for w in self._waiting if w.useful_ms <= now_ms])
+        return answers
+
+    def _turn_away(self, wishes: list[Wish]) -> list[Answer]:
+        gone = {wish.asker for wish in wishes}
+        self._waiting = [wish for wish in self._waiting if wish.asker not in gone]
+        after_ms = max(self._expected_wait_ms(len(self._waiting)), LEAST_AFTER_MS)
+        return [TurnedAway(asker, after_ms) for asker in gone]
+
+    # ---- decisions ----------------------------------------------------------------------
+
+    def _give(self, wish: Wish, server_id: str, now_ms: float) -> Given:
+        server = self._servers[server_id]
+        queued = server.in_use >= server.slots
+        self._leases[wish.asker] = _Lease(server_id, now_ms + wish.hold_ms, queued)
+        server.in_use += 1
+        return Given(wish.asker, server_id)
+
+    def _choose(self, wish: Wish, now_ms: float) -> str | None:
+        """Return the server that will answer first, of those with room."""
+        usual_ms = self._usual_ms
+        free = [
+            (server_id, server)
+            for server_id, server in self._servers.items()
+            if server.in_use < server.room
+        ]
+        sound = [
+            item for item in free if item[1].failing_until_ms <= now_ms and item[0] != wish.avoid
+        ]
+        best = min(
+            sound or free,
+            key=lambda item: _expected_ms(item[1], wish.zone, usual_ms, now_ms),
+            default=None,
+        )
+        return best[0] if best else None
+
+    @property
+    def _usual_ms(self) -> float:
+        known = [server.work_ms for server in self._servers.values() if server.work_ms]
+        return sum(known) / len(known) if known else DEFAULT_WORK_MS
+
+    @property
+    def _capacity(self) -> int:
+        return WAITING_PER_SLOT * sum(server.slots for server in self._servers.values())
+
+    def _expected_wait_ms(self, ahead: int) -> float:
+        """Return how long a request waits that has so many before it."""
+        usual_ms = self._usual_ms
+        per_ms = sum(
+            server.slots / (server.work_ms or usual_ms) for server in self._servers.values()
+        )
+        return (ahead + 1) / per_ms if per_ms else math.inf
+
+
+def _expected_ms(server: _Server, zone: str, usual_ms: float, now_ms: float) -> float:
+    """Return how long a request would take there, with a preference for its own zone."""
+    work_ms = server.work_ms or usual_ms
+    cold = COLD_FACTOR if now_ms < server.cold_until_ms else 1.0
+    far = OTHER_ZONE_FACTOR if server.zone != zone else 1.0
+    return work_ms * cold * far * max(1.0, (server.in_use + 1) / server.slots)
--- /dev/null
+++ b/ploverhatch/admission/groups.py
@@ -0,0 +1,62 @@
+"""Which servers share a queue, and which node keeps it. Pure.
+
+The servers of a service form one group, or one a zone where they are many, so
+that no node has to keep a queue of hundreds. A group's *dispatcher* is the node
+(of the zone) that ranks first by a hash of both (rendezvous hashing): nodes that
+know the same members agree on it, and a change of members moves few groups. A
+server that holds keys is a group by itself: only it can run its keys' requests.
+"""
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+from zlib import crc32
+
+from ploverhatch.state.servers import ServerRecord
+
+MOST_SERVERS = 48  # of a group of a whole service: more are divided by zone
+
+
+@dataclass(frozen=True, slots=True)
+class GroupName:
+    """Names a group; ``zone`` is empty where it has all servers of the service.
+
+    ``holder`` is the server that is a group by itself; empty for other groups.
+    """
+
+    service: str
+    zone: str = ""
+    holder: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.zone}/{self.holder}"
+
+
+def groups_of(records: Collection[ServerRecord]) -> dict[GroupName, int]:
+    """Return the groups of a service's servers that may get requests, and their sizes."""
+    usable = [record for record in records if not record.draining]
+    divided = len(usable) > MOST_SERVERS
+    names = [GroupName(item.service, item.zone if divided else "") for item in usable]
+    return dict(Counter(names))
+
+
+def members_of(name: GroupName, records: Iterable[ServerRecord]) -> list[ServerRecord]:
+    """Return the servers of a group that may get requests, of a service's records."""
+    if name.holder:
+        return [record for record in records if record.server_id == name.holder]
+    return [record for record in records if not record.draining and name.zone in {"", record.zone}]
+
+
+def dispatcher(name: GroupName, nodes: Mapping[str, str], passed: Collection[str]) -> str:
+    """Return the address of the node that keeps a group's queue; empty without any.
+
+    :param nodes: zones by address.
+    :param passed: nodes that did not answer lately.
+    """
+    usable = [address for address in nodes if address not in passed]
+    near = [address for address in usable if nodes[address] == name.zone]
+    return max(near or usable, key=lambda address: _rank(name, address), default="")
+
+
+def _rank(name: GroupName, address: str) -> tuple[int, str]:
+    return crc32(f"{name}|{address}".encode()), address
--- /dev/null
+++ b/ploverhatch/admission/messages.py
@@ -0,0 +1,57 @@
+"""What nodes say to each other about slots. All of it may be lost, late or repeated."""
+
+import msgspec
+
+
+class SlotAsk(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Ask for a slot of one of a group's servers.
+
+    ``number`` names the request at its sender. An answer is in time if the slot is
+    given within ``useful_ms``; ``wait_ms`` is how long a slot is of use at all, and
+    ``hold_ms`` for how long it is needed at most: after it the slot is free again
+    though nobody gave it back. ``avoid`` is a server that failed the request
+    before; empty for none. ``zone`` is that of the node that asks, ``group_zone``
+    that of the group, empty where it has all servers of the service. ``holder`` is
+    the server that must run the request; empty where any of the group may.
+    """
+
+    number: int
+    service: str
+    group_zone: str
+    holder: str
+    zone: str
+    priority: int
+    useful_ms: float
+    wait_ms: float
+    hold_ms: float
+    avoid: str = ""
+
+
+class SlotWord(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """The answer: a server's slot, a place in the queue, or neither.
+
+    ``server`` is the server whose slot is given. ``after_ms`` says to one that is
+    turned away when a slot can be expected. ``leaving`` says that the node is about
+    to stop and keeps no queues any more: another one is to be asked.
+    """
+
+    number: int
+    server: str = ""
+    queued: bool = False
+    after_ms: float = 0.0
+    leaving: bool = False
+
+
+class SlotReturn(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """Give a slot back, or a place in the queue.
+
+    ``took_ms`` is how long the server worked, 0 where that says nothing of it;
+    ``failed`` that it could not be reached or did not answer.
+    """
+
+    number: int
+    service: str
+    group_zone: str
+    holder: str
+    took_ms: float = 0.0
+    failed: bool = False
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -1,7 +1,7 @@
 """Task that watches the leader's lease, claims it and renews it."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import replace
 
@@ -10,7 +10,9 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.signal import Signal
 from ploverhatch.gateway import keymap_codec
+from ploverhatch.gateway.keymap_codec import Member
 from ploverhatch.leadership import election
 from ploverhatch.leadership.election import ElectionState, LeaseObject
 from ploverhatch.store import kinds
@@ -45,7 +47,9 @@
         store_regained: Callable[[], None],
         covered: Callable[[], bool] = lambda: False,
         claim_delay_ms: float = 0.0,
+        zone: str = "",
     ) -> None:
+        self._member = Member(address, zone)
         self._claim_delay_s = claim_delay_ms / 1000
         self._store = store
         self._address = address
@@ -53,6 +57,8 @@
         self._store_regained = store_regained
         self._covered = covered
         self._looked_ms = -1e12
+        self._wake = Signal()
+        self._look_due = False  # another task got no answer from the store
         self._store_away = False
         self._registered = False
         self._renewal = 0
@@ -61,7 +67,7 @@
         self._stopped = False
         self._looked = Event()  # the lease was read once, or a leader was heard
         self.state = ElectionState(node, life)
-        self.members: frozenset[str] = frozenset()  # addresses of all nodes known
+        self.member_zones: dict[str, str] = {}  # of all nodes known, by address
 
     @property
     def address(self) -> str:
@@ -83,6 +89,16 @@
         """Where the leader takes reports; empty when there is none."""
         return self.state.leader_address
 
+    @property
+    def members(self) -> Collection[str]:
+        """Addresses of all nodes known."""
+        return self.member_zones.keys()
+
+    @property
+    def store_away(self) -> bool:
+        """Whether the store did not answer this task's last call."""
+        return self._store_away
+
     @property
     def node_count(self) -> int:
         """Number of nodes that share the budgets; 1 at least."""
@@ -96,13 +112,18 @@
         """Take part until stopped."""
         while not self._stopped:
             pause_s = self._round()
-            gevent.sleep(pause_s)
+            self._look_due = self._wake.wait(pause_s)
+
+    def look_now(self) -> None:
+        """Ask the store at once: another task of this node got no answer."""
+        if not self._store_away and not self.state.leading:
+            self._wake.raise_()
 
     def _round(self) -> float:
         try:
             if self.state.leading:
                 self._renew()
-            elif not self._hears_leader:
+            elif self._store_away or self._look_due or not self._hears_leader:
                 self._look()
                 self._looked_ms = elapsed_ms()
         except StoreCallError as error:
@@ -146,7 +167,8 @@
         self._nodes = {
             item.name: item for item in listing.items if item.name.startswith(NODE_PREFIX)
         }
-        self.members = frozenset(map(keymap_codec.decode_member, self._nodes.values())) - {""}
+        members = [keymap_codec.decode_member(item) for item in self._nodes.values()]
+        self.member_zones = {item.address: item.zone for item in members if item.address}
         for item in listing.items:
             if item.name == kinds.LEADER_LEASE:
                 self._observe(keymap_codec.decode_lease(item))
@@ -167,12 +189,12 @@
     def _register(self) -> None:
         """Add this node, with its address, to those that share the budgets."""
         name = NODE_PREFIX + self.state.node
-        content = keymap_codec.encode_member(self._address)
+        content = keymap_codec.encode_member(self._member)
         known = self._nodes.get(name)
         with suppress(RevisionConflictError):  # an earlier call of this node was late
             if known is None:
                 self._store.create(kinds.LEASES, name, content)
-            elif keymap_codec.decode_member(known) != self._address:
+            elif keymap_codec.decode_member(known) != self._member:
                 self._store.replace(kinds.LEASES, name, content, known.revision)
         self._registered = True
 
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from contextlib import ExitStack
 from dataclasses import dataclass
 
 import gevent
@@ -18,6 +19,7 @@
 from ploverhatch.gateway.messages import CallerReply, CallerRequest, RequestFacts
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
+from ploverhatch.gateway.shared_slots import SharedSlot, SharedSlots, SlotWish, TurnedAwayError
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing import balancer
@@ -40,6 +42,10 @@
 
 CONNECT_TIMEOUT_S = 0.3
 OFFER_PART = 0.23  # of the objective: by then a request is offered to a server or refused
+USEFUL_PART = 0.5  # of the objective: a request that gets its slot by then is mostly in time
+WAIT_PART = 0.55  # of the time until the caller or the route gives up: then no slot helps
+HOLD_MARGIN_MS = 100.0  # a slot that all nodes share is leased for longer than it is used
+LONGEST_RETRY_AFTER_S = 2.0
 MOVE_PART = 0.6  # of the objective: how long to wait for keys that change hands
 LEAST_ATTEMPT_PART = 0.1  # of the objective: less time than that is no use
 DRAINING_HOLDER_MS = 700.0  # how long a draining server still gets its keys' requests
@@ -51,6 +57,11 @@
 RETRY_PAUSE_S = 0.02
 
 
+FAILED_RESULTS = frozenset(
+    {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}
+)
+
+
 @dataclass(slots=True)
 class Call:
     """A request after matching; times are elapsed milliseconds."""
@@ -91,7 +102,9 @@
         pool: UpstreamPool,
         dialect: Dialect,
         budget: SharedRetryBudget,
+        shared_slots: SharedSlots | None = None,
     ) -> None:
+        self._shared_slots = shared_slots
         self._directory = directory
         self._pool = pool
         self._dialect = dialect
@@ -174,8 +187,7 @@
         tried: set[str] = set()
         last_answer: WireAnswer | None = None
         while True:
-            upstream = self._await_upstream(call, tried, history)
-            result, answer = self._attempt_in_slot(call, upstream, history)
+            upstream, result, answer = self._attempt_once(call, tried, history)
             self.metrics.attempts[result.value] += 1
             if result is AttemptResult.ANSWERED:
                 assert answer is not None
@@ -237,9 +249,62 @@
         turned_away = result is AttemptResult.LOST and upstream.turned_away(took_ms)
         if turned_away or result in {AttemptResult.DECLINED, AttemptResult.TIMED_OUT}:
             upstream.overloaded()
-        if result in {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}:
+        if result in FAILED_RESULTS:
             upstream.failed()
 
+    def _attempt_once(
+        self, call: Call, tried: set[str], history: AttemptHistory
+    ) -> tuple[Upstream, AttemptResult, WireAnswer | None]:
+        """Send the request to one server, in a slot of all nodes or else one of this node."""
+        upstream = self._await_upstream(call, tried, history) if call.partitioned else None
+        with ExitStack() as held:
+            slot = self._shared_slot(call, history, upstream, held)
+            given = self._pool.get(slot.server_id) if slot else None
+            if slot is not None and given is not None:
+                with given.given_slot():
+                    result, answer = self._attempt_noted(call, given)
+                slot.failed = result in FAILED_RESULTS
+                if result is AttemptResult.ANSWERED:
+                    slot.took_ms = call.trace.attempts[-1].took_ms
+                return given, result, answer
+        if upstream is None:
+            upstream = self._await_upstream(call, tried, history)
+        return upstream, *self._attempt_in_slot(call, upstream, history)
+
+    def _shared_slot(
+        self, call: Call, history: AttemptHistory, holder: Upstream | None, held: ExitStack
+    ) -> SharedSlot | None:
+        """Return a slot of all nodes, held until the stack ends; ``None`` if nobody tells.
+
+        :raises RefusedError: when none can be expected in time.
+        """
+        if self._shared_slots is None:
+            return None
+        now_ms = elapsed_ms()
+        received_ms = call.request.received_ms
+        useful_ms = received_ms + call.route.objective_ms * USEFUL_PART
+        until_ms = received_ms + (call.deadline_ms - received_ms) * WAIT_PART
+        if history.arrivals:  # it may have run: only an answer helps
+            until_ms = call.deadline_ms
+        attempts = call.trace.attempts
+        wish = SlotWish(
+            call.service,
+            call.route.priority,
+            max(0.0, useful_ms - now_ms),
+            max(0.0, until_ms - now_ms),
+            max(0.0, call.left_ms) + HOLD_MARGIN_MS,
+            holder.record if holder else None,
+            attempts[-1].server_id if attempts else "",
+        )
+        try:
+            slot = held.enter_context(self._shared_slots.hold(wish))
+        except TurnedAwayError as error:
+            call.trace.slot = f"turned-away:{error.after_ms:.0f}@{error.dispatcher}"
+            after_s = min(error.after_ms / 1000, LONGEST_RETRY_AFTER_S)
+            raise self._out_of_time(call, history, results.QUEUE_TIMEOUT, after_s) from error
+        call.trace.slot = f"given@{slot.dispatcher}" if slot else "none"
+        return slot
+
     def _attempt_in_slot(
         self, call: Call, upstream: Upstream, history: AttemptHistory
     ) -> tuple[AttemptResult, WireAnswer | None]:
@@ -252,13 +317,18 @@
         except NoSlotError as error:
             raise self._out_of_time(call, history, results.QUEUE_TIMEOUT) from error
 
-    def _out_of_time(self, call: Call, history: AttemptHistory, result: Result) -> RefusedError:
-        """Return the refusal of a request that found no server in time."""
+    def _out_of_time(
+        self, call: Call, history: AttemptHistory, result: Result, after_s: float = 0.0
+    ) -> RefusedError:
+        """Return the refusal of a request that found no server in time.
+
+        :param after_s: when a slot can be expected, where that is known.
+        """
         if history.may_have_run:
             return RefusedError(results.ANSWER_LOST, result.name)
         busy = result in {results.QUEUE_TIMEOUT, results.QUEUE_FULL}
         retry_after_s = RETRY_AFTER_BUSY_S if busy else RETRY_AFTER_MOVE_S
-        return RefusedError(result, call.service, retry_after_s)
+        return RefusedError(result, call.service, max(retry_after_s, after_s))
 
     def _attempt_noted(
         self, call: Call, upstream: Upstream
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -32,8 +32,11 @@
     ranges: list[_StoredRange]
 
 
-class _StoredMember(msgspec.Struct):
+class Member(msgspec.Struct, frozen=True):
+    """A node's own object: where it takes datagrams, and its zone."""
+
     address: str = ""
+    zone: str = ""
 
 
 class _StoredLease(msgspec.Struct):
@@ -118,17 +121,17 @@
     )
 
 
-def encode_member(address: str) -> object:
-    """Return the content of a node's own object: where it takes datagrams."""
-    return msgspec.to_builtins(_StoredMember(address))
+def encode_member(member: Member) -> object:
+    """Return the content of a node's own object."""
+    return msgspec.to_builtins(member)
 
 
-def decode_member(item: VersionedObject) -> str:
-    """Return a node's address; empty where an earlier version wrote none.
+def decode_member(item: VersionedObject) -> Member:
+    """Return a node's object; its address is empty where an earlier version wrote none.
 
     :raises UnreadableObjectError: when the object has another form.
     """
-    return _read(item, _StoredMember).address if item.spec is not None else ""
+    return _read(item, Member) if item.spec is not None else Member()
 
 
 def _read(item: VersionedObject, form: type[T]) -> T:
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -14,6 +14,7 @@
 from gevent import socket
 from msgspec.structs import replace
 
+from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
@@ -39,7 +40,8 @@
     stamp_ms: float = 0.0  # when it was sent, on its sender's clock
 
 
-Message = LoadReport | Told | Beacon | Fragment
+SlotMessage = SlotAsk | SlotWord | SlotReturn
+Message = LoadReport | Told | Beacon | Fragment | SlotMessage
 Address = tuple[str, int]
 
 
@@ -72,6 +74,7 @@
         self._leader = leader
         self._take_report = take_report
         self._takers: dict[type, Callable[..., None]] = {LoadReport: take_report}
+        self._take_slot: Callable[[SlotMessage, Address], None] = lambda message, peer: None
         self._own = f"{address.host}:{address.port}"
         self._peers: dict[Address, _Peer] = {}  # reporters
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -86,6 +89,14 @@
         """Have messages of a form taken by ``taker``."""
         self._takers[form] = taker
 
+    def take_slots(self, taker: Callable[[SlotMessage, Address], None]) -> None:
+        """Have messages about slots taken by ``taker``, with their senders' addresses."""
+        self._take_slot = taker
+
+    def send_slot(self, message: SlotMessage, to: Address) -> None:
+        """Send a message about a slot."""
+        self._send(msgspec.msgpack.encode(message), to)
+
     def report_forever(self) -> None:
         """Report to the leader at a steady pace, also when there is no load."""
         while not self._leader():
@@ -157,11 +168,14 @@
             except (OSError, ValueError) as error:
                 LOG.warning("Datagram not read.", cause=error)
                 continue
+            if isinstance(message, SlotAsk | SlotWord | SlotReturn):
+                self._take_slot(message, peer)
+                continue
             if isinstance(message, LoadReport):
                 self._peers[peer] = _Peer(message.stamp_ms, elapsed_ms())
             self._take(message)
 
-    def _take(self, message: Message | None) -> None:
+    def _take(self, message: LoadReport | Told | Beacon | None) -> None:
         leader = self._leader()
         taker = self._takers.get(type(message))
         if taker is not None:
@@ -169,7 +183,9 @@
         if self._leader() != leader:
             self._leader_changed.raise_()
 
-    def _decode(self, data: bytes, peer: Address) -> Message | None:
+    def _decode(
+        self, data: bytes, peer: Address
+    ) -> LoadReport | Told | Beacon | SlotMessage | None:
         """Return a message; ``None`` until the last fragment of a long one came.
 
         :raises ValueError: when it has another form.
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -24,6 +24,7 @@
 from ploverhatch.gateway.peer_objects import SnapshotClient, SnapshotServer
 from ploverhatch.gateway.relay import Relay
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
+from ploverhatch.gateway.shared_slots import SharedSlots
 from ploverhatch.gateway.supervisor import run_forever
 from ploverhatch.gateway.translation import Translation
 from ploverhatch.gateway.upstreams import UpstreamPool
@@ -79,7 +80,6 @@
         self._budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
-        self._forwarder = Forwarder(self.directory, self._pool, dialect, self._budget)
         peer_address = HostPort(settings.ip, settings.peer_port)
         self._elector = Elector(
             store,
@@ -87,9 +87,10 @@
             os.urandom(LIFE_BYTES).hex(),
             f"{settings.ip}:{settings.peer_port}",
             self._store_lost,
-            store.interrupt,
+            self._store_regained,
             lambda: self._relay.covered,
             settings.claim_delay_ms,
+            settings.zone,
         )
         self._peers = PeerLink(
             peer_address,
@@ -98,6 +99,14 @@
             self._take_load,
             lambda: self._elector.members,
         )
+        self._slots = SharedSlots(
+            settings.zone,
+            self.directory,
+            lambda: self._elector.member_zones,
+            self._peers.send_slot,
+        )
+        self._peers.take_slots(self._slots.take)
+        self._forwarder = Forwarder(self.directory, self._pool, dialect, self._budget, self._slots)
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
             settings.relay_limit_ms,
@@ -112,7 +121,7 @@
         self._peers.take(Told, self._relay.take_told)
         self._peers.take(Beacon, self._relay.take_beacon)
         self._feeds = [
-            FeedTask(store, feed, self._relay, self._store_lost)
+            FeedTask(store, feed, self._relay, self._feed_failed)
             for feed in self._followed(keymap_relay)
         ]
         self._relay.attach(self._feeds)
@@ -152,6 +161,7 @@
             ("leader", self._lead_when_elected, self._elector.resign),
             ("reports", self._peers.report_forever, None),
             ("datagrams", self._peers.receive_forever, None),
+            ("slots", self._slots.expire_forever, None),
             ("housekeeping", self._keep_house, None),
             ("pool", self._sync_pool, None),
         ]
@@ -193,6 +203,7 @@
             return
         self._draining = True
         self._callers.draining = True
+        self._slots.leaving = True
         start_ms = elapsed_ms()
         LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
         gevent.spawn(self._elector.stop)
@@ -276,6 +287,15 @@
     def _store_lost(self) -> None:
         self.directory.servers.note_store_failure(elapsed_ms())
 
+    def _feed_failed(self) -> None:
+        self._store_lost()
+        self._elector.look_now()
+
+    def _store_regained(self) -> None:
+        self._store.interrupt()
+        for feed in self._feeds:
+            feed.nudge()
+
     # ---- tasks ------------------------------------------------------------------------
 
     def _sync_pool(self) -> None:
@@ -357,6 +377,8 @@
         metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
         metrics.gauge("nodes", lambda: float(self._elector.node_count))
         metrics.gauge("connections", lambda: float(self._callers.open_connections))
+        metrics.gauge("shared_slots_in_use", lambda: float(self._slots.in_use))
+        metrics.gauge("shared_slots_waiting", lambda: float(self._slots.waiting))
         metrics.gauge("busy", lambda: float(self._callers.busy))
         return metrics.text()
 
--- a/ploverhatch/gateway/request_log.py
+++ b/ploverhatch/gateway/request_log.py
@@ -39,6 +39,7 @@
     version: int = 0
     objective_ms: float = 0.0
     attempts: list[AttemptNote] = field(default_factory=list)
+    slot: str = ""  # the last word on a slot that all nodes share, and which node gave it
 
     def finish(self, status: int, result_code: int, detail: str, took_ms: float) -> None:
         """Write the line, unless the request was an ordinary one."""
@@ -56,5 +57,6 @@
             service=self.service,
             key="-" if self.key is None else self.key,
             version=self.version,
+            slot=self.slot or "-",
             attempts="|".join(note.text() for note in self.attempts) or "-",
         )
--- /dev/null
+++ b/ploverhatch/gateway/shared_slots.py
@@ -0,0 +1,341 @@
+"""Slots of servers that all nodes share: this node's requests, and the queues it keeps.
+
+A request asks its group's dispatcher, which may be this node, by a datagram, and
+goes straight to the server whose slot it was given. Decisions are in
+:mod:`ploverhatch.admission`. Where no dispatcher answers in time, the node goes
+on with its own limits: nothing is promised that depends on an answer.
+"""
+
+import itertools
+import random
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+
+import gevent
+from gevent.event import Event
+
+from ploverhatch.admission import groups
+from ploverhatch.admission.dispatcher import (
+    Answer,
+    Asker,
+    Given,
+    Group,
+    Queued,
+    TurnedAway,
+    Wish,
+)
+from ploverhatch.admission.groups import GroupName
+from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.peer_link import Address, SlotMessage
+from ploverhatch.state.servers import ServerRecord
+from ploverhatch.transport.http_connection import HostPort
+
+LOG = PartLogger("slots")
+
+ANSWER_S = 0.025  # a dispatcher is asked again after it, and twice before it is passed over
+ASKED_TIMES = 2
+ASKED_NODES = 2  # where the first one is about to stop
+PASSED_MS = 1000.0  # how long a node that did not answer keeps no queue, as seen from here
+LATE_S = 0.02  # the way of an answer to one that waits
+NEAR_PART = 0.3  # of the time that a request waits in its own zone, if there are others
+REFRESH_MS = 100.0  # how old the members of a group may be at its dispatcher
+FORGET_MS = 20_000.0  # a queue that nobody asked for so long is forgotten
+TICK_S = 0.025  # between looks for slots whose time is over
+NO_INFORMATION_MS = 0.0
+
+
+class TurnedAwayError(Exception):
+    """No slot can be expected in time.
+
+    :param after_ms: when one can be expected.
+    :param dispatcher: the node that said so.
+    """
+
+    def __init__(self, after_ms: float, dispatcher: str = "") -> None:
+        super().__init__(f"after {after_ms:.0f} ms")
+        self.after_ms = after_ms
+        self.dispatcher = dispatcher
+
+
+@dataclass(frozen=True, slots=True)
+class SlotWish:
+    """What a request needs; times are milliseconds from now.
+
+    With a slot within ``useful_ms`` its answer is in time; within ``wait_ms`` it is
+    of use at least. ``holder`` is the server that must run it, ``None`` where any of
+    the service may; ``avoid`` one that failed the request before.
+    """
+
+    service: str
+    priority: int
+    useful_ms: float
+    wait_ms: float
+    hold_ms: float
+    holder: ServerRecord | None = None
+    avoid: str = ""
+
+    def after(self, spent_ms: float) -> "SlotWish":
+        """Return what is left of the wish after a time."""
+        return replace(
+            self,
+            useful_ms=max(0.0, self.useful_ms - spent_ms),
+            wait_ms=max(0.0, self.wait_ms - spent_ms),
+            hold_ms=max(0.0, self.hold_ms - spent_ms),
+        )
+
+
+@dataclass(slots=True)
+class SharedSlot:
+    """A slot that was given; the fields that say how it went are set before it goes back."""
+
+    server_id: str = ""
+    dispatcher: str = ""
+    took_ms: float = NO_INFORMATION_MS
+    failed: bool = False
+
+
+class _Pending:
+    """A request that waits for its dispatcher's word."""
+
+    def __init__(self) -> None:
+        self.word: SlotWord | None = None
+        self._changed = Event()
+
+    def take(self, word: SlotWord) -> None:
+        """Take a word; a repeated place in the queue tells nothing new."""
+        if self.word is None or not word.queued:
+            self.word = word
+            self._changed.set()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait for a word that was not waited for before; false when there is none."""
+        came = self._changed.wait(max(timeout_s, 0.0))
+        self._changed.clear()
+        return bool(came)
+
+
+@dataclass(slots=True)
+class _Kept:
+    """A queue that this node keeps."""
+
+    group: Group
+    refreshed_ms: float = -1e12  # when its members were last looked up
+    used_ms: float = 0.0
+
+
+class SharedSlots:
+    """One node's part.
+
+    :param zone: of this node.
+    :param members: zones of all nodes by address.
+    :param send: sends a message to a node.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        directory: Directory,
+        members: Callable[[], Mapping[str, str]],
+        send: Callable[[SlotMessage, Address], None],
+    ) -> None:
+        self._zone = zone
+        self._directory = directory
+        self._members = members
+        self._send = send
+        self._numbers = itertools.count(random.getrandbits(32))
+        self._pending: dict[int, _Pending] = {}
+        self._passed_ms: dict[str, float] = {}  # nodes that did not answer: until when
+        self._kept: dict[GroupName, _Kept] = {}
+        self.leaving = False  # this node is about to stop: others keep the queues
+
+    @property
+    def in_use(self) -> int:
+        """Slots given by this node's queues."""
+        return sum(kept.group.in_use for kept in self._kept.values())
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait in this node's queues."""
+        return sum(kept.group.waiting for kept in self._kept.values())
+
+    # ---- for requests of this node ------------------------------------------------------
+
+    @contextmanager
+    def hold(self, wish: SlotWish) -> Iterator[SharedSlot | None]:
+        """Hold a slot, or ``None`` where no dispatcher tells.
+
+        :raises TurnedAwayError: when none can be expected in time.
+        """
+        start_ms = elapsed_ms()
+        turned_away: TurnedAwayError | None = None
+        for name, part in self._groups(wish):
+            left = wish.after(elapsed_ms() - start_ms)
+            try:
+                with self._hold_in(name, left, min(wish.wait_ms * part, left.wait_ms)) as slot:
+                    yield slot
+                    return
+            except TurnedAwayError as error:
+                turned_away = error
+        if turned_away is not None:
+            raise turned_away
+        yield None
+
+    def _groups(self, wish: SlotWish) -> list[tuple[GroupName, float]]:
+        """Return the groups to ask, and the part of the time to wait there."""
+        if wish.holder is not None:
+            name = GroupName(wish.service, wish.holder.zone, wish.holder.server_id)
+            return [(name, 1.0)]
+        sizes = groups.groups_of(self._directory.servers.of_service(wish.service))
+        near = [name for name in sizes if name.zone in {"", self._zone}]
+        others = [name for name in sizes if name not in near]
+        found = [(name, NEAR_PART if others else 1.0) for name in near]
+        if others:
+            weights = [sizes[name] for name in others]
+            found.append((random.choices(others, weights)[0], 1.0))
+        return found
+
+    @contextmanager
+    def _hold_in(
+        self, name: GroupName, wish: SlotWish, wait_ms: float
+    ) -> Iterator[SharedSlot | None]:
+        number = next(self._numbers)
+        ask = SlotAsk(
+            number,
+            name.service,
+            name.zone,
+            name.holder,
+            self._zone,
+            wish.priority,
+            min(wish.useful_ms, wait_ms),
+            wait_ms,
+            wish.hold_ms,
+            wish.avoid,
+        )
+        slot = SharedSlot()
+        pending = self._pending[number] = _Pending()
+        asked = ""
+        try:
+            for _ in range(ASKED_NODES):
+                asked = groups.dispatcher(name, self._members(), self._passed())
+                word = self._ask(ask, pending, asked) if asked else None
+                if word is None or not word.leaving:
+                    break
+                self._pass_over(asked)
+                pending.word = None
+            if word is not None and word.queued:
+                word = self._await_turn(pending, word, wait_ms)
+            if word is not None and not word.server and word.after_ms > 0:
+                raise TurnedAwayError(word.after_ms, asked)
+            slot.server_id = word.server if word else ""
+            slot.dispatcher = asked
+            yield slot if slot.server_id else None
+        finally:
+            del self._pending[number]
+            if asked:
+                back = SlotReturn(
+                    number, name.service, name.zone, name.holder, slot.took_ms, slot.failed
+                )
+                self._send(back, HostPort.parse(asked))
+
+    def _passed(self) -> set[str]:
+        now_ms = elapsed_ms()
+        self._passed_ms = {node: end for node, end in self._passed_ms.items() if end > now_ms}
+        return set(self._passed_ms)
+
+    def _ask(self, ask: SlotAsk, pending: _Pending, node: str) -> SlotWord | None:
+        """Return a dispatcher's answer; ``None`` when there is none in time."""
+        address = HostPort.parse(node)
+        for _ in range(ASKED_TIMES):
+            self._send(ask, address)
+            if pending.wait(ANSWER_S):
+                return pending.word
+        if node not in self._passed_ms:
+            LOG.info(
+                "Dispatcher does not answer.", node=node, service=ask.service, zone=ask.group_zone
+            )
+        self._pass_over(node)
+        return None
+
+    def _pass_over(self, node: str) -> None:
+        self._passed_ms[node] = elapsed_ms() + PASSED_MS
+
+    def _await_turn(self, pending: _Pending, word: SlotWord, wait_ms: float) -> SlotWord:
+        """Wait for the slot of a request that has a place in the queue."""
+        if pending.word is word:
+            pending.wait(wait_ms / 1000 + LATE_S)
+        if pending.word is None or pending.word is word:
+            return SlotWord(word.number, after_ms=wait_ms)
+        return pending.word
+
+    # ---- messages -----------------------------------------------------------------------
+
+    def take(self, message: SlotMessage, peer: Address) -> None:
+        """Take a message of another node, or of this one."""
+        if isinstance(message, SlotWord):
+            self._take_word(message)
+        elif isinstance(message, SlotAsk):
+            self._take_ask(message, peer)
+        else:
+            self._take_return(message, peer)
+
+    def _take_word(self, word: SlotWord) -> None:
+        pending = self._pending.get(word.number)
+        if pending is not None:  # otherwise the request is over, and gave everything back
+            pending.take(word)
+
+    def _take_ask(self, ask: SlotAsk, peer: Address) -> None:
+        if self.leaving:
+            self._send(SlotWord(ask.number, leaving=True), peer)
+            return
+        now_ms = elapsed_ms()
+        name = GroupName(ask.service, ask.group_zone, ask.holder)
+        kept = self._kept.setdefault(name, _Kept(Group()))
+        kept.used_ms = now_ms
+        if now_ms - kept.refreshed_ms > REFRESH_MS:
+            records = self._directory.servers.of_service(ask.service)
+            kept.group.set_members(groups.members_of(name, records), now_ms)
+            kept.refreshed_ms = now_ms
+        wish = Wish(
+            Asker(peer, ask.number),
+            ask.priority,
+            now_ms + ask.useful_ms,
+            now_ms + ask.wait_ms,
+            ask.hold_ms,
+            ask.avoid,
+            ask.zone,
+        )
+        self._answer(kept.group.ask(wish, now_ms))
+
+    def _take_return(self, message: SlotReturn, peer: Address) -> None:
+        kept = self._kept.get(GroupName(message.service, message.group_zone, message.holder))
+        if kept is not None:
+            asker = Asker(peer, message.number)
+            self._answer(kept.group.give_back(asker, message.took_ms, message.failed, elapsed_ms()))
+
+    def _answer(self, answers: list[Answer]) -> None:
+        for answer in answers:
+            self._send(_word(answer), answer.asker.node)
+
+    def expire_forever(self) -> None:
+        """Take back slots whose time is over."""
+        while True:
+            gevent.sleep(TICK_S)
+            now_ms = elapsed_ms()
+            for name, kept in list(self._kept.items()):
+                if kept.group.waiting:
+                    self._answer(kept.group.expire(now_ms))
+                elif now_ms - kept.used_ms > FORGET_MS:
+                    del self._kept[name]
+
+
+def _word(answer: Answer) -> SlotWord:
+    number = answer.asker.number
+    if isinstance(answer, Given):
+        return SlotWord(number, answer.server_id)
+    if isinstance(answer, Queued):
+        return SlotWord(number, queued=True)
+    return SlotWord(number, after_ms=answer.after_ms if isinstance(answer, TurnedAway) else 0.0)
--- a/ploverhatch/gateway/slots.py
+++ b/ploverhatch/gateway/slots.py
@@ -79,6 +79,16 @@
         finally:
             self._give_back(ticket)
 
+    @contextmanager
+    def hold_given(self) -> Iterator[None]:
+        """Count a slot that was given elsewhere, whatever the limit here."""
+        ticket = next(self._tickets)
+        self._started_ms[ticket] = self._clock()
+        try:
+            yield
+        finally:
+            self._give_back(ticket)
+
     @property
     def _free(self) -> bool:
         return self.in_use < max(1, int(self._limit()))
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -53,6 +53,10 @@
         """
         return self._queue.hold(priority, wait_s)
 
+    def given_slot(self) -> AbstractContextManager[None]:
+        """Hold a slot that all nodes share, which was given to a request of this node."""
+        return self._queue.hold_given()
+
     # ---- what was learned -----------------------------------------------------------
 
     def answered(self, took_ms: float, objective_ms: float) -> None:
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -1,5 +1,7 @@
 """One request through the forwarder, against stand-ins of upstreams."""
 
+from contextlib import contextmanager
+
 import gevent
 import pytest
 
@@ -7,6 +9,7 @@
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.forwarder import MOVE_PART, OFFER_PART, Forwarder
 from ploverhatch.gateway.messages import CallerGoneError, CallerRequest
+from ploverhatch.gateway.shared_slots import SharedSlot, TurnedAwayError
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.routing.retry_budget import SharedRetryBudget
@@ -305,3 +308,117 @@
     known.answer_time.add(100.0)
     assert known.turned_away(5.0)
     assert not known.turned_away(50.0)
+
+
+def test_what_does_not_fit_into_a_part_of_a_split_goes_nowhere_else(bench):
+    """The shares of a split hold also while one of its services has no room."""
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    shares = (ServiceShare(PLAIN, 1.0), ServiceShare("empty", 1.0))
+    split = route("split", PLAIN, repeatable=True, shares=shares)
+    services = {name: Service(name, False, 100) for name in (PLAIN, "empty")}
+    bench.directory.take_table(RouteTable(2, {b"h.example": (split,)}, services))
+    statuses = [bench.ask(b"/split/").status for _ in range(6)]
+    assert sorted(statuses) == [200] * 3 + [503] * 3
+    assert len(upstream.ran) == 3
+
+
+# ---- slots that all nodes share -----------------------------------------------------------
+
+
+class GivenSlots:
+    """Gives slots of the servers named in order; ``None``: nobody tells."""
+
+    def __init__(self, *servers, after_ms=None):
+        self.servers = list(servers)
+        self.after_ms = after_ms
+        self.wishes = []
+        self.ended = []
+
+    @contextmanager
+    def hold(self, wish):
+        self.wishes.append(wish)
+        if self.after_ms is not None:
+            raise TurnedAwayError(self.after_ms)
+        server = self.servers.pop(0) if self.servers else None
+        slot = SharedSlot(server) if server else None
+        yield slot
+        if slot is not None:
+            self.ended.append(slot)
+
+
+def share(bench, slots):
+    bench.forwarder = Forwarder(bench.directory, bench.pool, PlatformDialect(), bench.budget, slots)
+    return slots
+
+
+def test_a_request_goes_to_the_server_whose_slot_it_was_given(bench):
+    upstreams = [Upstream("u1"), Upstream("u2")]
+    for upstream in upstreams:
+        bench.add(upstream)
+    slots = share(bench, GivenSlots("u2", "u1", "u2"))
+    for _ in range(3):
+        assert bench.ask(b"/once/", b"POST").status == 200
+    assert [len(upstream.ran) for upstream in upstreams] == [1, 2]
+    assert all(slot.took_ms > 0 and not slot.failed for slot in slots.ended)
+
+
+def test_one_that_gets_no_slot_is_told_at_once_when_to_come_back(bench):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    share(bench, GivenSlots(after_ms=700.0))
+    started = elapsed_ms()
+    reply = bench.ask(b"/once/", b"POST")
+    assert reply.status == 503
+    assert float(field(reply, b"retry-after")[0]) == pytest.approx(0.7)
+    assert elapsed_ms() - started < 50.0
+    assert upstream.ran == []
+
+
+def test_one_that_may_have_run_is_never_called_not_run(bench):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    upstream.behaviour.sealed = False
+    slots = share(bench, GivenSlots("u1"))
+
+    def turn_away_then(wish, hold=slots.hold):
+        slots.after_ms = 700.0 if slots.wishes else None
+        return hold(wish)
+
+    slots.hold = turn_away_then
+    assert bench.ask(b"/read/").status == 502
+    assert len(slots.wishes) == 2
+
+
+def test_without_a_word_of_slots_the_node_chooses(bench):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    share(bench, GivenSlots())
+    assert bench.ask(b"/once/", b"POST").status == 200
+
+
+def test_a_slot_of_a_server_that_is_not_known_here_is_not_used(bench):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    share(bench, GivenSlots("stranger"))
+    assert bench.ask(b"/once/", b"POST").status == 200
+    assert len(upstream.ran) == 1
+
+
+def test_a_server_that_failed_is_told_and_avoided(bench):
+    broken, sound = Upstream("u1"), Upstream("u2")
+    for upstream in (broken, sound):
+        bench.add(upstream)
+    broken.behaviour.sealed = False
+    slots = share(bench, GivenSlots("u1", "u2"))
+    assert bench.ask(b"/read/").status == 200
+    assert [slot.failed for slot in slots.ended] == [True, False]
+    assert [wish.avoid for wish in slots.wishes] == ["", "u1"]
+
+
+def test_a_request_with_a_key_asks_for_a_slot_of_its_holder(bench):
+    record = bench.add(Upstream("u1"), service=KEYED)
+    bench.own_keys(record)
+    slots = share(bench, GivenSlots("u1"))
+    assert bench.ask(b"/key/", headers=[(b"Shard-Key", b"5")]).status == 200
+    assert slots.wishes[0].holder == record
--- /dev/null
+++ b/tests/functional/test_shared_slots.py
@@ -0,0 +1,212 @@
+"""Slots that all nodes share, over sockets: three nodes of two zones."""
+
+from contextlib import ExitStack
+
+import gevent
+import pytest
+
+from ploverhatch.admission import groups
+from ploverhatch.admission.groups import GroupName
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.peer_link import LoadReport, PeerLink
+from ploverhatch.gateway.shared_slots import (
+    ANSWER_S,
+    ASKED_TIMES,
+    SharedSlots,
+    SlotWish,
+    TurnedAwayError,
+)
+from ploverhatch.state.servers import ServerRecord
+from ploverhatch.transport.http_connection import HostPort
+from tests.standin.site import free_port
+
+SERVICE = "svc"
+HOLDER = GroupName(SERVICE, "a", "s0")
+
+
+def record(number, zone="a", slots=2):
+    return ServerRecord(f"s{number}", SERVICE, "127.0.0.1", 9000 + number, zone, slots, False)
+
+
+def wish(holder=None, wait_ms=300.0, hold_ms=2000.0, priority=1):
+    return SlotWish(SERVICE, priority, wait_ms, wait_ms, hold_ms, holder)
+
+
+class Node:
+    def __init__(self, cluster, zone):
+        self.address = HostPort("127.0.0.1", free_port())
+        self.directory = Directory()
+        self.link = PeerLink(
+            self.address, lambda: LoadReport({}, {}), lambda: "", lambda report: None
+        )
+        self.lost = lambda message: False
+        self.slots = SharedSlots(zone, self.directory, lambda: cluster.zones, self.send)
+        self.link.take_slots(self.slots.take)
+        self.tasks = [
+            gevent.spawn(self.link.receive_forever),
+            gevent.spawn(self.slots.expire_forever),
+        ]
+
+    @property
+    def name(self):
+        return f"{self.address.host}:{self.address.port}"
+
+    def send(self, message, to):
+        if not self.lost(message):
+            self.link.send_slot(message, to)
+
+    def stop(self):
+        gevent.killall(self.tasks)
+        self.link.close()
+
+
+class Cluster:
+    def __init__(self, records, zones=("a", "a", "b")):
+        self.zones = {}
+        self.nodes = [Node(self, zone) for zone in zones]
+        self.zones.update({node.name: zone for node, zone in zip(self.nodes, zones, strict=True)})
+        for node in self.nodes:
+            node.directory.replace_servers(records)
+
+    def hold_all(self, held, count, node=0, **options):
+        return [
+            held.enter_context(self.nodes[node].slots.hold(wish(**options))) for _ in range(count)
+        ]
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def make(*args, **options):
+        started.append(Cluster(*args, **options))
+        return started[-1]
+
+    yield make
+    for cluster in started:
+        for node in cluster.nodes:
+            node.stop()
+
+
+def test_nodes_share_the_slots_of_a_holder(start):
+    cluster = start([record(0)])
+    with ExitStack() as held:
+        for node in (0, 1, 2):
+            cluster.hold_all(held, 1, node, holder=record(0))
+        with pytest.raises(TurnedAwayError) as caught:
+            cluster.hold_all(held, 1, holder=record(0), wait_ms=30.0)
+        assert caught.value.after_ms > 0
+
+
+def test_one_that_waits_gets_the_slot_that_comes_free(start):
+    cluster = start([record(0)])
+    with ExitStack() as held:
+        cluster.hold_all(held, 2, 0, holder=record(0))
+        last = ExitStack()
+        cluster.hold_all(last, 1, 1, holder=record(0))
+        gevent.spawn_later(0.1, last.close)
+        (slot,) = cluster.hold_all(held, 1, 2, holder=record(0), wait_ms=2000.0)
+        assert slot.server_id == "s0"
+
+
+def test_servers_of_the_own_zone_come_first_and_others_when_they_are_full(start, monkeypatch):
+    monkeypatch.setattr(groups, "MOST_SERVERS", 1)
+    cluster = start([record(0, "a"), record(1, "b")])
+    with ExitStack() as held:
+        given = cluster.hold_all(held, 6)
+        assert [slot.server_id for slot in given] == ["s0"] * 3 + ["s1"] * 3
+
+
+def test_a_small_service_is_one_group(start):
+    cluster = start([record(0, "a"), record(1, "b")])
+    with ExitStack() as held:
+        given = cluster.hold_all(held, 6)
+        assert sorted(slot.server_id for slot in given) == ["s0"] * 3 + ["s1"] * 3
+
+
+def test_without_a_dispatcher_the_node_decides_by_itself(start):
+    cluster = start([record(0)])
+    for node in cluster.nodes:
+        node.lost = lambda message: True
+    with cluster.nodes[0].slots.hold(wish()) as slot:
+        assert slot is None
+
+
+def test_a_node_that_does_not_answer_is_passed_over(start):
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    first = cluster.nodes[0]
+    for _ in range(20):
+        with first.slots.hold(wish(holder=record(0))) as slot:
+            assert slot is not None
+    keeper = next(node for node in cluster.nodes if node.slots._kept)
+    asker = next(node for node in cluster.nodes if node is not keeper)
+    keeper.lost = lambda message: True
+    with asker.slots.hold(wish(holder=record(0))) as slot:
+        assert slot is None
+    with asker.slots.hold(wish(holder=record(0))) as slot:
+        assert slot is not None
+
+
+def test_a_node_that_is_about_to_stop_leaves_its_queues_to_another(start):
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    keeper = keeper_of(cluster, HOLDER)
+    keeper.slots.leaving = True
+    asker = next(node for node in cluster.nodes if node is not keeper)
+    with asker.slots.hold(wish(holder=record(0))) as slot:
+        assert slot is not None
+    assert not keeper.slots._kept
+    assert sum(len(node.slots._kept) for node in cluster.nodes) == 1
+
+
+def test_the_time_spent_in_the_own_zone_is_not_spent_again(start, monkeypatch):
+    monkeypatch.setattr(groups, "MOST_SERVERS", 1)
+    cluster = start([record(0, "a"), record(1, "b")])
+    with ExitStack() as held:
+        cluster.hold_all(held, 6)
+        started = elapsed_ms()
+        with pytest.raises(TurnedAwayError):
+            cluster.hold_all(held, 1, wait_ms=300.0)
+        assert elapsed_ms() - started < 450.0
+
+
+def test_a_question_that_is_lost_is_asked_again(start):
+    cluster = start([record(0)])
+    sent = []
+
+    def first_is_lost(message):
+        sent.append(message)
+        return len(sent) == 1
+
+    cluster.nodes[0].lost = first_is_lost
+    with cluster.nodes[0].slots.hold(wish(holder=record(0))) as slot:
+        assert slot is not None
+    assert ASKED_TIMES > 1
+
+
+def test_a_slot_whose_return_is_lost_comes_free(start):
+    cluster = start([record(0)])
+    cluster.nodes[0].lost = lambda message: type(message).__name__ == "SlotReturn"
+    for _ in range(3):
+        with cluster.nodes[0].slots.hold(wish(holder=record(0), hold_ms=150.0)) as slot:
+            assert slot is not None
+    with cluster.nodes[1].slots.hold(wish(holder=record(0), wait_ms=2000.0)) as slot:
+        assert slot is not None
+
+
+def test_an_answer_to_a_request_that_is_over_holds_nothing(start):
+    cluster = start([record(0)])
+    nodes = cluster.nodes
+    keeper = keeper_of(cluster, HOLDER)
+    asker = next(node for node in nodes if node is not keeper)
+    keeper.lost = lambda message: type(message).__name__ == "SlotWord"
+    with asker.slots.hold(wish(holder=record(0))) as slot:
+        assert slot is None
+    keeper.lost = lambda message: False
+    gevent.sleep(2 * ANSWER_S)
+    assert keeper.slots._kept[HOLDER].group.in_use == 0
+
+
+def keeper_of(cluster, name):
+    address = groups.dispatcher(name, cluster.zones, ())
+    return next(node for node in cluster.nodes if node.name == address)
--- /dev/null
+++ b/tests/unit/test_dispatcher.py
@@ -0,0 +1,365 @@
+"""Slots that all nodes share: a state machine of one group, and tables of situations."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from ploverhatch.admission import groups
+from ploverhatch.admission.dispatcher import (
+    FAILING_MS,
+    Asker,
+    Given,
+    Group,
+    Queued,
+    TurnedAway,
+    Unknown,
+    Wish,
+)
+from ploverhatch.admission.groups import GroupName
+from ploverhatch.state.servers import ServerRecord
+
+NODE = ("10.0.0.1", 7000)
+SLOTS = 4
+ROOM = 6  # slots and half as many queued at the server
+
+
+def record(number, zone="a", slots=SLOTS, draining=False, warmup_ms=0.0):
+    return ServerRecord(f"s{number}", "svc", "10.0.1.1", 9000, zone, slots, draining, warmup_ms)
+
+
+def wish(number, priority=1, until_ms=500.0, hold_ms=1000.0, avoid="", useful_ms=None):
+    useful_ms = until_ms if useful_ms is None else useful_ms
+    return Wish(Asker(NODE, number), priority, useful_ms, until_ms, hold_ms, avoid)
+
+
+def group(*records):
+    made = Group()
+    made.set_members(records or [record(0)], 0.0)
+    return made
+
+
+def full_group():
+    made = group(record(0, slots=2))
+    for number in range(3):
+        assert isinstance(made.ask(wish(number), 0.0)[0], Given)
+    return made
+
+
+def given_to(answers):
+    return [answer.asker.number for answer in answers if isinstance(answer, Given)]
+
+
+def test_a_server_gets_no_more_than_it_has_room_for():
+    made = group()
+    answers = [made.ask(wish(number), 0.0)[0] for number in range(ROOM + 1)]
+    assert all(isinstance(answer, Given) for answer in answers[:ROOM])
+    assert isinstance(answers[ROOM], Queued)
+
+
+def test_idle_servers_come_first():
+    made = group(record(0), record(1))
+    given = Counter(made.ask(wish(number), 0.0)[0].server_id for number in range(2 * SLOTS))
+    assert given == {"s0": SLOTS, "s1": SLOTS}
+
+
+def test_the_fast_server_comes_first():
+    made = group(record(0), record(1))
+    for number, took_ms in ((1, 400.0), (2, 50.0)):
+        made.ask(wish(number, avoid="s1" if number == 1 else "s0"), 0.0)
+        made.give_back(Asker(NODE, number), took_ms, False, 1.0)
+    given = [made.ask(wish(number), 2.0)[0].server_id for number in range(10, 10 + SLOTS)]
+    assert given == ["s1"] * SLOTS
+
+
+def test_a_cold_server_comes_later():
+    made = group(record(0, warmup_ms=3000.0), record(1))
+    assert made.ask(wish(1), 10.0)[0].server_id == "s1"
+
+
+def test_a_server_that_failed_is_left_alone_for_a_while():
+    made = group(record(0), record(1))
+    failed = made.ask(wish(1), 0.0)[0].server_id
+    made.give_back(Asker(NODE, 1), 0.0, True, 1.0)
+    assert made.ask(wish(2, avoid=""), 2.0)[0].server_id != failed
+    assert made.ask(wish(3, avoid=""), FAILING_MS * 2)[0].server_id in {"s0", "s1"}
+
+
+def test_the_last_server_is_tried_though_it_failed():
+    made = group(record(0))
+    made.ask(wish(1), 0.0)
+    made.give_back(Asker(NODE, 1), 0.0, True, 1.0)
+    assert isinstance(made.ask(wish(2), 2.0)[0], Given)
+
+
+def test_the_more_urgent_goes_first():
+    made = full_group()
+    for number, priority in ((10, 2), (11, 0), (12, 2), (13, 0)):
+        assert isinstance(made.ask(wish(number, priority, until_ms=5000.0), 0.0)[0], Queued)
+    order = []
+    for number in range(3):
+        order += given_to(made.give_back(Asker(NODE, number), 100.0, False, 1.0))
+    order += given_to(made.give_back(Asker(NODE, 11), 100.0, False, 1.0))
+    assert order == [11, 13, 10, 12]
+
+
+def test_one_that_cannot_be_in_time_is_told_at_once():
+    made = full_group()
+    (answer,) = made.ask(wish(10, until_ms=20.0), 0.0)
+    assert isinstance(answer, TurnedAway)
+    assert answer.after_ms >= 50.0
+    assert made.waiting == 0
+
+
+def test_one_that_was_not_in_time_is_told():
+    made = full_group()
+    made.ask(wish(10, until_ms=200.0), 0.0)
+    (answer,) = made.expire(200.0)
+    assert answer.asker.number == 10
+    assert isinstance(answer, TurnedAway)
+
+
+def test_one_that_can_be_in_time_goes_before_one_that_cannot():
+    made = full_group()
+    made.ask(wish(10, until_ms=900.0, useful_ms=100.0), 0.0)
+    made.ask(wish(11, until_ms=900.0, useful_ms=700.0), 50.0)
+    assert given_to(made.give_back(Asker(NODE, 0), 10.0, False, 150.0)) == [11]
+
+
+def test_one_that_will_be_late_waits_on_while_nobody_else_does():
+    made = full_group()
+    made.ask(wish(10, until_ms=900.0, useful_ms=100.0), 0.0)
+    assert made.expire(300.0) == []
+    assert given_to(made.give_back(Asker(NODE, 0), 10.0, False, 400.0)) == [10]
+
+
+def test_one_that_will_be_late_is_told_while_others_can_be_in_time():
+    made = full_group()
+    made.ask(wish(10, until_ms=900.0, useful_ms=100.0), 0.0)
+    made.ask(wish(11, until_ms=900.0, useful_ms=700.0), 50.0)
+    (answer,) = made.expire(150.0)
+    assert isinstance(answer, TurnedAway)
+    assert answer.asker.number == 10
+
+
+def test_work_is_learned_from_requests_that_did_not_queue_at_the_server():
+    made = group(record(0, slots=2))
+    for number in range(3):
+        made.ask(wish(number), 0.0)
+    made.give_back(Asker(NODE, 2), 400.0, False, 400.0)  # queued behind the others
+    assert made._servers["s0"].work_ms == 0.0
+    made.give_back(Asker(NODE, 1), 200.0, False, 400.0)
+    assert made._servers["s0"].work_ms == 200.0
+
+
+def test_a_slot_that_nobody_gives_back_comes_free():
+    made = full_group()
+    made.ask(wish(10, until_ms=2000.0), 0.0)
+    assert given_to(made.expire(999.0)) == []
+    assert given_to(made.expire(1000.0)) == [10]
+
+
+def test_a_repeated_question_is_answered_the_same():
+    made = full_group()
+    assert given_to(made.ask(wish(0), 1.0)) == [0]
+    made.ask(wish(10), 1.0)
+    assert isinstance(made.ask(wish(10), 2.0)[0], Queued)
+    assert (made.in_use, made.waiting) == (3, 1)
+
+
+def test_a_place_in_the_queue_is_given_back():
+    made = full_group()
+    made.ask(wish(10), 0.0)
+    made.give_back(Asker(NODE, 10), 0.0, False, 1.0)
+    assert given_to(made.give_back(Asker(NODE, 0), 10.0, False, 2.0)) == []
+
+
+def test_a_node_that_knows_no_server_says_so():
+    assert isinstance(Group().ask(wish(1), 0.0)[0], Unknown)
+
+
+def test_a_server_that_leaves_gets_nothing_more():
+    made = group(record(0), record(1))
+    made.set_members([record(1)], 0.0)
+    assert {made.ask(wish(number), 0.0)[0].server_id for number in range(3)} == {"s1"}
+
+
+def test_slots_in_use_are_known_of_a_server_that_comes_back():
+    made = full_group()
+    made.set_members([], 1.0)
+    made.set_members([record(0, slots=2)], 2.0)
+    assert isinstance(made.ask(wish(10), 3.0)[0], Queued)
+
+
+def test_the_own_zone_comes_first_unless_it_is_much_slower():
+    made = group(record(0, zone="a"), record(1, zone="b"))
+    far = replace(wish(1), zone="b")
+    assert made.ask(far, 0.0)[0].server_id == "s1"
+    near = made.ask(replace(wish(2), zone="a"), 0.0)[0]
+    assert near.server_id == "s0"
+    made.give_back(Asker(NODE, 1), 100.0, False, 1.0)
+    made.give_back(Asker(NODE, 2), 300.0, False, 1.0)
+    assert made.ask(replace(wish(3), zone="a"), 2.0)[0].server_id == "s1"
+
+
+@pytest.mark.parametrize("holder, expected", [("s1", ["s1"]), ("none", [])])
+def test_a_holder_is_a_group_by_itself(holder, expected):
+    records = [record(number) for number in range(3)]
+    name = GroupName("svc", "a", holder)
+    assert [item.server_id for item in groups.members_of(name, records)] == expected
+
+
+def test_servers_that_drain_are_no_members():
+    records = [record(0), record(1, draining=True), record(2, zone="b")]
+    assert ids(groups.members_of(GroupName("svc"), records)) == ["s0", "s2"]
+    assert ids(groups.members_of(GroupName("svc", "a"), records)) == ["s0"]
+
+
+def ids(records):
+    return [item.server_id for item in records]
+
+
+def test_a_service_is_one_group_until_it_is_large():
+    few = [record(number, zone="ab"[number % 2]) for number in range(groups.MOST_SERVERS)]
+    assert groups.groups_of(few) == {GroupName("svc"): groups.MOST_SERVERS}
+    many = [*few, record(99, zone="b")]
+    half = groups.MOST_SERVERS // 2
+    assert groups.groups_of(many) == {GroupName("svc", "a"): half, GroupName("svc", "b"): half + 1}
+    assert groups.groups_of([record(0, draining=True)]) == {}
+
+
+def test_nodes_of_the_zone_keep_its_queues():
+    nodes = {f"10.0.0.{number}:1": "ab"[number % 2] for number in range(20)}
+    names = [GroupName("svc", "a", f"s{number}") for number in range(100)]
+    chosen = {groups.dispatcher(name, nodes, ()) for name in names}
+    assert len(chosen) > 5
+    assert {nodes[address] for address in chosen} == {"a"}
+
+
+def test_another_node_takes_over_from_one_that_is_passed_over():
+    nodes = {"10.0.0.1:1": "a", "10.0.0.2:1": "a", "10.0.0.3:1": "b"}
+    name = GroupName("svc", "a")
+    first = groups.dispatcher(name, nodes, ())
+    second = groups.dispatcher(name, nodes, {first})
+    assert {first, second} == {"10.0.0.1:1", "10.0.0.2:1"}
+    assert groups.dispatcher(name, nodes, {first, second}) == "10.0.0.3:1"
+    assert groups.dispatcher(name, nodes, set(nodes)) == ""
+
+
+def test_few_groups_move_when_a_node_goes():
+    nodes = {f"10.0.0.{number}:1": "a" for number in range(10)}
+    names = [GroupName("svc", "a", f"s{number}") for number in range(200)]
+    before = {name: groups.dispatcher(name, nodes, ()) for name in names}
+    after = {name: groups.dispatcher(name, nodes, {"10.0.0.3:1"}) for name in names}
+    assert all(after[name] == before[name] for name in names if before[name] != "10.0.0.3:1")
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Nodes ask, return, vanish; a model of who may hold a slot is kept beside the group."""
+
+    @initialize()
+    def start(self):
+        self.now = 0.0
+        self.group = Group()
+        self.records = [record(0, slots=2), record(1, slots=4)]
+        self.group.set_members(self.records, self.now)
+        self.number = 0
+        self.wishes = {}
+        self.held = {}  # number -> (server, until)
+        self.waiting = set()
+
+    def take(self, answers):
+        for answer in answers:
+            number = answer.asker.number
+            if isinstance(answer, Given):
+                known = self.held.get(number)
+                if known is None:
+                    wish_made = self.wishes[number]
+                    assert wish_made.until_ms > self.now or number not in self.waiting
+                    more_urgent = [
+                        other
+                        for other in self.waiting - {number}
+                        if self.wishes[other].priority < wish_made.priority
+                        and self.wishes[other].until_ms > self.now
+                    ]
+                    assert not more_urgent
+                    self.held[number] = (answer.server_id, self.now + wish_made.hold_ms)
+                self.waiting.discard(number)
+            elif isinstance(answer, Queued):
+                self.waiting.add(number)
+            else:
+                self.waiting.discard(number)
+
+    def forget_lapsed(self):
+        self.held = {n: held for n, held in self.held.items() if held[1] > self.now}
+
+    @rule(
+        priority=st.integers(0, 2),
+        wait=st.floats(0, 800),
+        hold=st.floats(1, 2000),
+        part=st.floats(0, 1),
+    )
+    def ask(self, priority, wait, hold, part):
+        self.forget_lapsed()
+        self.number += 1
+        until_ms = self.now + wait
+        useful_ms = self.now + wait * part
+        made = wish(self.number, priority, until_ms, hold, useful_ms=useful_ms)
+        self.wishes[self.number] = made
+        self.take(self.group.ask(made, self.now))
+
+    @rule(data=st.data())
+    def ask_again(self, data):
+        known = sorted(self.held.keys() | self.waiting)
+        if known:
+            self.forget_lapsed()
+            number = data.draw(st.sampled_from(known))
+            if number in self.held or number in self.waiting:
+                self.take(self.group.ask(self.wishes[number], self.now))
+
+    @rule(data=st.data(), took=st.floats(0, 900), failed=st.booleans())
+    def give_back(self, data, took, failed):
+        known = sorted(self.held.keys() | self.waiting)
+        if known:
+            self.forget_lapsed()
+            number = data.draw(st.sampled_from(known))
+            self.held.pop(number, None)
+            self.waiting.discard(number)
+            self.take(self.group.give_back(Asker(NODE, number), took, failed, self.now))
+
+    @rule(span=st.floats(0, 700))
+    def time_passes(self, span):
+        self.now += span
+        self.forget_lapsed()
+        self.take(self.group.expire(self.now))
+
+    @invariant()
+    def no_server_is_given_more_than_its_room(self):
+        counts = Counter(server for server, until in self.held.values() if until > self.now)
+        for item in self.records:
+            assert counts[item.server_id] <= item.slots + item.slots // 2
+
+    @invariant()
+    def nothing_leaks(self):
+        assert self.group.waiting == len(self.waiting)
+        assert self.group.in_use == len(self.held)
+
+    def teardown(self):
+        if not hasattr(self, "group"):
+            return
+        self.now += 1e6
+        self.held.clear()
+        self.take(self.group.expire(self.now))
+        self.now += 1e6
+        self.group.expire(self.now)
+        assert self.group.waiting == 0
+        assert self.group.in_use == 0
+
+
+TestGroup = GroupMachine.TestCase
+TestGroup.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, database=None, deadline=None
+)
