--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -37,6 +37,7 @@
 UNKNOWN_CONTENT = msgspec.Raw(msgspec.msgpack.encode(None))
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0  # a node that leads: half of it, since it tells the others
+OUTAGE_PAUSE_S = 4.0  # while another task of this node asks whether the store answers again
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,13 @@
     def leads(self) -> bool:
         """Whether this node tells the others."""
 
+    @property
+    def store_away(self) -> bool:
+        """Whether the store is asked elsewhere, with cheaper calls, until it answers again.
+
+        Then the feeds are nudged.
+        """
+
     def watch_wait_s(self, kind: str) -> float:
         """Return how long a watch waits at the store; short where its answers are proofs."""
 
@@ -190,8 +198,29 @@
                 # a watch that is asked again may hear nothing for a while.
                 self._must_list = True
                 self._note_failure(error)
-                self._nudged.wait(self._pause_s / 2 if self._relay.leads else self._pause_s)
-                self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+                self._pause()
+
+    def _pause(self) -> None:
+        """Wait before the store is asked again; a leader less, since it tells the others.
+
+        In an outage the elector asks for all feeds. A nudge then ends the wait only
+        when the store answers, or when the leader's word helps.
+        """
+        pause_s = self._pause_s / 2 if self._relay.leads else self._pause_s
+        self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+        if self._relay.leads or not self._relay.store_away:
+            self._nudged.wait(pause_s)
+            return
+        until_ms = elapsed_ms() + OUTAGE_PAUSE_S * 1000
+        while self._nudged.wait((until_ms - elapsed_ms()) / 1000):
+            if not self._relay.store_away or self._leader_helps:
+                return
+
+    @property
+    def _leader_helps(self) -> bool:
+        revision = self._cursor.revision
+        covered_ms = self._relay.covered_until_ms(self.kind, revision)
+        return covered_ms > elapsed_ms() or self._relay.knows_more(self.kind, revision)
 
     def _wait_while_covered(self) -> bool:
         until_ms = self._relay.covered_until_ms(self.kind, self._cursor.revision)
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -24,7 +24,7 @@
 from ploverhatch.store import kinds
 
 BEACON_S = 0.25
-URGENT_S = 0.01  # grants that end together are told together
+URGENT_S = 0.03  # grants that end together are told together: each telling goes to all nodes
 FIRST_WAIT_S = 0.8
 OWN_MAPS_MS = 500.0  # until the leader asks itself again whether it still leads
 LEADER_WAIT_S = 0.5  # until it is known at the start who leads
@@ -139,6 +139,11 @@
         """Whether this node tells the others."""
         return self._leading
 
+    @property
+    def store_away(self) -> bool:
+        """Whether the elector found that the store does not answer, and goes on asking."""
+        return self._elector.store_away
+
     def relied_on_until_ms(self, current_ms: float) -> float:
         """Return until when a view may be relied on that was surely current at a time."""
         return current_ms + self._coverage.limit_ms
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -104,6 +104,31 @@
     assert leader.leads
 
 
+def test_in_an_outage_one_task_of_a_node_asks_for_all(pair, monkeypatch):
+    """Found on the large site: 195 nodes asked for two kinds, at each beacon of the leader."""
+    site, leader, follower = pair
+    asked = []
+
+    def away(kind, *_args, **_options):
+        asked.append(kind)
+        raise StoreCallError("away")
+
+    for name in ("replace", "get", "watch", "list_all"):
+        monkeypatch.setattr(leader._store, name, refuse)
+    for name in ("watch", "list_all"):
+        monkeypatch.setattr(follower._store, name, away)
+    leader._store.interrupt()
+    follower._store.interrupt()
+    until(lambda: follower._elector.store_away)
+    gevent.sleep(3.0)
+    assert asked.count("config") + asked.count("configuration") <= 3
+    assert asked.count("servers") <= 3
+    assert asked.count("leases") >= 5
+    monkeypatch.undo()
+    site.store.put("config", "main", {**CONFIG, "version": "00000009"})
+    until(lambda: follower.directory.table.version == 9, 3.0)
+
+
 def refuse(*_args, **_options):
     raise StoreCallError("refused")
 
