--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -259,7 +259,7 @@
         upstream = self._await_upstream(call, tried, history) if call.partitioned else None
         with ExitStack() as held:
             slot = self._shared_slot(call, history, upstream, held)
-            given = self._pool.get(slot.server_id) if slot else None
+            given = self._still_right(call, slot) if slot else None
             if slot is not None and given is not None:
                 with given.given_slot():
                     result, answer = self._attempt_noted(call, given)
@@ -267,10 +267,20 @@
                 if result is AttemptResult.ANSWERED:
                     slot.took_ms = call.trace.attempts[-1].took_ms
                 return given, result, answer
-        if upstream is None:
-            upstream = self._await_upstream(call, tried, history)
+        # The wait for a slot may have been long: the holder is looked up again.
+        upstream = self._await_upstream(call, tried, history)
         return upstream, *self._attempt_in_slot(call, upstream, history)
 
+    def _still_right(self, call: Call, slot: SharedSlot) -> Upstream | None:
+        """Return the server of a slot, unless it left or lost the key during the wait."""
+        if call.partitioned:
+            holder = self._holder(call)
+            return holder if holder and holder.record.server_id == slot.server_id else None
+        record = self._directory.servers.records.get(slot.server_id)
+        if record is None or record.draining:
+            return None
+        return self._pool.get(slot.server_id)
+
     def _shared_slot(
         self, call: Call, history: AttemptHistory, holder: Upstream | None, held: ExitStack
     ) -> SharedSlot | None:
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -1,6 +1,7 @@
 """One request through the forwarder, against stand-ins of upstreams."""
 
 from contextlib import contextmanager
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -422,3 +423,35 @@
     slots = share(bench, GivenSlots("u1"))
     assert bench.ask(b"/key/", headers=[(b"Shard-Key", b"5")]).status == 200
     assert slots.wishes[0].holder == record
+
+
+def test_a_server_that_began_to_drain_while_the_slot_was_waited_for_gets_nothing(bench):
+    """A wait may last for a good part of the route's time, which may be longer than a drain."""
+    leaving, staying = Upstream("u1"), Upstream("u2")
+    record = bench.add(leaving)
+    bench.add(staying)
+    slots = share(bench, GivenSlots("u1"))
+    during(slots, lambda: bench.directory.put_server(replace(record, draining=True)))
+    assert bench.ask(b"/once/", b"POST").status == 200
+    assert (len(leaving.ran), len(staying.ran)) == (0, 1)
+
+
+def test_keys_that_changed_hands_while_the_slot_was_waited_for_go_to_the_new_holder(bench):
+    before, after = Upstream("u1"), Upstream("u2")
+    bench.own_keys(bench.add(before, service=KEYED))
+    second = bench.add(after, service=KEYED)
+    slots = share(bench, GivenSlots("u1"))
+    during(slots, lambda: bench.own_keys(second, revision=2))
+    assert bench.ask(b"/key/", headers=[(b"Shard-Key", b"5")]).status == 200
+    assert (len(before.ran), len(after.ran)) == (0, 1)
+
+
+def during(slots, event):
+    """Have something happen while a slot is waited for."""
+    hold = slots.hold
+
+    def wait(wish):
+        event()
+        return hold(wish)
+
+    slots.hold = wait
