--- a/ploverhatch/cli/main.py
+++ b/ploverhatch/cli/main.py
@@ -8,6 +8,7 @@
 from ploverhatch.cli.demo import demo
 from ploverhatch.cli.emulator import emulator
 from ploverhatch.cli.experiment import experiment
+from ploverhatch.cli.experiment_slots import experiment_slots
 from ploverhatch.cli.explain_request import explain_request
 from ploverhatch.cli.gateway import gateway
 from ploverhatch.cli.load import load
@@ -38,6 +39,7 @@
     simulate,
     simulate_keys,
     experiment,
+    experiment_slots,
     bench,
     explain_request,
 )
--- /dev/null
+++ b/ploverhatch/experiment/slots_policies.py
@@ -0,0 +1,217 @@
+"""Ways to choose a server for a request without a key, for `slots_world`.
+
+Each way is a class that takes the world and then each request; a decorator adds
+it to the registry under the name that tables show.
+"""
+
+import math
+import random
+from abc import ABC, abstractmethod
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import replace
+
+from typing_extensions import override
+
+from ploverhatch.admission import groups
+from ploverhatch.admission.dispatcher import Answer, Asker, Given, Group, TurnedAway, Wish
+from ploverhatch.admission.groups import GroupName
+from ploverhatch.experiment.slots_world import SERVICE, Request, World
+from ploverhatch.gateway.forwarder import HOLD_MARGIN_MS, USEFUL_PART, WAIT_PART
+from ploverhatch.gateway.shared_slots import NEAR_PART
+from ploverhatch.routing import balancer
+from ploverhatch.routing.answer_time import AnswerTime
+from ploverhatch.routing.balancer import ServerLoad
+
+VIEW_AGE_MS = 500.0
+EXPIRE_EVERY_MS = 25.0
+
+POLICIES: dict[str, type["Policy"]] = {}
+
+
+def policy(name: str) -> Callable[[type["Policy"]], type["Policy"]]:
+    """Add a way to the registry."""
+
+    def add(kind: type["Policy"]) -> type["Policy"]:
+        POLICIES[name] = kind
+        return kind
+
+    return add
+
+
+class Policy(ABC):
+    """A way to choose."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    @abstractmethod
+    def take(self, request: Request) -> None:
+        """Send a request somewhere, at once or later, or turn it away."""
+
+
+@policy("by chance")
+class ByChance(Policy):
+    """A server by its speed."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._ids = list(world.servers)
+        self._speeds = [server.speed for server in world.servers.values()]
+
+    @override
+    def take(self, request: Request) -> None:
+        self._world.send(request, self._world.rng.choices(self._ids, self._speeds)[0])
+
+
+@policy("two choices, 500 ms old")
+class TwoChoices(ByChance):
+    """The emptier one of two servers, by a view that all nodes share but that is old."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._seen: dict[str, int] = {}
+        self._seen_ms = -math.inf
+
+    @override
+    def take(self, request: Request) -> None:
+        world = self._world
+        if world.now_ms - self._seen_ms >= VIEW_AGE_MS:
+            self._seen = {name: server.present for name, server in world.servers.items()}
+            self._seen_ms = world.now_ms
+        drawn = world.rng.choices(self._ids, self._speeds, k=2)
+        chosen = min(drawn, key=lambda name: (self._seen[name] + 1) / world.servers[name].speed)
+        world.send(request, chosen)
+
+
+@policy("cheapest, each node's own view")
+class Cheapest(Policy):
+    """What a node falls back to: its own answer times and requests under way."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        self._times: dict[int, dict[str, AnswerTime]] = defaultdict(lambda: defaultdict(AnswerTime))
+        self._under_way: dict[int, dict[str, int]] = defaultdict(lambda: defaultdict(int))
+        self._rng = random.Random(world.scenario.seed)
+
+    @override
+    def take(self, request: Request) -> None:
+        world, times = self._world, self._times[request.node]
+        under_way = self._under_way[request.node]
+        known = [time.mean_ms for time in times.values() if time.count]
+        usual_ms = sum(known) / len(known) if known else world.scenario.work_ms
+        zone = world.zone(request.node)
+        loads = [
+            ServerLoad(
+                name,
+                world.scenario.slots,
+                under_way[name],
+                times[name].mean_ms if name in times and times[name].count else usual_ms,
+                0.0,
+                server.record.zone == zone,
+                cold=False,
+                failing=False,
+            )
+            for name, server in world.servers.items()
+        ]
+        jitter = {load.server_id: self._rng.uniform(0.85, 1.15) for load in loads}
+        chosen = balancer.choose(loads, jitter) or ""
+        under_way[chosen] += 1
+
+        def ended(_request: Request, took_ms: float) -> None:
+            under_way[chosen] -= 1
+            if took_ms < math.inf:
+                times[chosen].add(took_ms)
+
+        request.ended = ended
+        world.send(request, chosen)
+
+
+@policy("shared slots")
+class SharedSlots(Policy):
+    """The product's dispatchers, with messages that take time and are never lost."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(world)
+        records = [server.record for server in world.servers.values()]
+        self._sizes = groups.groups_of(records)
+        self._groups = {name: Group() for name in self._sizes}
+        for name, group in self._groups.items():
+            group.set_members(groups.members_of(name, records), 0.0)
+        self._waiting: dict[int, tuple[Request, GroupName, Wish, list[GroupName]]] = {}
+        world.later(EXPIRE_EVERY_MS, self._expire)
+
+    def _expire(self) -> None:
+        self._world.later(EXPIRE_EVERY_MS, self._expire)
+        for group in self._groups.values():
+            self._answer(group.expire(self._world.now_ms))
+
+    @override
+    def take(self, request: Request) -> None:
+        world, scenario = self._world, self._world.scenario
+        zone = world.zone(request.node)
+        near = [name for name in self._sizes if name.zone in {"", zone}]
+        others = [name for name in self._sizes if name not in near]
+        if others:
+            weights = [self._sizes[name] for name in others]
+            near.append(world.rng.choices(others, weights)[0])
+        wish = Wish(
+            Asker((SERVICE, 0), request.number),
+            priority=0,
+            useful_ms=request.arrived_ms + scenario.objective_ms * USEFUL_PART,
+            until_ms=request.arrived_ms + scenario.deadline_ms * WAIT_PART,
+            hold_ms=scenario.deadline_ms + HOLD_MARGIN_MS,
+            zone=zone,
+        )
+        self._ask(request, wish, near)
+
+    def _ask(self, request: Request, wish: Wish, names: list[GroupName]) -> None:
+        name, rest = names[0], names[1:]
+        part = NEAR_PART if rest else 1.0
+        now_ms = self._world.now_ms
+        until_ms = now_ms + (wish.until_ms - now_ms) * part
+        asked = replace(wish, until_ms=until_ms, useful_ms=min(wish.useful_ms, until_ms))
+        self._waiting[request.number] = (request, name, wish, rest)
+        self._world.later(
+            self._world.scenario.hop_ms,
+            lambda: self._answer(self._groups[name].ask(asked, self._world.now_ms)),
+        )
+
+    def _answer(self, answers: list[Answer]) -> None:
+        for answer in answers:
+            if isinstance(answer, Given | TurnedAway):
+                entry = self._waiting.pop(answer.asker.number)
+                self._world.later(
+                    self._world.scenario.hop_ms,
+                    lambda answer=answer, entry=entry: self._told(answer, *entry),  # type: ignore[misc]
+                )
+
+    def _told(
+        self,
+        answer: Given | TurnedAway,
+        request: Request,
+        name: GroupName,
+        wish: Wish,
+        rest: list[GroupName],
+    ) -> None:
+        world = self._world
+        if isinstance(answer, TurnedAway):
+            if rest:
+                self._ask(request, wish, rest)
+            else:
+                world.tally.turned_away += 1
+            return
+        sent_ms = world.now_ms
+
+        def ended(ended: Request, took_ms: float) -> None:
+            work_ms = 0.0 if took_ms == math.inf else world.now_ms - sent_ms
+            asker = Asker((SERVICE, 0), ended.number)
+            world.later(
+                world.scenario.hop_ms,
+                lambda: self._answer(
+                    self._groups[name].give_back(asker, work_ms, took_ms == math.inf, world.now_ms)
+                ),
+            )
+
+        request.ended = ended
+        world.send(request, answer.server_id)
