--- a/ploverhatch/experiment/slots_policies.py
+++ b/ploverhatch/experiment/slots_policies.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from typing_extensions import override
 
@@ -183,7 +184,7 @@
                 entry = self._waiting.pop(answer.asker.number)
                 self._world.later(
                     self._world.scenario.hop_ms,
-                    lambda answer=answer, entry=entry: self._told(answer, *entry),  # type: ignore[misc]
+                    partial(self._told, answer, *entry),
                 )
 
     def _told(
