Send nothing to evacuated zones, and to cold servers what they bear

Cause: nothing read the operators' evacuations, nor how many requests a second a cold server bears. Change: evacuations are followed like servers, by the leader's word; the servers of an evacuated zone count as leaving, their keys are handed over, and they count as cold when the zone is taken back. A group's dispatcher gives a cold server its rate and one request saved; a node that hears of no dispatcher gives it none; the planner counts a cold server as that slow, and deals lost keys to the server that is the least loaded with them. Followed only where the settings state a bound for evacuations. Ruled out: a share of the rate for each node (79 nodes, 6.7 a second: a share allows one request in 12 s, and first requests of all nodes together break the bound); evacuated servers as drained ones (keys would wait 0.7 s, of 5 s allowed).

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -13,10 +13,11 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ploverhatch.admission.cold_rate import ColdRate
 from ploverhatch.state.servers import ServerRecord
 
 QUEUED_AT_SERVER_PART = 0.5  # of the slots: hides the way of a returned slot to the next request
@@ -82,13 +83,26 @@
 Answer = Given | Queued | TurnedAway | Unknown
 
 
+@dataclass(frozen=True, slots=True)
+class ColdServers:
+    """What is known of a service's cold servers.
+
+    ``until_ms`` holds by server until when each is cold; ``per_s`` is how many requests
+    a second one bears meanwhile, 0 where it is not bounded.
+    """
+
+    until_ms: Mapping[str, float] = field(default_factory=dict)
+    per_s: float = 0.0
+
+
 @dataclass(slots=True)
 class _Server:
     """A member of the group."""
 
     slots: int
     zone: str
-    cold_until_ms: float
+    cold_rate: ColdRate
+    cold_until_ms: float = -math.inf
     work_ms: float = 0.0  # 0: unknown
     failing_until_ms: float = 0.0
     in_use: int = 0
@@ -98,6 +112,16 @@
         """Most slots given at once."""
         return self.slots + math.floor(self.slots * QUEUED_AT_SERVER_PART)
 
+    def bounded(self, now_ms: float) -> bool:
+        """Whether the rate of a cold server binds now."""
+        return self.cold_rate.per_s > 0 and now_ms < self.cold_until_ms
+
+    def may_get(self, now_ms: float) -> bool:
+        """Whether a request may be given to it now."""
+        if self.in_use >= self.room:
+            return False
+        return not self.bounded(now_ms) or self.cold_rate.has_token(now_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class _Lease:
@@ -126,18 +150,24 @@
         """Requests that wait."""
         return len(self._waiting)
 
-    def set_members(self, records: Sequence[ServerRecord], now_ms: float) -> None:
+    def set_members(
+        self, records: Sequence[ServerRecord], now_ms: float, cold: ColdServers | None = None
+    ) -> None:
         """Take the servers that may get requests; what is known of others is kept for none."""
+        cold = cold or ColdServers()
         ids = {record.server_id for record in records}
         for server_id in [known for known in self._servers if known not in ids]:
             del self._servers[server_id]
         for record in records:
             if record.server_id not in self._servers:
-                server = _Server(record.slots, record.zone, now_ms + record.warmup_ms)
+                server = _Server(record.slots, record.zone, ColdRate(cold.per_s, now_ms))
                 server.in_use = sum(
                     lease.server_id == record.server_id for lease in self._leases.values()
                 )
                 self._servers[record.server_id] = server
+            server = self._servers[record.server_id]
+            server.cold_until_ms = cold.until_ms.get(record.server_id, -math.inf)
+            server.cold_rate.per_s = cold.per_s
 
     # ---- events -------------------------------------------------------------------------
 
@@ -155,7 +185,7 @@
         server_id = None if ahead else self._choose(wish, now_ms)
         if server_id is not None:
             return [*answers, self._give(wish, server_id, now_ms)]
-        wait_ms = self._expected_wait_ms(ahead)
+        wait_ms = self._expected_wait_ms(ahead, now_ms)
         if wait_ms > wish.until_ms - now_ms or len(self._waiting) >= self._capacity:
             return [*answers, TurnedAway(wish.asker, max(wait_ms, LEAST_AFTER_MS))]
         self._waiting.insert(ahead, wish)
@@ -181,7 +211,7 @@
             server = self._servers.get(self._leases.pop(asker).server_id)
             if server is not None:
                 server.in_use -= 1
-        answers = self._turn_away([w for w in self._waiting if w.until_ms <= now_ms])
+        answers = self._turn_away([w for w in self._waiting if w.until_ms <= now_ms], now_ms)
         while self._waiting:
             self._waiting.sort(key=lambda wish: (wish.priority, wish.useful_ms <= now_ms))
             server_id = self._choose(self._waiting[0], now_ms)
@@ -189,13 +219,14 @@
                 break
             answers.append(self._give(self._waiting.pop(0), server_id, now_ms))
         if any(wish.useful_ms > now_ms for wish in self._waiting):
-            answers += self._turn_away([w for w in self._waiting if w.useful_ms <= now_ms])
+            late = [wish for wish in self._waiting if wish.useful_ms <= now_ms]
+            answers += self._turn_away(late, now_ms)
         return answers
 
-    def _turn_away(self, wishes: list[Wish]) -> list[Answer]:
-        gone = {wish.asker for wish in wishes}
+    def _turn_away(self, wishes: list[Wish], now_ms: float) -> list[Answer]:
+        gone = [wish.asker for wish in wishes]
         self._waiting = [wish for wish in self._waiting if wish.asker not in gone]
-        after_ms = max(self._expected_wait_ms(len(self._waiting)), LEAST_AFTER_MS)
+        after_ms = max(self._expected_wait_ms(len(self._waiting), now_ms), LEAST_AFTER_MS)
         return [TurnedAway(asker, after_ms) for asker in gone]
 
     # ---- decisions ----------------------------------------------------------------------
@@ -205,6 +236,8 @@
         queued = server.in_use >= server.slots
         self._leases[wish.asker] = _Lease(server_id, now_ms + wish.hold_ms, queued)
         server.in_use += 1
+        if server.bounded(now_ms):
+            server.cold_rate.take(now_ms)
         return Given(wish.asker, server_id)
 
     def _choose(self, wish: Wish, now_ms: float) -> str | None:
@@ -213,7 +246,7 @@
         free = [
             (server_id, server)
             for server_id, server in self._servers.items()
-            if server.in_use < server.room
+            if server.may_get(now_ms)
         ]
         sound = [
             item for item in free if item[1].failing_until_ms <= now_ms and item[0] != wish.avoid
@@ -234,15 +267,20 @@
     def _capacity(self) -> int:
         return WAITING_PER_SLOT * sum(server.slots for server in self._servers.values())
 
-    def _expected_wait_ms(self, ahead: int) -> float:
+    def _expected_wait_ms(self, ahead: int, now_ms: float) -> float:
         """Return how long a request waits that has so many before it."""
         usual_ms = self._usual_ms
-        per_ms = sum(
-            server.slots / (server.work_ms or usual_ms) for server in self._servers.values()
-        )
+        per_ms = sum(_per_ms(server, usual_ms, now_ms) for server in self._servers.values())
         return (ahead + 1) / per_ms if per_ms else math.inf
 
 
+def _per_ms(server: _Server, usual_ms: float, now_ms: float) -> float:
+    """Return how many requests a server runs in a millisecond."""
+    if server.bounded(now_ms):
+        return server.cold_rate.per_s / 1000
+    return server.slots / (server.work_ms or usual_ms)
+
+
 def _expected_ms(server: _Server, zone: str, usual_ms: float, now_ms: float) -> float:
     """Return how long a request would take there, with a preference for its own zone."""
     work_ms = server.work_ms or usual_ms
--- a/ploverhatch/admission/groups.py
+++ b/ploverhatch/admission/groups.py
@@ -34,7 +34,7 @@
 
 def groups_of(records: Collection[ServerRecord]) -> dict[GroupName, int]:
     """Return the groups of a service's servers that may get requests, and their sizes."""
-    usable = [record for record in records if not record.draining]
+    usable = [record for record in records if not record.leaving]
     divided = len(usable) > MOST_SERVERS
     names = [GroupName(item.service, item.zone if divided else "") for item in usable]
     return dict(Counter(names))
@@ -44,7 +44,7 @@
     """Return the servers of a group that may get requests, of a service's records."""
     if name.holder:
         return [record for record in records if record.server_id == name.holder]
-    return [record for record in records if not record.draining and name.zone in {"", record.zone}]
+    return [record for record in records if not record.leaving and name.zone in {"", record.zone}]
 
 
 def dispatcher(name: GroupName, nodes: Mapping[str, str], passed: Collection[str]) -> str:
--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -4,7 +4,7 @@
 configuration or key map never replaces a newer one within one life.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
@@ -77,6 +77,28 @@
         self.servers_known = True
         self.changed.raise_()
 
+    def set_evacuated(self, zones: Collection[str]) -> None:
+        """Take the zones whose servers are to get nothing.
+
+        Servers of a zone that is taken back count as cold for as long as after a start.
+        """
+        now_ms = elapsed_ms()
+        before = self.servers.evacuated
+        for record in self.servers.set_evacuated(zones, now_ms):
+            service = self._table.services.get(record.service) if self._table else None
+            if service is not None and service.cold_per_s:
+                self.servers.note_cold(record.server_id, now_ms + service.cold_ms)
+        for zone in sorted(self.servers.evacuated - before):
+            LOG.info("Zone is evacuated.", zone=zone)
+        for zone in sorted(before - self.servers.evacuated):
+            LOG.info("Zone is taken back.", zone=zone)
+        self.changed.raise_()
+
+    def cold_per_s(self, service: str) -> float:
+        """Return how many requests a second a cold server of a service bears; 0: no bound."""
+        known = self._table.services.get(service) if self._table else None
+        return known.cold_per_s if known else 0.0
+
     def server_ended(self, server_id: str) -> None:
         """Another server answered at the address: this one has surely ended."""
         if server_id in self.servers.records:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -49,6 +49,10 @@
 MOVE_PART = 0.6  # of the objective: how long to wait for keys that change hands
 LEAST_ATTEMPT_PART = 0.1  # of the objective: less time than that is no use
 DRAINING_HOLDER_MS = 700.0  # how long a draining server still gets its keys' requests
+# Of the time until an evacuated zone gets nothing: how long its servers still get their
+# keys' requests while these wait for a new holder. Another part goes by until this node
+# hears of the evacuation, and a request that was sent may take a while to arrive.
+EVACUATED_HOLDER_PART = 0.3
 JITTER = 0.15
 DEFAULT_ANSWER_MS = 100.0
 RETRY_AFTER_BUSY_S = 0.15
@@ -103,7 +107,9 @@
         dialect: Dialect,
         budget: SharedRetryBudget,
         shared_slots: SharedSlots | None = None,
+        evacuate_ms: float = 0.0,
     ) -> None:
+        self._evacuated_holder_ms = evacuate_ms * EVACUATED_HOLDER_PART
         self._shared_slots = shared_slots
         self._directory = directory
         self._pool = pool
@@ -269,6 +275,8 @@
                 return given, result, answer
         # The wait for a slot may have been long: the holder is looked up again.
         upstream = self._await_upstream(call, tried, history)
+        if self._bounded_by_cold(upstream.record):
+            raise self._out_of_time(call, history, results.QUEUE_TIMEOUT)
         return upstream, *self._attempt_in_slot(call, upstream, history)
 
     def _still_right(self, call: Call, slot: SharedSlot) -> Upstream | None:
@@ -277,7 +285,7 @@
             holder = self._holder(call)
             return holder if holder and holder.record.server_id == slot.server_id else None
         record = self._directory.servers.records.get(slot.server_id)
-        if record is None or record.draining:
+        if record is None or record.leaving:
             return None
         return self._pool.get(slot.server_id)
 
@@ -398,11 +406,18 @@
             upstream = self._holder(call) if call.partitioned else self._cheapest(call, tried)
             if upstream is not None:
                 return upstream
+            if self._all_evacuated(call.service):
+                raise self._out_of_time(call, history, results.NO_OWNER, RETRY_AFTER_NO_SERVER_S)
             left_ms = self._wait_until_ms(call) - elapsed_ms()
             if left_ms <= 0:
                 raise self._out_of_time(call, history, results.NO_OWNER)
             self._directory.changed.wait(left_ms / 1000)
 
+    def _all_evacuated(self, service: str) -> bool:
+        """Whether operators want nothing sent to any server of a service: no wait helps."""
+        records = self._directory.servers.of_service(service)
+        return bool(records) and all(record.evacuated for record in records)
+
     def _wait_until_ms(self, call: Call) -> float:
         """Return until when a request waits for a server.
 
@@ -427,11 +442,20 @@
         server_id = found.holder.server_id
         if server_id not in self._directory.servers.records:
             return None  # it has ended, though the pool may not know yet
-        draining_ms = self._directory.servers.draining_since.get(server_id)
-        if draining_ms is not None and elapsed_ms() - draining_ms > DRAINING_HOLDER_MS:
+        if self._left_long_ago(server_id):
             return None
         return self._pool.get(server_id)
 
+    def _left_long_ago(self, server_id: str) -> bool:
+        """Whether a server is leaving for so long that its keys' requests go there no more."""
+        servers = self._directory.servers
+        since_ms = servers.leaving_since.get(server_id)
+        if since_ms is None:
+            return False
+        drains = servers.records[server_id].draining
+        limit_ms = DRAINING_HOLDER_MS if drains else self._evacuated_holder_ms
+        return elapsed_ms() - since_ms > limit_ms
+
     def _cheapest(self, call: Call, tried: set[str]) -> Upstream | None:
         upstreams = [
             upstream
@@ -441,10 +465,22 @@
         times = [upstream.answer_time for upstream in upstreams]
         answered = [time.mean_ms for time in times if time.count]
         usual_ms = sum(answered) / len(answered) if answered else DEFAULT_ANSWER_MS
-        loads = [upstream.load(usual_ms) for upstream in upstreams]
+        now_ms = elapsed_ms()
+        servers = self._directory.servers
+        loads = [
+            upstream.load(usual_ms, servers.is_cold(upstream.record.server_id, now_ms))
+            for upstream in upstreams
+        ]
         jitter = {load.server_id: random.uniform(1 - JITTER, 1 + JITTER) for load in loads}
         chosen = balancer.choose(loads, jitter)
         return self._pool.get(chosen) if chosen else None
 
     def _usable(self, record: ServerRecord, tried: set[str]) -> bool:
-        return not record.draining and record.server_id not in tried
+        if record.leaving or record.server_id in tried:
+            return False
+        return not self._bounded_by_cold(record)
+
+    def _bounded_by_cold(self, record: ServerRecord) -> bool:
+        """Whether only the group's dispatcher may give a server's slots: it counts for all."""
+        cold = self._directory.servers.is_cold(record.server_id, elapsed_ms())
+        return cold and self._directory.cold_per_s(record.service) > 0
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -156,7 +156,10 @@
             )
             for record, work in self._work(records)
         }
-        return ServiceView(records, load.rates(now_ms), work_ms)
+        servers = self._directory.servers
+        cold = {item.server_id for item in records if servers.is_cold(item.server_id, now_ms)}
+        cold_per_s = self._directory.cold_per_s(service)
+        return ServiceView(records, load.rates(now_ms), work_ms, cold, cold_per_s)
 
     def _work(self, records: list[ServerRecord]) -> Iterable[tuple[ServerRecord, float]]:
         times = self._answer_times.work_ms([record.server_id for record in records])
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -106,7 +106,9 @@
             self._peers.send_slot,
         )
         self._peers.take_slots(self._slots.take)
-        self._forwarder = Forwarder(self.directory, self._pool, dialect, self._budget, self._slots)
+        self._forwarder = Forwarder(
+            self.directory, self._pool, dialect, self._budget, self._slots, settings.evacuate_ms
+        )
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
             settings.relay_limit_ms,
@@ -221,7 +223,10 @@
     # ---- feeds ------------------------------------------------------------------------
 
     def _followed(self, keymap_relay: KeymapRelay) -> list[Feed]:
+        evacuations = Feed(kinds.EVACUATIONS, self._take_evacuations, self._change_evacuation)
         return [
+            # A kind costs calls to the store, so it is followed only where it is in use.
+            *([evacuations] if self._settings.evacuate_ms else []),
             Feed(kinds.CONFIGURATION, self._take_configurations, self._change_configuration),
             Feed(kinds.SERVERS, self._take_servers, self._change_server, SERVERS_PAUSES),
             Feed(
@@ -268,6 +273,15 @@
             self.directory.put_server(record)
         return True
 
+    def _take_evacuations(self, items: tuple[VersionedObject, ...]) -> None:
+        self.directory.set_evacuated({item.name for item in items})
+
+    def _change_evacuation(self, change: ObjectChange) -> bool:
+        zones = self.directory.servers.evacuated
+        zone = {change.object.name}
+        self.directory.set_evacuated(zones - zone if change.gone else zones | zone)
+        return True
+
     def _take_keymaps(self, items: tuple[VersionedObject, ...]) -> None:
         for item in items:
             self._take_keymap(item)
@@ -374,6 +388,8 @@
         table = self.directory.table
         metrics.gauge("leading", lambda: float(self.leads))
         metrics.gauge("servers", lambda: float(len(self.directory.servers.records)))
+        metrics.gauge("evacuated_zones", lambda: float(len(self.directory.servers.evacuated)))
+        metrics.gauge("cold_servers", lambda: float(self.directory.servers.cold(elapsed_ms())))
         metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
         metrics.gauge("nodes", lambda: float(self._elector.node_count))
         metrics.gauge("connections", lambda: float(self._callers.open_connections))
--- a/ploverhatch/gateway/settings.py
+++ b/ploverhatch/gateway/settings.py
@@ -37,6 +37,7 @@
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     lease_max_ms: float = 10_000.0
+    evacuate_ms: float = 0.0  # until an evacuated zone gets nothing; 0: none is ever evacuated
     max_descriptors: int = 4096
     cores: float = 1.0  # share of a core that the machine gives
     link_mbps: float = 1000.0
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -19,6 +19,7 @@
 from ploverhatch.admission.dispatcher import (
     Answer,
     Asker,
+    ColdServers,
     Given,
     Group,
     Queued,
@@ -296,8 +297,10 @@
         kept = self._kept.setdefault(name, _Kept(Group()))
         kept.used_ms = now_ms
         if now_ms - kept.refreshed_ms > REFRESH_MS:
-            records = self._directory.servers.of_service(ask.service)
-            kept.group.set_members(groups.members_of(name, records), now_ms)
+            servers = self._directory.servers
+            cold = ColdServers(servers.cold_until_ms, self._directory.cold_per_s(ask.service))
+            records = groups.members_of(name, servers.of_service(ask.service))
+            kept.group.set_members(records, now_ms, cold)
             kept.refreshed_ms = now_ms
         wish = Wish(
             Asker(peer, ask.number),
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -31,7 +31,6 @@
         self.same_zone = same_zone
         self.answer_time = AnswerTime()
         self.failing_until_ms = 0.0
-        self.cold_until_ms = elapsed_ms() + record.warmup_ms
         self.limit = float(max(2, record.slots))
         self._most = float(record.slots * 2)
         self._queue = SlotQueue(lambda: self.limit, record.slots, elapsed_ms)
@@ -89,7 +88,7 @@
         """No connection, or a broken one."""
         self.failing_until_ms = elapsed_ms() + FAILING_MS
 
-    def load(self, usual_ms: float) -> ServerLoad:
+    def load(self, usual_ms: float, cold: bool = False) -> ServerLoad:
         """Return what the balancer needs to know."""
         now_ms = elapsed_ms()
         mean_ms = self.answer_time.mean_ms if self.answer_time.count else usual_ms
@@ -102,7 +101,7 @@
             mean_ms=mean_ms,
             oldest_ms=self._queue.oldest_ms,
             same_zone=self.same_zone,
-            cold=now_ms < self.cold_until_ms,
+            cold=cold,
             failing=now_ms < self.failing_until_ms,
         )
 
--- a/ploverhatch/platform/documents.py
+++ b/ploverhatch/platform/documents.py
@@ -50,6 +50,8 @@
     name: str
     max_connections: int = 100
     sharded: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -101,7 +103,13 @@
             for entry in document.virtual_hosts
         },
         services={
-            item.name: Service(item.name, item.sharded, item.max_connections)
+            item.name: Service(
+                item.name,
+                item.sharded,
+                item.max_connections,
+                item.cold_start_s * 1000,
+                item.cold_per_s,
+            )
             for item in document.services
         },
         limits=ClientLimits(
--- a/ploverhatch/platform/names.py
+++ b/ploverhatch/platform/names.py
@@ -5,6 +5,7 @@
 KIND_CONFIG = "config"
 CONFIG_NAME = "main"
 KIND_SERVERS = "servers"
+KIND_EVACUATIONS = "evacuations"
 
 OBJECTS_PATH = "/ploverhatch/objects"
 READINESS_PATH = b"/ploverhatch/readiness"
--- a/ploverhatch/platform/settings.py
+++ b/ploverhatch/platform/settings.py
@@ -53,6 +53,7 @@
     budget_window_s: float = 10.0
     retry_slack: float = 50.0
     hold_max_ms: float = 10_000.0
+    evacuate_ms: float = 0.0
 
 
 class _Terms(msgspec.Struct):
@@ -108,6 +109,7 @@
         retry_slack=bounds.retry_slack,
         retry_window_s=bounds.budget_window_s,
         lease_max_ms=bounds.hold_max_ms,
+        evacuate_ms=bounds.evacuate_ms,
         max_descriptors=limits.max_fds,
         cores=limits.cpu_share * limits.cpu_cores,
         link_mbps=limits.link_mbps,
--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -34,7 +34,11 @@
 WATCH_SLACK_S = 1.5
 MAX_IDLE = 3
 T = TypeVar("T")
-_KIND_PATHS = {kinds.CONFIGURATION: names.KIND_CONFIG, kinds.SERVERS: names.KIND_SERVERS}
+_KIND_PATHS = {
+    kinds.CONFIGURATION: names.KIND_CONFIG,
+    kinds.SERVERS: names.KIND_SERVERS,
+    kinds.EVACUATIONS: names.KIND_EVACUATIONS,
+}
 
 
 class _Metadata(msgspec.Struct):
--- a/ploverhatch/routing/route_table.py
+++ b/ploverhatch/routing/route_table.py
@@ -33,6 +33,8 @@
     name: str
     partitioned: bool
     max_connections: int
+    cold_ms: float = 0.0  # how long a server is cold after a start during traffic
+    cold_per_s: float = 0.0  # requests a second that a cold server bears; 0: no bound
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -37,6 +37,7 @@
     range_id,
 )
 from ploverhatch.sharding.transfer import Transfer
+from ploverhatch.state.servers import ServerRecord
 
 PLAN_EVERY_MS = 400.0
 SETTLE_MS = 500.0  # a grant is told to all nodes at once, and stored with the next move or then
@@ -214,7 +215,7 @@
     def _candidates(
         self, state: _ServiceState, view: ServiceView, now_ms: float
     ) -> list[planner.Candidate]:
-        records = [record for record in view.records if not record.draining]
+        records = [record for record in view.records if not record.leaving]
         ids = frozenset(record.server_id for record in records)
         if ids != state.server_ids:
             state.server_ids = ids
@@ -226,7 +227,7 @@
             planner.Candidate(
                 Holder(record.server_id, record.host, record.port),
                 record.slots,
-                view.work_ms.get(record.server_id, planner.DEFAULT_WORK_MS),
+                _work_ms(view, record),
             )
             for record in reachable
         ]
@@ -400,3 +401,11 @@
     def _prepare_leases(self, ranges: Iterable[KeyRange]) -> None:
         for item in ranges:
             self._lease(item.holder)
+
+
+def _work_ms(view: ServiceView, record: ServerRecord) -> float:
+    """Return how long a server works on a request; a cold one as if it was so slow."""
+    work_ms = view.work_ms.get(record.server_id, planner.DEFAULT_WORK_MS)
+    if record.server_id in view.cold and view.cold_per_s:
+        return max(work_ms, record.slots * 1000 / view.cold_per_s)
+    return work_ms
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -1,6 +1,6 @@
 """What the leader of the keys is told, and what it asks for. Pure."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -40,6 +40,8 @@
     records: Sequence[ServerRecord]
     rates: Mapping[int, float] = field(default_factory=dict)  # requests a second by key
     work_ms: Mapping[str, float] = field(default_factory=dict)  # per request, by server
+    cold: Collection[str] = ()  # servers that bear only ``cold_per_s`` requests a second
+    cold_per_s: float = 0.0  # 0: no bound
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -102,8 +102,13 @@
     def rate_of(self, first: int, last: int) -> float:
         return sum(self.rates[key] for key in self.keys_within(first, last))
 
-    def idlest(self) -> _Share:
-        return min(self.shares.values(), key=lambda share: share.pressure)
+    def idlest_with(self, first: int, last: int) -> _Share:
+        """Return the server that is the least loaded once it holds some more keys."""
+        rate = self.rate_of(first, last)
+        return min(
+            self.shares.values(),
+            key=lambda share: share.pressure + share.candidate.utilisation(rate),
+        )
 
     def give(self, first: int, last: int, target: _Share, source: _Share | None = None) -> None:
         rate = self.rate_of(first, last)
@@ -145,7 +150,7 @@
     lost = [item for item in keymap.ranges if item.holder.server_id not in plan.shares]
     for item in sorted(lost, key=lambda item: -plan.rate_of(item.first, item.last)):
         for first, last in _pieces(plan, item):
-            plan.give(first, last, plan.idlest())
+            plan.give(first, last, plan.idlest_with(first, last))
 
 
 def _pieces(plan: _Plan, item: KeyRange) -> list[tuple[int, int]]:
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -1,12 +1,17 @@
 """The servers a node knows of, and which of them may be used. Pure.
 
+A server is *leaving* when it drains, or while its zone is evacuated: it gets no
+new requests, and its keys go to others. Servers that come back from an evacuation
+are taken to be cold, since their caches may have been lost meanwhile.
+
 A store that was down may have dropped the records of most servers though they
 still run. Records that vanish soon after a failure of the store are therefore
 kept for a while, but only when most of a service vanished: a single record
 that goes is taken at its word, since a server that leaves may not announce it.
 """
 
-from dataclasses import dataclass, field
+from collections.abc import Collection
+from dataclasses import dataclass, field, replace
 
 VANISH_GRACE_MS = 3000.0
 STORE_FAILURE_MEMORY_MS = 4000.0
@@ -23,7 +28,13 @@
     zone: str
     slots: int
     draining: bool
-    warmup_ms: float = 0.0
+    warmup_ms: float = 0.0  # how much longer it was cold when it wrote the record
+    evacuated: bool = False  # its zone is being evacuated
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it gets no new requests."""
+        return self.draining or self.evacuated
 
 
 @dataclass
@@ -32,21 +43,59 @@
 
     records: dict[str, ServerRecord] = field(default_factory=dict)
     vanished: dict[str, float] = field(default_factory=dict)  # id -> when
-    draining_since: dict[str, float] = field(default_factory=dict)  # id -> when heard
+    leaving_since: dict[str, float] = field(default_factory=dict)  # id -> when heard
+    cold_until_ms: dict[str, float] = field(default_factory=dict)  # of servers that were cold
+    evacuated: frozenset[str] = frozenset()  # zones
     store_failed_ms: float = -1e12
 
+    def is_cold(self, server_id: str, now_ms: float) -> bool:
+        """Whether a server bears few requests for now."""
+        return self.cold_until_ms.get(server_id, -1e12) > now_ms
+
+    def cold(self, now_ms: float) -> int:
+        """Return how many servers are cold."""
+        return sum(until_ms > now_ms for until_ms in self.cold_until_ms.values())
+
     def note_store_failure(self, now_ms: float) -> None:
         """The store did not answer: records may vanish without reason."""
         self.store_failed_ms = now_ms
 
     def put(self, record: ServerRecord, now_ms: float) -> None:
-        """Take a record that was added or changed."""
-        self.records[record.server_id] = record
+        """Take a record that was added or changed.
+
+        It was written a while ago, so a server is cold for a little less than is
+        assumed here. The same record again, in a listing, tells nothing new of that.
+        """
+        record = replace(record, evacuated=record.zone in self.evacuated)
+        known = self.records.get(record.server_id)
+        if record.warmup_ms > 0 and (known is None or known.warmup_ms != record.warmup_ms):
+            self.note_cold(record.server_id, now_ms + record.warmup_ms)
         self.vanished.pop(record.server_id, None)
-        if record.draining:
-            self.draining_since.setdefault(record.server_id, now_ms)
+        self._show(record, now_ms)
+
+    def _show(self, record: ServerRecord, now_ms: float) -> None:
+        self.records[record.server_id] = record
+        if record.leaving:
+            self.leaving_since.setdefault(record.server_id, now_ms)
         else:
-            self.draining_since.pop(record.server_id, None)
+            self.leaving_since.pop(record.server_id, None)
+
+    def note_cold(self, server_id: str, until_ms: float) -> None:
+        """A server is cold until a time, or for longer if that was known."""
+        known_ms = self.cold_until_ms.get(server_id, -1e12)
+        self.cold_until_ms[server_id] = max(known_ms, until_ms)
+
+    def set_evacuated(self, zones: Collection[str], now_ms: float) -> list[ServerRecord]:
+        """Take the zones that are being evacuated now.
+
+        :returns: the servers whose zones were taken back.
+        """
+        before, self.evacuated = self.evacuated, frozenset(zones)
+        for record in list(self.records.values()):
+            if record.zone in before ^ self.evacuated:
+                self._show(replace(record, evacuated=record.zone in self.evacuated), now_ms)
+        back = before - self.evacuated
+        return [record for record in self.records.values() if record.zone in back]
 
     def remove(self, server_id: str, now_ms: float) -> None:
         """Take note that a record is gone."""
@@ -90,7 +139,8 @@
     def _drop(self, server_id: str) -> None:
         self.records.pop(server_id, None)
         self.vanished.pop(server_id, None)
-        self.draining_since.pop(server_id, None)
+        self.leaving_since.pop(server_id, None)
+        self.cold_until_ms.pop(server_id, None)
 
     def forget_address(self, server_id: str) -> None:
         """Drop a server whose address was seen to belong to another one."""
--- a/ploverhatch/store/kinds.py
+++ b/ploverhatch/store/kinds.py
@@ -2,6 +2,7 @@
 
 CONFIGURATION = "configuration"  # written by operators; one object
 SERVERS = "servers"  # written by servers, one object per life
+EVACUATIONS = "evacuations"  # written by operators; one object per zone that is to be empty
 KEYMAPS = "keymaps"  # written by the leader, one object per service
 LEASES = "leases"  # the leader's lease, and one object per node
 
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -455,3 +455,91 @@
         return hold(wish)
 
     slots.hold = wait
+
+
+# ---- evacuated zones and cold servers -----------------------------------------------------
+
+
+def evacuate_ms(bench, limit_ms):
+    bench.forwarder = Forwarder(
+        bench.directory, bench.pool, PlatformDialect(), bench.budget, None, limit_ms
+    )
+
+
+def test_an_evacuated_server_gets_nothing(bench):
+    gone, staying = Upstream("u1"), Upstream("u2")
+    bench.directory.put_server(replace(bench.add(gone), zone="z2"))
+    bench.add(staying)
+    bench.directory.set_evacuated({"z2"})
+    for _ in range(4):
+        assert bench.ask(b"/once/", b"POST").status == 200
+    assert (len(gone.ran), len(staying.ran)) == (0, 4)
+
+
+def test_a_slot_of_a_server_whose_zone_was_evacuated_meanwhile_is_not_used(bench):
+    gone, staying = Upstream("u1"), Upstream("u2")
+    bench.directory.put_server(replace(bench.add(gone), zone="z2"))
+    bench.add(staying)
+    slots = share(bench, GivenSlots("u1"))
+    during(slots, lambda: bench.directory.set_evacuated({"z2"}))
+    assert bench.ask(b"/once/", b"POST").status == 200
+    assert (len(gone.ran), len(staying.ran)) == (0, 1)
+
+
+@pytest.mark.parametrize("path", [b"/once/", b"/keyonce/"])
+def test_where_all_servers_are_evacuated_callers_are_told_at_once(bench, path):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    bench.own_keys(bench.add(Upstream("u2"), service=KEYED))
+    bench.directory.set_evacuated({"z1"})
+    started = elapsed_ms()
+    reply = bench.ask(path, b"POST", headers=[(b"Shard-Key", b"5")])
+    assert (reply.status, upstream.ran) == (503, [])
+    assert field(reply, b"retry-after")
+    assert elapsed_ms() - started < 50.0
+
+
+def test_keys_are_served_where_they_are_until_the_time_to_hand_them_over_ends(bench):
+    upstream = Upstream("u1")
+    bench.own_keys(bench.add(upstream, service=KEYED))
+    bench.add(Upstream("u2"), service=KEYED)
+    evacuate_ms(bench, 1000.0)
+    bench.directory.set_evacuated({"z1"})
+    assert bench.ask(b"/keyonce/", b"POST", headers=[(b"Shard-Key", b"5")]).status == 200
+    gevent.sleep(0.31)
+    assert bench.ask(b"/keyonce/", b"POST", headers=[(b"Shard-Key", b"5")]).status == 503
+    assert len(upstream.ran) == 1
+
+
+def bound_cold(bench, per_s=6.7):
+    services = {
+        name: replace(service, cold_ms=3000.0, cold_per_s=per_s)
+        for name, service in bench.directory.table.services.items()
+    }
+    bench.directory.take_table(RouteTable(2, {b"h.example": ROUTES}, services))
+
+
+def test_a_cold_server_gets_nothing_from_a_node_that_hears_of_no_dispatcher(bench):
+    cold, warm = Upstream("u1"), Upstream("u2")
+    record = bench.add(cold)
+    bench.add(warm)
+    bound_cold(bench)
+    bench.directory.put_server(replace(record, warmup_ms=60_000.0))
+    share(bench, GivenSlots())
+    for _ in range(6):
+        assert bench.ask(b"/once/", b"POST").status == 200
+    assert (len(cold.ran), len(warm.ran)) == (0, 6)
+
+
+def test_a_cold_holder_gets_nothing_from_a_node_that_hears_of_no_dispatcher(bench):
+    cold = Upstream("u1")
+    record = bench.add(cold, service=KEYED)
+    bench.own_keys(record)
+    bound_cold(bench)
+    bench.directory.put_server(replace(record, warmup_ms=60_000.0))
+    share(bench, GivenSlots(None, "u1"))
+    statuses = [
+        bench.ask(b"/keyonce/", b"POST", headers=[(b"Shard-Key", b"5")]).status for _ in range(2)
+    ]
+    assert statuses == [503, 200]
+    assert len(cold.ran) == 1
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -76,13 +76,13 @@
         self.upstreams = {}
         self.gateways = []
 
-    def start_upstream(self, name, service, sharded=False):
+    def start_upstream(self, name, service, sharded=False, zone="z1"):
         upstream = Upstream(name, sharded)
         self.upstreams[name] = upstream
-        self.store.put("servers", name, *upstream.record(service))
+        self.store.put("servers", name, *upstream.record(service, zone=zone))
         return upstream
 
-    def start_gateway(self, name):
+    def start_gateway(self, name, evacuate_ms=0.0):
         settings = GatewaySettings(
             node=name,
             zone="z1",
@@ -91,6 +91,7 @@
             readiness=HostPort("127.0.0.1", free_port()),
             peer_port=free_port(),
             store=self.server.address,
+            evacuate_ms=evacuate_ms,
         )
         store = PlatformStore(settings.store)
         source = GivenSettings(settings)
@@ -142,8 +143,8 @@
     return get(gateway.settings.readiness, b"/ploverhatch/readiness")[0] == 200
 
 
-def start_site(site, gateways=1):
-    started = [site.start_gateway(f"node-{number}") for number in range(gateways)]
+def start_site(site, gateways=1, evacuate_ms=0.0):
+    started = [site.start_gateway(f"node-{number}", evacuate_ms) for number in range(gateways)]
     gevent.sleep(0.1)
     assert not is_ready(started[0])
     site.store.put("config", "main", CONFIG)
@@ -192,6 +193,34 @@
     assert get(leader.settings.readiness, b"/ploverhatch/readiness")[0] == 503
 
 
+def test_a_zone_is_evacuated_and_taken_back(site):
+    """Both nodes hear of it, also the one that asks the store for nothing."""
+    gateways = start_site(site, gateways=2, evacuate_ms=5000.0)
+    away = site.start_upstream("u4", "plain", zone="z2")
+    holder = site.start_upstream("u5", "keyed", sharded=True, zone="z2")
+    site.store.put("servers", "u1", *site.upstreams["u1"].record("keyed", state="draining"))
+    until(lambda: holder.held)
+    site.store.put("evacuations", "z2", {})
+    until(lambda: all("z2" in gateway.directory.servers.evacuated for gateway in gateways))
+    until(lambda: not holder.held)
+    before = len(away.ran)
+    for gateway in gateways:
+        until(lambda gateway=gateway: ask(gateway, b"/k/a", 1)[0] == 200)
+        for _ in range(5):
+            assert ask(gateway, b"/p/a")[0] == 200
+    assert len(away.ran) == before
+    site.store.remove("evacuations", "z2")
+    until(lambda: not any(gateway.directory.servers.evacuated for gateway in gateways))
+    site.store.put("servers", "u3", *site.upstreams["u3"].record("plain", state="draining"))
+    until(lambda: ask(gateways[0], b"/p/a")[0] == 200 and len(away.ran) > before)
+
+
+def test_where_no_zone_is_ever_evacuated_nobody_asks_for_evacuations(site):
+    (gateway,) = start_site(site)
+    assert not any("evacuations" in str(call) for call in site.store.calls)
+    assert gateway.directory.servers.evacuated == frozenset()
+
+
 def test_a_new_configuration_is_in_force_at_once(site):
     (gateway,) = start_site(site)
     changed = {**CONFIG, "version": "00000009", "virtual_hosts": []}
--- /dev/null
+++ b/tests/unit/test_cold_servers.py
@@ -0,0 +1,151 @@
+"""Cold servers: how many requests a second their group gives them, over all nodes."""
+
+from bisect import bisect_left
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ploverhatch.admission.cold_rate import ColdRate
+from ploverhatch.admission.dispatcher import Asker, ColdServers, Given, Group, Queued, Wish
+from ploverhatch.state.servers import ServerRecord, ServerSet
+
+NODE = ("10.0.0.1", 7000)
+BEARS_PER_S = 6.7
+FALLS_OVER_AT = BEARS_PER_S * 1.5 + 8
+
+
+def record(number, slots=3, zone="a", warmup_ms=0.0):
+    return ServerRecord(f"s{number}", "svc", "10.0.1.1", 9000, zone, slots, False, warmup_ms)
+
+
+def wish(number, now_ms, wait_ms=400.0):
+    return Wish(
+        Asker(NODE, number), 1, now_ms + wait_ms, now_ms + wait_ms, 1000.0, avoid="", zone="a"
+    )
+
+
+def group(records, until_ms, now_ms=0.0, per_s=BEARS_PER_S):
+    made = Group()
+    made.set_members(records, now_ms, ColdServers(until_ms, per_s))
+    return made
+
+
+def most_in_a_second(times_ms):
+    return max(
+        (bisect_left(times_ms, start + 1000.0) - i for i, start in enumerate(times_ms)), default=0
+    )
+
+
+def flood(made, start_ms, span_ms, step_ms=5.0):
+    """Ask every few milliseconds, answer at once; return when slots were given, by server."""
+    given_ms = {}
+    now_ms, number = start_ms, int(start_ms) * 1000
+    while now_ms < start_ms + span_ms:
+        number += 1
+        answers = made.ask(wish(number, now_ms), now_ms) + made.expire(now_ms)
+        for answer in (item for item in answers if isinstance(item, Given)):
+            given_ms.setdefault(answer.server_id, []).append(now_ms)
+            made.give_back(answer.asker, 0.0, False, now_ms)
+        now_ms += step_ms
+    return given_ms
+
+
+def test_a_cold_server_gets_no_more_a_second_than_it_bears():
+    made = group([record(0)], {"s0": 1e9})
+    times = flood(made, 0.0, 5000.0)["s0"]
+    assert most_in_a_second(times) <= BEARS_PER_S + 1
+    assert len(times) >= BEARS_PER_S * 5 - 1  # nor is it left idle
+
+
+def test_two_nodes_that_both_keep_the_queue_do_not_tip_a_cold_server_over():
+    times = [
+        time
+        for number in range(2)
+        for time in flood(group([record(0)], {"s0": 1e9}), 100.0 * number, 4000.0)["s0"]
+    ]
+    assert most_in_a_second(sorted(times)) <= FALLS_OVER_AT
+
+
+def test_warm_servers_take_what_a_cold_one_does_not_bear():
+    made = group([record(0), record(1)], {"s0": 1e9})
+    given_ms = flood(made, 0.0, 2000.0)
+    assert most_in_a_second(given_ms.get("s0", [])) <= BEARS_PER_S + 1
+    assert len(given_ms["s1"]) > 300
+
+
+def test_the_bound_ends_when_the_server_is_warm():
+    made = group([record(0)], {"s0": 1000.0})
+    flood(made, 0.0, 990.0)
+    assert len(flood(made, 1001.0, 500.0)["s0"]) > 90
+
+
+def test_a_server_that_turns_cold_again_is_bounded_from_then_on():
+    made = group([record(0)], {})
+    assert len(flood(made, 0.0, 500.0)["s0"]) > 90
+    made.set_members([record(0)], 500.0, ColdServers({"s0": 1e9}, BEARS_PER_S))
+    assert most_in_a_second(flood(made, 500.0, 3000.0)["s0"]) <= BEARS_PER_S + 1
+
+
+def test_without_a_bound_a_cold_server_is_merely_the_last_choice():
+    made = group([record(0), record(1)], {"s0": 1e9}, per_s=0.0)
+    answers = [made.ask(wish(number, 0.0), 0.0)[0] for number in range(7)]
+    assert [answer.server_id for answer in answers[:2]] == ["s1", "s1"]
+    assert {answer.server_id for answer in answers} == {"s0", "s1"}
+
+
+def test_a_request_waits_for_the_next_one_that_a_cold_server_bears():
+    made = group([record(0)], {"s0": 1e9})
+    assert isinstance(made.ask(wish(1, 0.0), 0.0)[0], Given)
+    assert isinstance(made.ask(wish(2, 0.0), 0.0)[0], Queued)
+    assert made.expire(100.0) == []
+    (answer,) = made.expire(150.0)
+    assert isinstance(answer, Given)
+
+
+@settings(max_examples=200, derandomize=True, database=None, deadline=None)
+@given(
+    gaps=st.lists(st.floats(0.0, 400.0), min_size=1, max_size=150),
+    per_s=st.floats(0.5, 50.0),
+)
+def test_in_each_second_the_rate_holds(gaps, per_s):
+    rate = ColdRate(per_s, 0.0)
+    now_ms, taken = 0.0, []
+    for gap in gaps:
+        now_ms += gap
+        if rate.has_token(now_ms):
+            rate.take(now_ms)
+            taken.append(now_ms)
+    assert most_in_a_second(taken) <= per_s + 1 + 1e-6
+
+
+# ---- when a server is cold ---------------------------------------------------------------
+
+
+def test_a_server_is_cold_for_as_long_as_it_says():
+    servers = ServerSet()
+    servers.put(record(0, warmup_ms=3000.0), 1000.0)
+    assert servers.is_cold("s0", 3999.0)
+    assert not servers.is_cold("s0", 4001.0)
+    servers.put(record(0, warmup_ms=2500.0), 1600.0)
+    assert servers.is_cold("s0", 4099.0)
+
+
+def test_the_same_record_in_a_listing_does_not_make_it_cold_anew():
+    servers = ServerSet()
+    servers.put(record(0, warmup_ms=3000.0), 0.0)
+    servers.replace_all([record(0, warmup_ms=3000.0)], 2900.0)
+    assert not servers.is_cold("s0", 3001.0)
+
+
+def test_a_server_that_was_warm_may_turn_cold_at_any_moment():
+    servers = ServerSet()
+    servers.put(record(0), 0.0)
+    servers.put(record(0, warmup_ms=3000.0), 60_000.0)
+    assert servers.is_cold("s0", 62_000.0)
+
+
+def test_a_server_that_is_gone_leaves_nothing_behind():
+    servers = ServerSet()
+    servers.put(record(0, warmup_ms=3000.0), 0.0)
+    servers.remove("s0", 10.0)
+    assert servers.cold_until_ms == {}
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -12,6 +12,7 @@
 from ploverhatch.admission.dispatcher import (
     FAILING_MS,
     Asker,
+    ColdServers,
     Given,
     Group,
     Queued,
@@ -38,7 +39,8 @@
 
 def group(*records):
     made = Group()
-    made.set_members(records or [record(0)], 0.0)
+    cold = ColdServers({item.server_id: item.warmup_ms for item in records})
+    made.set_members(records or [record(0)], 0.0, cold)
     return made
 
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -133,6 +133,13 @@
     assert table.limits.header_bytes == 100
 
 
+def test_what_a_service_says_of_cold_servers():
+    services = [{"name": "x", "cold_start_s": 3.0, "cold_per_s": 6.7}, {"name": "y"}]
+    table = route_table({**CONFIG, "services": services})
+    assert (table.services["x"].cold_ms, table.services["x"].cold_per_s) == (3000.0, 6.7)
+    assert table.services["y"].cold_per_s == 0.0
+
+
 @pytest.mark.parametrize("key", ["version", "services", "virtual_hosts"])
 def test_incomplete_configuration(key):
     with pytest.raises(DocumentError, match=key):
--- a/tests/unit/test_routing_decisions.py
+++ b/tests/unit/test_routing_decisions.py
@@ -99,11 +99,11 @@
 def test_a_draining_record_is_never_kept():
     servers = full_set(2)
     servers.put(record("s1", draining=True), 900.0)
-    assert servers.draining_since == {"s1": 900.0}
+    assert servers.leaving_since == {"s1": 900.0}
     servers.note_store_failure(1000.0)
     servers.replace_all([], 1100.0)
     assert set(servers.records) <= {"s0"}
-    assert servers.draining_since == {}
+    assert servers.leaving_since == {}
 
 
 def load(name, **changes):
