Notice servers that answer nobody, and ask them with one request and one release at a time

Change: a holder whose busy keys got no answer for 0.5 s is asked at once, and one unanswered call is then enough; of one that does not answer, one release is sent at a time. A dispatcher gives a server one request at a time once two in a row got no answer, or none came for four times its work with all slots in use; who waits for it is told. What reports say is reckoned each 150 ms instead of 50. Ruled out: shorter leases (a change of leaders, 2.6 to 4 s, would cost all keys a gap); one unanswered call alone (orders of which a third get no answer would move keys).

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -24,6 +24,11 @@
 DEFAULT_WORK_MS = 150.0  # of a server that has answered nothing yet
 WORK_WEIGHT = 0.15  # of a new answer time
 FAILING_MS = 1000.0  # a server that failed is given to nobody for so long, while others are there
+SILENT_AFTER = 2  # requests in a row that got no answer: the server gets one at a time
+# Times a server's work: so long without one answer while all its slots are in use, it is
+# taken to be silent before the requests themselves run out of time. Work varies; that all
+# of three requests take four times the mean happens in fewer than 1 of 10,000 cases.
+SILENT_FACTOR = 4.0
 COLD_FACTOR = 2.0  # a server that has just started works about so much slower
 OTHER_ZONE_FACTOR = 1.6  # bytes between zones cost money: a server there has to be faster by it
 LEAST_AFTER_MS = 50.0  # what a request that is turned away is told at least
@@ -106,6 +111,8 @@
     work_ms: float = 0.0  # 0: unknown
     failing_until_ms: float = 0.0
     in_use: int = 0
+    unanswered: int = 0  # requests in a row that got no answer
+    heard_ms: float = -math.inf  # last answer, or the first request after an idle time
 
     @property
     def room(self) -> int:
@@ -116,9 +123,25 @@
         """Whether the rate of a cold server binds now."""
         return self.cold_rate.per_s > 0 and now_ms < self.cold_until_ms
 
+    def heard(self, unanswered: bool, said_something: bool, now_ms: float) -> None:
+        """A request ended there; one that tells nothing of the server changes nothing."""
+        if unanswered:
+            self.unanswered += 1
+        elif said_something:
+            self.unanswered = 0
+            self.heard_ms = now_ms
+
+    def is_silent(self, now_ms: float) -> bool:
+        """Whether it seems to answer nobody: one request at a time then shows if it does."""
+        if self.unanswered >= SILENT_AFTER:
+            return True
+        full = self.work_ms > 0 and self.in_use >= self.slots
+        return full and now_ms - self.heard_ms > SILENT_FACTOR * self.work_ms
+
     def may_get(self, now_ms: float) -> bool:
         """Whether a request may be given to it now."""
-        if self.in_use >= self.room:
+        room = 1 if self.is_silent(now_ms) else self.room
+        if self.in_use >= room:
             return False
         return not self.bounded(now_ms) or self.cold_rate.has_token(now_ms)
 
@@ -191,13 +214,19 @@
         self._waiting.insert(ahead, wish)
         return [*answers, Queued(wish.asker)]
 
-    def give_back(self, asker: Asker, took_ms: float, failed: bool, now_ms: float) -> list[Answer]:
-        """A request needs its slot, or its place in the queue, no more."""
+    def give_back(
+        self, asker: Asker, took_ms: float, failed: bool, now_ms: float, unanswered: bool = False
+    ) -> list[Answer]:
+        """A request needs its slot, or its place in the queue, no more.
+
+        :param unanswered: whether the server gave no answer at all.
+        """
         self._waiting = [wish for wish in self._waiting if wish.asker != asker]
         lease = self._leases.pop(asker, None)
         server = self._servers.get(lease.server_id) if lease else None
         if server is not None:
             server.in_use -= 1
+            server.heard(unanswered, took_ms > 0 or failed, now_ms)
             if failed:
                 server.failing_until_ms = now_ms + FAILING_MS
             elif took_ms > 0 and lease is not None and not lease.queued:
@@ -211,7 +240,9 @@
             server = self._servers.get(self._leases.pop(asker).server_id)
             if server is not None:
                 server.in_use -= 1
-        answers = self._turn_away([w for w in self._waiting if w.until_ms <= now_ms], now_ms)
+        hopeless = self._nobody_answers(now_ms)
+        over = [wish for wish in self._waiting if hopeless or wish.until_ms <= now_ms]
+        answers = self._turn_away(over, now_ms)
         while self._waiting:
             self._waiting.sort(key=lambda wish: (wish.priority, wish.useful_ms <= now_ms))
             server_id = self._choose(self._waiting[0], now_ms)
@@ -233,6 +264,8 @@
 
     def _give(self, wish: Wish, server_id: str, now_ms: float) -> Given:
         server = self._servers[server_id]
+        if not server.in_use:
+            server.heard_ms = now_ms
         queued = server.in_use >= server.slots
         self._leases[wish.asker] = _Lease(server_id, now_ms + wish.hold_ms, queued)
         server.in_use += 1
@@ -267,6 +300,10 @@
     def _capacity(self) -> int:
         return WAITING_PER_SLOT * sum(server.slots for server in self._servers.values())
 
+    def _nobody_answers(self, now_ms: float) -> bool:
+        """Whether all servers are silent: those who wait are told so rather than kept."""
+        return all(server.is_silent(now_ms) and server.in_use for server in self._servers.values())
+
     def _expected_wait_ms(self, ahead: int, now_ms: float) -> float:
         """Return how long a request waits that has so many before it."""
         usual_ms = self._usual_ms
@@ -276,6 +313,8 @@
 
 def _per_ms(server: _Server, usual_ms: float, now_ms: float) -> float:
     """Return how many requests a server runs in a millisecond."""
+    if server.is_silent(now_ms):
+        return 0.0
     if server.bounded(now_ms):
         return server.cold_rate.per_s / 1000
     return server.slots / (server.work_ms or usual_ms)
--- a/ploverhatch/admission/messages.py
+++ b/ploverhatch/admission/messages.py
@@ -46,7 +46,8 @@
     """Give a slot back, or a place in the queue.
 
     ``took_ms`` is how long the server worked, 0 where that says nothing of it;
-    ``failed`` that it could not be reached or did not answer.
+    ``failed`` that it could not be reached or did not answer as it should, and
+    ``unanswered`` that it said nothing at all.
     """
 
     number: int
@@ -55,3 +56,4 @@
     holder: str
     took_ms: float = 0.0
     failed: bool = False
+    unanswered: bool = False
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -64,6 +64,7 @@
 FAILED_RESULTS = frozenset(
     {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}
 )
+UNANSWERED_RESULTS = frozenset({AttemptResult.NOT_CONNECTED, AttemptResult.TIMED_OUT})
 
 
 @dataclass(slots=True)
@@ -270,6 +271,7 @@
                 with given.given_slot():
                     result, answer = self._attempt_noted(call, given)
                 slot.failed = result in FAILED_RESULTS
+                slot.unanswered = result in UNANSWERED_RESULTS
                 if result is AttemptResult.ANSWERED:
                     slot.took_ms = call.trace.attempts[-1].took_ms
                 return given, result, answer
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -4,7 +4,8 @@
 again when it is about to be sent, after every wait.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 import gevent
 
@@ -45,9 +46,21 @@
 
 TICK_S = 0.05
 READ_RETRY_S = 0.25
+# Reports of nodes come each 0.3 s, and reading those of hundreds takes milliseconds.
+READ_EVERY_MS = 150.0
 FORGET_EVERY_MS = 10_000.0  # servers that are gone are dropped so often
 
 
+@dataclass(frozen=True, slots=True)
+class _Reading:
+    """What the reports of all nodes said of a service at a time."""
+
+    taken_ms: float
+    rates: Mapping[int, float]
+    work_ms: Mapping[str, float]
+    silent: Collection[str]
+
+
 class KeyLeader:
     """Acts while this node leads; a new one is made for each term."""
 
@@ -72,6 +85,7 @@
         self._controls: dict[str, ServerControl] = {}
         self._loads: dict[str, KeyLoad] = {}
         self._answer_times = AnswerTimes()
+        self._readings: dict[str, _Reading] = {}
         self._tasks: set[gevent.Greenlet] = set()
         self._handlers: dict[type, Callable[..., None]] = {
             StoreMap: self._store_map,
@@ -149,17 +163,30 @@
 
     def _view(self, service: str, now_ms: float) -> ServiceView:
         records = self._directory.servers.of_service(service)
-        load = self._loads.setdefault(service, KeyLoad())
+        known = self._readings.get(service)
+        if known is None or now_ms - known.taken_ms >= READ_EVERY_MS:
+            known = self._read(service, records, now_ms)
+            self._readings[service] = known
+        servers = self._directory.servers
+        cold = {item.server_id for item in records if servers.is_cold(item.server_id, now_ms)}
+        cold_per_s = self._directory.cold_per_s(service)
+        return ServiceView(records, known.rates, known.work_ms, cold, cold_per_s, known.silent)
+
+    def _read(self, service: str, records: list[ServerRecord], now_ms: float) -> _Reading:
+        """Reckon what the reports of all nodes say of a service."""
+        rates = self._loads.setdefault(service, KeyLoad()).rates(now_ms)
         work_ms = {
             record.server_id: min(
                 work, self._answer_times.most_work_ms(record.server_id, record.slots, now_ms)
             )
             for record, work in self._work(records)
         }
-        servers = self._directory.servers
-        cold = {item.server_id for item in records if servers.is_cold(item.server_id, now_ms)}
-        cold_per_s = self._directory.cold_per_s(service)
-        return ServiceView(records, load.rates(now_ms), work_ms, cold, cold_per_s)
+        silent = {
+            server_id
+            for server_id, rate in self._core.rates_of_holders(service, rates).items()
+            if self._answer_times.is_silent(server_id, rate, now_ms)
+        }
+        return _Reading(now_ms, rates, work_ms, silent)
 
     def _work(self, records: list[ServerRecord]) -> Iterable[tuple[ServerRecord, float]]:
         times = self._answer_times.work_ms([record.server_id for record in records])
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -97,6 +97,7 @@
     dispatcher: str = ""
     took_ms: float = NO_INFORMATION_MS
     failed: bool = False
+    unanswered: bool = False
 
 
 class _Pending:
@@ -238,7 +239,13 @@
             del self._pending[number]
             if asked:
                 back = SlotReturn(
-                    number, name.service, name.zone, name.holder, slot.took_ms, slot.failed
+                    number,
+                    name.service,
+                    name.zone,
+                    name.holder,
+                    slot.took_ms,
+                    slot.failed,
+                    slot.unanswered,
                 )
                 self._send(back, HostPort.parse(asked))
 
@@ -317,7 +324,8 @@
         kept = self._kept.get(GroupName(message.service, message.group_zone, message.holder))
         if kept is not None:
             asker = Asker(peer, message.number)
-            self._answer(kept.group.give_back(asker, message.took_ms, message.failed, elapsed_ms()))
+            took_ms, failed, silent = message.took_ms, message.failed, message.unanswered
+            self._answer(kept.group.give_back(asker, took_ms, failed, elapsed_ms(), silent))
 
     def _answer(self, answers: list[Answer]) -> None:
         for answer in answers:
--- a/ploverhatch/sharding/holders.py
+++ b/ploverhatch/sharding/holders.py
@@ -39,9 +39,25 @@
     held_until_ms: float = 0.0  # by then every lease sent to it has surely lapsed
     failing_since_ms: float | None = None
     avoid_until_ms: float = 0.0
+    silent: bool = False  # callers' requests to it are not answered
     renew_at_ms: float = 0.0
     to_renew: list[RangeId] = field(default_factory=list)
     renewing: bool = False
+    release_at_ms: float = 0.0  # of a holder that does not answer: when one is sent again
+
+    def may_release(self, now_ms: float) -> bool:
+        """Whether a release may be sent now.
+
+        A holder that does not answer may have hundreds of ranges. One release after
+        the other shows as well whether it answers again, and costs one connection
+        in ``RETRY_MS`` instead of hundreds.
+        """
+        if self.failing_since_ms is None:
+            return True
+        if now_ms < self.release_at_ms:
+            return False
+        self.release_at_ms = now_ms + RETRY_MS
+        return True
 
     def sent(self, now_ms: float) -> None:
         """A grant is being sent right now."""
@@ -56,12 +72,20 @@
         self.failing_since_ms = None
 
     def failed(self, now_ms: float) -> None:
-        """No answer to a call."""
+        """No answer to a call; callers' requests that it left unanswered speak against it too."""
         if self.failing_since_ms is None:
             self.failing_since_ms = now_ms
-        if now_ms - self.failing_since_ms >= UNREACHABLE_MS:
+        if self.silent or now_ms - self.failing_since_ms >= UNREACHABLE_MS:
             self.avoid_until_ms = now_ms + AVOID_MS
 
+    def note_silent(self, silent: bool, now_ms: float) -> None:
+        """Whether busy keys of the holder got no answer at all lately: ask it at once."""
+        if silent and not self.silent:
+            self.renew_at_ms = min(self.renew_at_ms, now_ms)
+            if self.failing_since_ms is not None:
+                self.avoid_until_ms = now_ms + AVOID_MS
+        self.silent = silent
+
     def avoided(self, now_ms: float) -> bool:
         """Whether the server should get no keys now."""
         return now_ms < self.avoid_until_ms
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from ploverhatch.sharding import planner
 from ploverhatch.sharding.holders import HolderLease, LeaseTiming
@@ -101,6 +102,17 @@
         transfers = state.transfers.items() if state else ()
         return frozenset(name.token for name, transfer in transfers if transfer.done)
 
+    def rates_of_holders(self, service: str, rates: Mapping[int, float]) -> dict[str, float]:
+        """Return requests a second by server, of the keys that it surely holds."""
+        keymap = self.keymap(service)
+        found: dict[str, float] = {}
+        for key, rate in rates.items():
+            item = keymap.find(key)
+            if item is not None and item.settled:
+                server_id = item.holder.server_id
+                found[server_id] = found.get(server_id, 0.0) + rate
+        return found
+
     def inherit(self, keymap: KeyMap, renewable_until_ms: float, now_ms: float = 0.0) -> None:
         """Take a map over; its leases may be renewed by others until then."""
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
@@ -135,6 +147,8 @@
         :param may_change: whether new moves may begin.
         """
         actions: list[Action] = []
+        for view in views.values():
+            self._note_silent(view, now_ms)
         if may_change:
             for service, view in views.items():
                 state = self._services.setdefault(service, _ServiceState(KeyMap(service)))
@@ -142,10 +156,20 @@
             actions += self._check_reach(views, now_ms)
         for state in self._services.values():
             for transfer in state.transfers.values():
-                actions += transfer.calls(now_ms)
+                actions += transfer.calls(now_ms, partial(self._may_release, now_ms))
         actions += self._due_renewals(now_ms)
         return actions
 
+    def _note_silent(self, view: ServiceView, now_ms: float) -> None:
+        for record in view.records:
+            lease = self._leases.get(record.server_id)
+            if lease is not None:
+                lease.note_silent(record.server_id in view.silent, now_ms)
+
+    def _may_release(self, now_ms: float, server_id: str) -> bool:
+        lease = self._leases.get(server_id)
+        return lease is None or lease.may_release(now_ms)
+
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
         if state.storing is not None:
             return []
@@ -349,7 +373,7 @@
             transfer.released(call.holder.server_id, handover)
         else:
             transfer.release_failed(call.holder.server_id, now_ms)
-        return actions + list(transfer.calls(now_ms))
+        return actions + list(transfer.calls(now_ms, partial(self._may_release, now_ms)))
 
     def _note_outcome(
         self, lease: HolderLease, outcome: CallOutcome, now_ms: float
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -13,6 +13,8 @@
 KEPT_TIMES = 64  # of one server
 LEAST_TIMES = 6  # fewer say nothing of a server
 TYPICAL_PART = 0.25  # of the answers are faster than the typical time
+SILENT_MS = 500.0  # longer than reports take to come, and than most answers take
+SILENT_REQUESTS = 6.0  # without one answer; by chance that happens in 1 of 400 such spans
 
 
 def median(values: Iterable[float]) -> float:
@@ -79,11 +81,13 @@
     """
 
     default_ms: float = 100.0
+    _answered_ms: dict[str, float] = field(default_factory=dict)  # when it was told last
     _times: dict[str, deque[float]] = field(default_factory=dict)
     _completed: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
 
     def add(self, server_id: str, times_ms: Collection[float], now_ms: float) -> None:
         """Add answer times of a server, as one node saw them since its last report."""
+        self._answered_ms[server_id] = now_ms
         self._times.setdefault(server_id, deque(maxlen=KEPT_TIMES)).extend(times_ms)
         completed = self._completed.setdefault(server_id, deque())
         completed.append((now_ms, len(times_ms)))
@@ -116,6 +120,18 @@
         for server_id in [known for known in self._times if known not in server_ids]:
             del self._times[server_id]
             self._completed.pop(server_id, None)
+            self._answered_ms.pop(server_id, None)
+
+    def is_silent(self, server_id: str, rate: float, now_ms: float) -> bool:
+        """Whether so many requests stayed unanswered that the server hardly answers at all.
+
+        A server that answers once in a while is not silent, however slow it is. That
+        alone proves nothing: a control call decides, which a slow server answers too.
+
+        :param rate: requests a second for its keys.
+        """
+        since_ms = now_ms - self._answered_ms.get(server_id, now_ms)
+        return since_ms >= SILENT_MS and rate * since_ms / 1000 >= SILENT_REQUESTS
 
 
 def _reading(times_ms: Collection[float]) -> tuple[float, float]:
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -42,6 +42,7 @@
     work_ms: Mapping[str, float] = field(default_factory=dict)  # per request, by server
     cold: Collection[str] = ()  # servers that bear only ``cold_per_s`` requests a second
     cold_per_s: float = 0.0  # 0: no bound
+    silent: Collection[str] = ()  # servers whose keys are busy, and that answer nobody
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -5,6 +5,7 @@
 that an old grant that is still under way is refused when it arrives.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ploverhatch.sharding import view
@@ -53,8 +54,13 @@
         }
         return cls(name, item.holder, waiting, lapses)
 
-    def calls(self, now_ms: float) -> list[SendGrant | SendRelease]:
-        """Return the calls that are due."""
+    def calls(
+        self, now_ms: float, may_release: Callable[[str], bool] = lambda server_id: True
+    ) -> list[SendGrant | SendRelease]:
+        """Return the calls that are due.
+
+        :param may_release: whether a release may be sent to a server now.
+        """
         if self.done:
             return []
         for server_id in list(self.waiting):
@@ -63,7 +69,9 @@
         releases = [
             SendRelease(holder, self.range_id)
             for server_id, holder in self.waiting.items()
-            if self._due(server_id, now_ms) and server_id not in self.releasing
+            if self._due(server_id, now_ms)
+            and server_id not in self.releasing
+            and may_release(server_id)
         ]
         self.releasing.update(call.holder.server_id for call in releases)
         if self.waiting:
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,6 +11,7 @@
 from ploverhatch.admission import groups
 from ploverhatch.admission.dispatcher import (
     FAILING_MS,
+    SILENT_FACTOR,
     Asker,
     ColdServers,
     Given,
@@ -365,3 +366,70 @@
 TestGroup.settings = settings(
     max_examples=60, stateful_step_count=40, derandomize=True, database=None, deadline=None
 )
+
+
+# ---- servers that answer nobody ------------------------------------------------------------
+
+
+def silent_group(slots=2):
+    """A server that answered once in 100 ms, and then left all its requests unanswered."""
+    made = group(record(0, slots=slots))
+    made.ask(wish(1), 0.0)
+    made.give_back(Asker(NODE, 1), 100.0, False, 100.0)
+    for number in range(2, 2 + slots):
+        assert isinstance(made.ask(wish(number, until_ms=5000.0, hold_ms=3000.0), 100.0)[0], Given)
+    return made
+
+
+def test_who_waits_for_a_server_that_fell_silent_is_told_before_its_requests_time_out():
+    made = silent_group()
+    made.ask(wish(8, until_ms=5000.0), 150.0)
+    made.ask(wish(9, until_ms=5000.0), 150.0)
+    assert made.in_use == 3  # one is queued at the server
+    assert made.expire(400.0) == []
+    (answer,) = made.expire(100.0 + 100.0 * SILENT_FACTOR + 1)
+    assert isinstance(answer, TurnedAway)
+    assert answer.asker.number == 9
+
+
+def test_a_silent_server_is_asked_with_one_request_at_a_time():
+    made = silent_group()
+    for number in (2, 3):
+        made.give_back(Asker(NODE, number), 0.0, True, 1000.0, unanswered=True)
+    assert isinstance(made.ask(wish(10, until_ms=3000.0), 2100.0)[0], Given)
+    assert isinstance(made.ask(wish(11, until_ms=3000.0), 2100.0)[0], TurnedAway)
+
+
+def test_one_answer_ends_the_silence():
+    made = silent_group()
+    for number in (2, 3):
+        made.give_back(Asker(NODE, number), 0.0, True, 1000.0, unanswered=True)
+    made.ask(wish(10, until_ms=3000.0), 2100.0)
+    made.give_back(Asker(NODE, 10), 100.0, False, 2200.0)
+    answers = [made.ask(wish(number, until_ms=3000.0), 2200.0)[0] for number in range(20, 23)]
+    assert all(isinstance(answer, Given) for answer in answers)
+
+
+def test_a_connection_that_breaks_is_no_silence():
+    made = silent_group()
+    for number in (2, 3):
+        made.give_back(Asker(NODE, number), 0.0, True, 150.0)
+    answers = [made.ask(wish(number, until_ms=3000.0), 150.0)[0] for number in range(20, 23)]
+    assert all(isinstance(answer, Given) for answer in answers)
+
+
+def test_a_slow_server_that_answers_now_and_then_is_not_silent():
+    made = silent_group()
+    made.give_back(Asker(NODE, 2), 400.0, False, 500.0)
+    assert isinstance(made.ask(wish(10, until_ms=3000.0), 600.0)[0], Given)
+
+
+def test_a_silent_server_leaves_the_others_of_its_group_alone():
+    made = group(record(0, slots=2), record(1, slots=2))
+    for number in range(6):
+        made.ask(wish(number, until_ms=5000.0, hold_ms=5000.0), 0.0)
+    answered = [n for n in range(6) if made._leases[Asker(NODE, n)].server_id == "s1"]
+    for number in answered:
+        made.give_back(Asker(NODE, number), 100.0, False, 900.0)
+    given = [made.ask(wish(number, until_ms=5000.0), 900.0)[0] for number in range(10, 13)]
+    assert [answer.server_id for answer in given] == ["s1"] * 3
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -334,3 +334,61 @@
     assert later.granted(SERVICE) == frozenset()
     actions = later.tick(1300.0, view(record(1)), True)
     assert [action.holder for action in of_kind(actions, SendRelease)] == [holder(0)]
+
+
+# ---- holders that fall silent --------------------------------------------------------------
+
+
+def silent_view(*records, silent=()):
+    return {SERVICE: ServiceView(records, silent=silent)}
+
+
+def test_a_holder_whose_callers_get_no_answer_is_asked_at_once():
+    core = two_servers()
+    records = record(0), record(1)
+    renewals = of_kind(core.tick(0.0, silent_view(*records), True), SendGrant)
+    for call in renewals:
+        core.grant_ended(call, CallOutcome.DONE, 10.0)
+    assert core.tick(100.0, silent_view(*records), True) == []
+    (probe,) = of_kind(core.tick(200.0, silent_view(*records, silent={"s0"}), True), SendGrant)
+    assert (probe.holder, probe.renewal) == (holder(0), True)
+
+
+def test_two_signs_of_silence_are_enough_to_move_its_keys():
+    core = two_servers()
+    views = silent_view(record(0), record(1), record(2), silent={"s0"})
+    for call in of_kind(core.tick(0.0, views, True), SendGrant):
+        done = CallOutcome.NO_ANSWER if call.holder == holder(0) else CallOutcome.DONE
+        core.grant_ended(call, done, 600.0)
+    (action,) = of_kind(core.tick(650.0, views, True), StoreMap)
+    assert all(item.holder != holder(0) for item in action.keymap.moving)
+
+
+def test_a_lost_answer_alone_moves_no_keys():
+    core = two_servers()
+    views = silent_view(record(0), record(1), record(2))
+    for call in of_kind(core.tick(0.0, views, True), SendGrant):
+        done = CallOutcome.NO_ANSWER if call.holder == holder(0) else CallOutcome.DONE
+        core.grant_ended(call, done, 600.0)
+    assert of_kind(core.tick(650.0, views, True), StoreMap) == []
+
+
+def test_a_silent_holder_of_many_ranges_gets_one_release_after_the_other():
+    core = LeaderCore()
+    pieces = [
+        Move(first, first + 1023, holder((first // 1024) % 2)) for first in range(0, 65536, 1024)
+    ]
+    keymap = settle(first_assignment(KeyMap(SERVICE), pieces), lambda item: True)
+    core.inherit(replace(keymap, revision=1), 0.0)
+    records = view(record(0, draining=True), record(1))
+    store(core, core.tick(1000.0, records, True), 2)
+    first = of_kind(core.tick(1050.0, records, True), SendRelease)
+    assert len(first) > 10
+    for call in first:
+        core.release_ended(call, CallOutcome.NO_ANSWER, "", 1100.0)
+    sent = [
+        len(of_kind(core.tick(float(now), records, True), SendRelease))
+        for now in range(1400, 2400, 50)
+    ]
+    assert max(sent) == 1
+    assert 3 <= sum(sent) <= 5
