Judge a server that falls behind by what it completes

Their answers come late or not at all, so the estimate from answer times hardly moves, and their keys stay. Change: where a server surely completes less than half of what its keys ask for, its work is its slots over what it completes; not for one that got keys in the last 2 s. Ruled out: timeouts as answer times (they count as completions elsewhere); verdicts at less than 2.5 standard deviations of both counts.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -4,7 +4,7 @@
 again when it is about to be sent, after every wait.
 """
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 import gevent
@@ -175,23 +175,18 @@
     def _read(self, service: str, records: list[ServerRecord], now_ms: float) -> _Reading:
         """Reckon what the reports of all nodes say of a service."""
         rates = self._loads.setdefault(service, KeyLoad()).rates(now_ms)
-        work_ms = {
-            record.server_id: min(
-                work, self._answer_times.most_work_ms(record.server_id, record.slots, now_ms)
-            )
-            for record, work in self._work(records)
-        }
-        silent = {
-            server_id
-            for server_id, rate in self._core.rates_of_holders(service, rates).items()
-            if self._answer_times.is_silent(server_id, rate, now_ms)
-        }
+        asked = self._core.rates_of_holders(service, rates, now_ms)
+        times = self._answer_times
+        usual_ms = times.work_ms([record.server_id for record in records])
+        work_ms = {}
+        for record in records:
+            name, slots = record.server_id, record.slots
+            most_ms = times.most_work_ms(name, slots, now_ms)
+            behind_ms = times.saturated_work_ms(name, slots, asked.get(name, 0.0), now_ms)
+            work_ms[name] = behind_ms or min(usual_ms[name], most_ms)
+        silent = {name for name, rate in asked.items() if times.is_silent(name, rate, now_ms)}
         return _Reading(now_ms, rates, work_ms, silent)
 
-    def _work(self, records: list[ServerRecord]) -> Iterable[tuple[ServerRecord, float]]:
-        times = self._answer_times.work_ms([record.server_id for record in records])
-        return [(record, times[record.server_id]) for record in records]
-
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
             task = gevent.spawn(self._handlers[type(action)], action)
--- a/ploverhatch/sharding/holders.py
+++ b/ploverhatch/sharding/holders.py
@@ -39,6 +39,7 @@
     held_until_ms: float = 0.0  # by then every lease sent to it has surely lapsed
     failing_since_ms: float | None = None
     avoid_until_ms: float = 0.0
+    gained_ms: float = -1e12  # when it got keys that it had not held
     silent: bool = False  # callers' requests to it are not answered
     renew_at_ms: float = 0.0
     to_renew: list[RangeId] = field(default_factory=list)
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -44,6 +44,7 @@
 SETTLE_MS = 500.0  # a grant is told to all nodes at once, and stored with the next move or then
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
+STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
@@ -102,8 +103,14 @@
         transfers = state.transfers.items() if state else ()
         return frozenset(name.token for name, transfer in transfers if transfer.done)
 
-    def rates_of_holders(self, service: str, rates: Mapping[int, float]) -> dict[str, float]:
-        """Return requests a second by server, of the keys that it surely holds."""
+    def rates_of_holders(
+        self, service: str, rates: Mapping[int, float], now_ms: float
+    ) -> dict[str, float]:
+        """Return requests a second by server, where it has held its keys for a while.
+
+        Rates are means of some seconds: what they say of keys that have just moved was
+        asked of another server.
+        """
         keymap = self.keymap(service)
         found: dict[str, float] = {}
         for key, rate in rates.items():
@@ -111,7 +118,11 @@
             if item is not None and item.settled:
                 server_id = item.holder.server_id
                 found[server_id] = found.get(server_id, 0.0) + rate
-        return found
+        return {
+            server_id: rate
+            for server_id, rate in found.items()
+            if now_ms - self._leases[server_id].gained_ms >= STEADY_MS
+        }
 
     def inherit(self, keymap: KeyMap, renewable_until_ms: float, now_ms: float = 0.0) -> None:
         """Take a map over; its leases may be renewed by others until then."""
@@ -350,6 +361,8 @@
             transfer = state.transfers.get(call.range_id) if state else None
             if state is not None and transfer is not None:
                 transfer.grant_ended(outcome is CallOutcome.DONE, now_ms)
+                if outcome is CallOutcome.DONE:
+                    lease.gained_ms = now_ms
                 state.granted = None
             return actions
         if outcome is CallOutcome.DONE:
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -13,6 +13,8 @@
 KEPT_TIMES = 64  # of one server
 LEAST_TIMES = 6  # fewer say nothing of a server
 TYPICAL_PART = 0.25  # of the answers are faster than the typical time
+BEHIND_PART = 0.5  # a server that completes less than this of what it is asked falls behind,
+SURELY_BEHIND = 2.5  # ... if the gap is so many standard deviations of both counts
 SILENT_MS = 500.0  # longer than reports take to come, and than most answers take
 SILENT_REQUESTS = 6.0  # without one answer; by chance that happens in 1 of 400 such spans
 
@@ -82,12 +84,14 @@
 
     default_ms: float = 100.0
     _answered_ms: dict[str, float] = field(default_factory=dict)  # when it was told last
+    _known_ms: dict[str, float] = field(default_factory=dict)  # when it was told first
     _times: dict[str, deque[float]] = field(default_factory=dict)
     _completed: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
 
     def add(self, server_id: str, times_ms: Collection[float], now_ms: float) -> None:
         """Add answer times of a server, as one node saw them since its last report."""
         self._answered_ms[server_id] = now_ms
+        self._known_ms.setdefault(server_id, now_ms)
         self._times.setdefault(server_id, deque(maxlen=KEPT_TIMES)).extend(times_ms)
         completed = self._completed.setdefault(server_id, deque())
         completed.append((now_ms, len(times_ms)))
@@ -96,10 +100,33 @@
 
     def most_work_ms(self, server_id: str, slots: int, now_ms: float) -> float:
         """Return what a request can take at most, from what the server completed lately."""
-        counts = self._completed.get(server_id, ())
-        done = sum(count for taken_ms, count in counts if taken_ms >= now_ms - COMPLETED_MS)
+        done = self._done(server_id, now_ms)
         return slots * COMPLETED_MS / done if done else math.inf
 
+    def saturated_work_ms(
+        self, server_id: str, slots: int, rate: float, now_ms: float
+    ) -> float | None:
+        """Return how long a request takes on a server that surely falls behind, else ``None``.
+
+        Its slots are all in use, so what it completes tells its work. Answer times do
+        not: they come late and, where requests run out of time, not at all.
+
+        :param rate: requests a second for its keys, which it has held for a while.
+        """
+        if now_ms - self._known_ms.get(server_id, now_ms) < COMPLETED_MS:
+            return None
+        done = self._done(server_id, now_ms)
+        asked = rate * COMPLETED_MS / 1000
+        behind = asked - done
+        if done > asked * BEHIND_PART or behind < SURELY_BEHIND * math.sqrt(asked + done):
+            return None
+        return slots * COMPLETED_MS / max(done, 1)
+
+    def _done(self, server_id: str, now_ms: float) -> int:
+        """Return how many requests a server completed lately."""
+        counts = self._completed.get(server_id, ())
+        return sum(count for taken_ms, count in counts if taken_ms >= now_ms - COMPLETED_MS)
+
     def work_ms(self, server_ids: Collection[str]) -> dict[str, float]:
         """Return the time per request of each of the servers of one service."""
         readings = {
@@ -121,6 +148,7 @@
             del self._times[server_id]
             self._completed.pop(server_id, None)
             self._answered_ms.pop(server_id, None)
+            self._known_ms.pop(server_id, None)
 
     def is_silent(self, server_id: str, rate: float, now_ms: float) -> bool:
         """Whether so many requests stayed unanswered that the server hardly answers at all.
--- a/tests/unit/test_answer_times.py
+++ b/tests/unit/test_answer_times.py
@@ -1,6 +1,6 @@
 """Whether servers answer at all, from the reports of all nodes."""
 
-from ploverhatch.sharding.load import SILENT_MS, AnswerTimes
+from ploverhatch.sharding.load import COMPLETED_MS, SILENT_MS, AnswerTimes
 
 
 def times():
@@ -23,3 +23,42 @@
 
 def test_nothing_is_said_of_a_server_that_never_answered():
     assert not times().is_silent("s1", rate=500.0, now_ms=90_000.0)
+
+
+# ---- servers that fall behind --------------------------------------------------------------
+
+
+def reported(per_report, reports=10, every_ms=300.0):
+    """A server that completes so many requests in each report of 0.3 s."""
+    made = AnswerTimes()
+    for number in range(reports):
+        made.add("s0", [200] * per_report, number * every_ms)
+    return made, (reports - 1) * every_ms
+
+
+def test_what_a_server_that_falls_behind_completes_tells_its_work():
+    made, now_ms = reported(per_report=1)
+    work_ms = made.saturated_work_ms("s0", slots=3, rate=20.0, now_ms=now_ms)
+    assert 700.0 <= work_ms <= 1000.0  # 3.3 a second with three slots
+
+
+def test_a_server_that_completes_nothing_any_more_counts_as_very_slow():
+    made, now_ms = reported(per_report=4)
+    assert made.saturated_work_ms("s0", 3, rate=20.0, now_ms=now_ms + 2000.0) > 4000.0
+
+
+def test_a_server_that_keeps_up_is_not_judged_by_chance():
+    made, now_ms = reported(per_report=4)  # 13.3 a second
+    for rate in (10.0, 13.0, 18.0, 24.0):
+        assert made.saturated_work_ms("s0", 3, rate=rate, now_ms=now_ms) is None
+
+
+def test_too_few_requests_prove_nothing():
+    made, now_ms = reported(per_report=0)
+    assert made.saturated_work_ms("s0", 3, rate=3.0, now_ms=now_ms) is None
+
+
+def test_a_server_that_is_known_for_a_moment_is_not_judged():
+    made = AnswerTimes()
+    made.add("s0", [200], 0.0)
+    assert made.saturated_work_ms("s0", 3, rate=50.0, now_ms=COMPLETED_MS - 1) is None
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -8,6 +8,7 @@
     CUT_OFF_MS,
     FIRST_SERVERS_MS,
     SETTLE_MS,
+    STEADY_MS,
     LeaderCore,
 )
 from ploverhatch.sharding.messages import (
@@ -392,3 +393,17 @@
     ]
     assert max(sent) == 1
     assert 3 <= sum(sent) <= 5
+
+
+def test_a_server_with_new_keys_is_not_judged_by_what_they_were_asked_elsewhere():
+    core = two_servers()
+    records = view(record(0, draining=True), record(1))
+    store(core, core.tick(1000.0, records, True), 2)
+    (release,) = of_kind(core.tick(1050.0, records, True), SendRelease)
+    (grant,) = of_kind(core.release_ended(release, CallOutcome.DONE, "", 1100.0), SendGrant)
+    core.grant_ended(grant, CallOutcome.DONE, 1150.0)
+    (action,) = of_kind(core.tick(1150.0 + SETTLE_MS, records, True), StoreMap)
+    core.map_stored(action.keymap, 3, 1700.0)
+    rates = {5: 20.0, 40_000: 10.0}
+    assert core.rates_of_holders(SERVICE, rates, 1150.0 + STEADY_MS - 1) == {}
+    assert core.rates_of_holders(SERVICE, rates, 1150.0 + STEADY_MS) == {"s1": 30.0}
