Serve a route in the regions that it allows

Change: regions of routes and zones are read in the adapter; a server outside is not chosen, its slots are not asked for or used, and where none is inside the request is refused at once. Ruled out: keys that follow regions (one service may serve routes of several).

--- a/ploverhatch/admission/groups.py
+++ b/ploverhatch/admission/groups.py
@@ -22,21 +22,29 @@
     """Names a group; ``zone`` is empty where it has all servers of the service.
 
     ``holder`` is the server that is a group by itself; empty for other groups.
+    ``regions`` are those whose servers may be used, in order; empty for all.
     """
 
     service: str
     zone: str = ""
     holder: str = ""
+    regions: tuple[str, ...] = ()
 
     def __str__(self) -> str:
-        return f"{self.service}/{self.zone}/{self.holder}"
+        return f"{self.service}/{self.zone}/{self.holder}{'/'.join(('', *self.regions))}"
 
 
-def groups_of(records: Collection[ServerRecord]) -> dict[GroupName, int]:
-    """Return the groups of a service's servers that may get requests, and their sizes."""
-    usable = [record for record in records if not record.leaving]
+def groups_of(
+    records: Collection[ServerRecord], regions: Collection[str] = ()
+) -> dict[GroupName, int]:
+    """Return the groups of a service's servers that may get requests, and their sizes.
+
+    :param regions: whose servers may be used; all where none is named.
+    """
+    usable = [record for record in records if not record.leaving and record.lies_in(regions)]
     divided = len(usable) > MOST_SERVERS
-    names = [GroupName(item.service, item.zone if divided else "") for item in usable]
+    allowed = tuple(sorted(regions))
+    names = [GroupName(item.service, item.zone if divided else "", "", allowed) for item in usable]
     return dict(Counter(names))
 
 
@@ -44,7 +52,11 @@
     """Return the servers of a group that may get requests, of a service's records."""
     if name.holder:
         return [record for record in records if record.server_id == name.holder]
-    return [record for record in records if not record.leaving and name.zone in {"", record.zone}]
+    return [
+        record
+        for record in records
+        if not record.leaving and name.zone in {"", record.zone} and record.lies_in(name.regions)
+    ]
 
 
 def dispatcher(name: GroupName, nodes: Mapping[str, str], passed: Collection[str]) -> str:
--- a/ploverhatch/admission/messages.py
+++ b/ploverhatch/admission/messages.py
@@ -12,7 +12,8 @@
     though nobody gave it back. ``avoid`` is a server that failed the request
     before; empty for none. ``zone`` is that of the node that asks, ``group_zone``
     that of the group, empty where it has all servers of the service. ``holder`` is
-    the server that must run the request; empty where any of the group may.
+    the server that must run the request; empty where any of the group may. ``regions``
+    are those whose servers may run it; empty for all.
     """
 
     number: int
@@ -25,6 +26,7 @@
     wait_ms: float
     hold_ms: float
     avoid: str = ""
+    regions: tuple[str, ...] = ()
 
 
 class SlotWord(msgspec.Struct, array_like=True, frozen=True, tag=6):
@@ -57,3 +59,4 @@
     took_ms: float = 0.0
     failed: bool = False
     unanswered: bool = False
+    regions: tuple[str, ...] = ()
--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -4,7 +4,7 @@
 configuration or key map never replaces a newer one within one life.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
@@ -20,11 +20,14 @@
 
 
 class Directory:
-    """The present view; ``changed`` is raised on every change."""
+    """The present view; ``changed`` is raised on every change.
 
-    def __init__(self) -> None:
+    :param zone_regions: the region of each zone.
+    """
+
+    def __init__(self, zone_regions: Mapping[str, str] | None = None) -> None:
         self.changed = Signal()
-        self.servers = ServerSet()
+        self.servers = ServerSet(zone_regions or {})
         self.keymaps: dict[str, KeyMap] = {}
         self.servers_known = False
         self.keymaps_known = False
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -287,7 +287,7 @@
             holder = self._holder(call)
             return holder if holder and holder.record.server_id == slot.server_id else None
         record = self._directory.servers.records.get(slot.server_id)
-        if record is None or record.leaving:
+        if record is None or record.leaving or not record.lies_in(call.route.regions):
             return None
         return self._pool.get(slot.server_id)
 
@@ -315,6 +315,7 @@
             max(0.0, call.left_ms) + HOLD_MARGIN_MS,
             holder.record if holder else None,
             attempts[-1].server_id if attempts else "",
+            call.route.regions,
         )
         try:
             slot = held.enter_context(self._shared_slots.hold(wish))
@@ -408,17 +409,20 @@
             upstream = self._holder(call) if call.partitioned else self._cheapest(call, tried)
             if upstream is not None:
                 return upstream
-            if self._all_evacuated(call.service):
+            if self._nobody_may(call):
                 raise self._out_of_time(call, history, results.NO_OWNER, RETRY_AFTER_NO_SERVER_S)
             left_ms = self._wait_until_ms(call) - elapsed_ms()
             if left_ms <= 0:
                 raise self._out_of_time(call, history, results.NO_OWNER)
             self._directory.changed.wait(left_ms / 1000)
 
-    def _all_evacuated(self, service: str) -> bool:
-        """Whether operators want nothing sent to any server of a service: no wait helps."""
-        records = self._directory.servers.of_service(service)
-        return bool(records) and all(record.evacuated for record in records)
+    def _nobody_may(self, call: Call) -> bool:
+        """Whether operators want nothing sent to any server of the service: no wait helps."""
+        records = self._directory.servers.of_service(call.service)
+        regions = call.route.regions
+        return bool(records) and all(
+            record.evacuated or not record.lies_in(regions) for record in records
+        )
 
     def _wait_until_ms(self, call: Call) -> float:
         """Return until when a request waits for a server.
@@ -442,8 +446,11 @@
         if not self._directory.keymaps_trusted:
             return None
         server_id = found.holder.server_id
-        if server_id not in self._directory.servers.records:
+        record = self._directory.servers.records.get(server_id)
+        if record is None:
             return None  # it has ended, though the pool may not know yet
+        if not record.lies_in(call.route.regions):
+            return None
         if self._left_long_ago(server_id):
             return None
         return self._pool.get(server_id)
@@ -462,7 +469,7 @@
         upstreams = [
             upstream
             for record in self._directory.servers.of_service(call.service)
-            if self._usable(record, tried) and (upstream := self._pool.get(record.server_id))
+            if self._usable(record, call, tried) and (upstream := self._pool.get(record.server_id))
         ]
         times = [upstream.answer_time for upstream in upstreams]
         answered = [time.mean_ms for time in times if time.count]
@@ -477,9 +484,11 @@
         chosen = balancer.choose(loads, jitter)
         return self._pool.get(chosen) if chosen else None
 
-    def _usable(self, record: ServerRecord, tried: set[str]) -> bool:
+    def _usable(self, record: ServerRecord, call: Call, tried: set[str]) -> bool:
         if record.leaving or record.server_id in tried:
             return False
+        if not record.lies_in(call.route.regions):
+            return False
         return not self._bounded_by_cold(record)
 
     def _bounded_by_cold(self, record: ServerRecord) -> bool:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -75,7 +75,7 @@
         self._stopped = Event()
         self._leader: KeyLeader | None = None
         self._tasks: list[gevent.Greenlet] = []
-        self.directory = Directory()
+        self.directory = Directory(settings.zone_regions)
         self._pool = UpstreamPool(settings.zone)
         self._budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
--- a/ploverhatch/gateway/settings.py
+++ b/ploverhatch/gateway/settings.py
@@ -1,7 +1,8 @@
 """Settings of a gateway process, in the product's own terms."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from ploverhatch.transport.http_connection import HostPort
 
@@ -38,6 +39,7 @@
     retry_window_s: float = 10.0
     lease_max_ms: float = 10_000.0
     evacuate_ms: float = 0.0  # until an evacuated zone gets nothing; 0: none is ever evacuated
+    zone_regions: Mapping[str, str] = field(default_factory=dict)  # the region of each zone
     max_descriptors: int = 4096
     cores: float = 1.0  # share of a core that the machine gives
     link_mbps: float = 1000.0
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -68,7 +68,8 @@
 
     With a slot within ``useful_ms`` its answer is in time; within ``wait_ms`` it is
     of use at least. ``holder`` is the server that must run it, ``None`` where any of
-    the service may; ``avoid`` one that failed the request before.
+    the service may; ``avoid`` one that failed the request before. ``regions`` are those
+    whose servers may run it; empty for all.
     """
 
     service: str
@@ -78,6 +79,7 @@
     hold_ms: float
     holder: ServerRecord | None = None
     avoid: str = ""
+    regions: frozenset[str] = frozenset()
 
     def after(self, spent_ms: float) -> "SlotWish":
         """Return what is left of the wish after a time."""
@@ -191,7 +193,7 @@
         if wish.holder is not None:
             name = GroupName(wish.service, wish.holder.zone, wish.holder.server_id)
             return [(name, 1.0)]
-        sizes = groups.groups_of(self._directory.servers.of_service(wish.service))
+        sizes = groups.groups_of(self._directory.servers.of_service(wish.service), wish.regions)
         near = [name for name in sizes if name.zone in {"", self._zone}]
         others = [name for name in sizes if name not in near]
         found = [(name, NEAR_PART if others else 1.0) for name in near]
@@ -216,6 +218,7 @@
             wait_ms,
             wish.hold_ms,
             wish.avoid,
+            name.regions,
         )
         slot = SharedSlot()
         pending = self._pending[number] = _Pending()
@@ -246,6 +249,7 @@
                     slot.took_ms,
                     slot.failed,
                     slot.unanswered,
+                    name.regions,
                 )
                 self._send(back, HostPort.parse(asked))
 
@@ -300,7 +304,7 @@
             self._send(SlotWord(ask.number, leaving=True), peer)
             return
         now_ms = elapsed_ms()
-        name = GroupName(ask.service, ask.group_zone, ask.holder)
+        name = GroupName(ask.service, ask.group_zone, ask.holder, ask.regions)
         kept = self._kept.setdefault(name, _Kept(Group()))
         kept.used_ms = now_ms
         if now_ms - kept.refreshed_ms > REFRESH_MS:
@@ -321,7 +325,8 @@
         self._answer(kept.group.ask(wish, now_ms))
 
     def _take_return(self, message: SlotReturn, peer: Address) -> None:
-        kept = self._kept.get(GroupName(message.service, message.group_zone, message.holder))
+        name = GroupName(message.service, message.group_zone, message.holder, message.regions)
+        kept = self._kept.get(name)
         if kept is not None:
             asker = Asker(peer, message.number)
             took_ms, failed, silent = message.took_ms, message.failed, message.unanswered
--- a/ploverhatch/platform/documents.py
+++ b/ploverhatch/platform/documents.py
@@ -39,6 +39,7 @@
     priority: int = 0
     service: str = ""
     weighted_split: list[_Split] = msgspec.field(default_factory=list)
+    allowed_regions: list[str] = msgspec.field(default_factory=list)
 
 
 class _VirtualHost(msgspec.Struct):
@@ -132,6 +133,7 @@
         objective_ms=item.target_latency_ms,
         max_attempts=item.max_attempts,
         priority=item.priority,
+        regions=frozenset(item.allowed_regions),
     )
 
 
--- a/ploverhatch/platform/settings.py
+++ b/ploverhatch/platform/settings.py
@@ -35,6 +35,7 @@
 class _Network(msgspec.Struct):
     internal_ports: tuple[int, int]
     listen_addrs: _Listen
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 class _StoreSection(msgspec.Struct):
@@ -110,6 +111,7 @@
         retry_window_s=bounds.budget_window_s,
         lease_max_ms=bounds.hold_max_ms,
         evacuate_ms=bounds.evacuate_ms,
+        zone_regions=file.network.zones,
         max_descriptors=limits.max_fds,
         cores=limits.cpu_share * limits.cpu_cores,
         link_mbps=limits.link_mbps,
--- a/ploverhatch/routing/route_table.py
+++ b/ploverhatch/routing/route_table.py
@@ -24,6 +24,7 @@
     objective_ms: float
     max_attempts: int
     priority: int
+    regions: frozenset[str] = frozenset()  # whose servers may be sent requests; empty: all
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -10,7 +10,7 @@
 that goes is taken at its word, since a server that leaves may not announce it.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
 VANISH_GRACE_MS = 3000.0
@@ -30,6 +30,11 @@
     draining: bool
     warmup_ms: float = 0.0  # how much longer it was cold when it wrote the record
     evacuated: bool = False  # its zone is being evacuated
+    region: str = ""  # that its zone lies in
+
+    def lies_in(self, regions: Collection[str]) -> bool:
+        """Whether it is in one of some regions; all are meant where none is named."""
+        return not regions or self.region in regions
 
     @property
     def leaving(self) -> bool:
@@ -41,6 +46,7 @@
 class ServerSet:
     """Servers by id; times are milliseconds of the elapsed clock."""
 
+    regions: Mapping[str, str] = field(default_factory=dict)  # by zone
     records: dict[str, ServerRecord] = field(default_factory=dict)
     vanished: dict[str, float] = field(default_factory=dict)  # id -> when
     leaving_since: dict[str, float] = field(default_factory=dict)  # id -> when heard
@@ -66,7 +72,8 @@
         It was written a while ago, so a server is cold for a little less than is
         assumed here. The same record again, in a listing, tells nothing new of that.
         """
-        record = replace(record, evacuated=record.zone in self.evacuated)
+        region = self.regions.get(record.zone, "")
+        record = replace(record, evacuated=record.zone in self.evacuated, region=region)
         known = self.records.get(record.server_id)
         if record.warmup_ms > 0 and (known is None or known.warmup_ms != record.warmup_ms):
             self.note_cold(record.server_id, now_ms + record.warmup_ms)
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -543,3 +543,59 @@
     ]
     assert statuses == [503, 200]
     assert len(cold.ran) == 1
+
+
+# ---- regions that a route allows ------------------------------------------------------------
+
+
+def in_regions(bench, **regions):
+    """Set the regions of zones, and have all routes allow the region "home" only."""
+    bench.directory.servers.regions = regions
+    routes = tuple(replace(item, regions=frozenset({"home"})) for item in ROUTES)
+    services = bench.directory.table.services
+    bench.directory.take_table(RouteTable(2, {b"h.example": routes}, services))
+
+
+def add_in(bench, upstream, zone, service=PLAIN):
+    bench.directory.put_server(replace(bench.add(upstream, service=service), zone=zone))
+    return bench.directory.servers.records[upstream.server_id]
+
+
+def test_a_route_is_served_in_its_regions_only(bench):
+    in_regions(bench, z1="abroad", z2="home")
+    abroad, home = Upstream("u1"), Upstream("u2")
+    add_in(bench, abroad, "z1")
+    add_in(bench, home, "z2")
+    for _ in range(4):
+        assert bench.ask(b"/once/", b"POST").status == 200
+    assert (len(abroad.ran), len(home.ran)) == (0, 4)
+
+
+def test_without_a_server_in_its_regions_a_request_is_refused_at_once(bench):
+    in_regions(bench, z1="abroad")
+    abroad = Upstream("u1")
+    add_in(bench, abroad, "z1")
+    started = elapsed_ms()
+    assert bench.ask(b"/once/", b"POST").status == 503
+    assert elapsed_ms() - started < 50.0
+    assert abroad.ran == []
+
+
+def test_a_holder_outside_of_the_regions_gets_nothing(bench):
+    in_regions(bench, z1="abroad", z2="home")
+    abroad = Upstream("u1")
+    bench.own_keys(add_in(bench, abroad, "z1", KEYED))
+    add_in(bench, Upstream("u2"), "z2", KEYED)
+    assert bench.ask(b"/keyonce/", b"POST", headers=[(b"Shard-Key", b"5")]).status == 503
+    assert abroad.ran == []
+
+
+def test_a_slot_outside_of_the_regions_is_not_used(bench):
+    in_regions(bench, z1="abroad", z2="home")
+    abroad, home = Upstream("u1"), Upstream("u2")
+    add_in(bench, abroad, "z1")
+    add_in(bench, home, "z2")
+    slots = share(bench, GivenSlots("u1"))
+    assert bench.ask(b"/once/", b"POST").status == 200
+    assert slots.wishes[0].regions == {"home"}
+    assert (len(abroad.ran), len(home.ran)) == (0, 1)
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -1,6 +1,7 @@
 """Slots that all nodes share, over sockets: three nodes of two zones."""
 
 from contextlib import ExitStack
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -210,3 +211,15 @@
 def keeper_of(cluster, name):
     address = groups.dispatcher(name, cluster.zones, ())
     return next(node for node in cluster.nodes if node.name == address)
+
+
+def test_slots_come_from_the_regions_that_a_route_allows(start):
+    records = [record(0, zone="a"), record(1, zone="b")]
+    cluster = start(records)
+    for node in cluster.nodes:
+        node.directory.servers.regions = {"a": "abroad", "b": "home"}
+        node.directory.replace_servers(records)
+    at_home = replace(wish(), regions=frozenset({"home"}))
+    with ExitStack() as held:
+        slots = [held.enter_context(node.slots.hold(at_home)) for node in cluster.nodes]
+    assert [slot.server_id for slot in slots] == ["s1", "s1", "s1"]
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -133,6 +133,15 @@
     assert table.limits.header_bytes == 100
 
 
+def test_the_regions_that_a_route_allows():
+    (host,) = CONFIG["virtual_hosts"]
+    (first, *_) = host["route_paths"]
+    routes = [{**first, "allowed_regions": ["r1", "r2"]}, {**first, "path_prefix": "/all/"}]
+    table = route_table({**CONFIG, "virtual_hosts": [{**host, "route_paths": routes}]})
+    (found,) = table.hosts.values()
+    assert [route.regions for route in found] == [{"r1", "r2"}, set()]
+
+
 def test_what_a_service_says_of_cold_servers():
     services = [{"name": "x", "cold_start_s": 3.0, "cold_per_s": 6.7}, {"name": "y"}]
     table = route_table({**CONFIG, "services": services})
