Let a leader's claim grow old while it lists a kind again

Change: the claim stays, with its true age; where history was dropped it is a second older, since watches may not have heard of changes for so long. Ruled out: claims that are renewed without a proof.

--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -34,6 +34,7 @@
 LOG = PartLogger("feed")
 
 REBASE_MS = 5000.0  # a watch goes on from an older revision no longer: history is dropped
+UNHEARD_MS = 1000.0  # before history is dropped, watches may hear nothing for so long
 UNKNOWN_CONTENT = msgspec.Raw(msgspec.msgpack.encode(None))
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0  # a node that leads: half of it, since it tells the others
@@ -136,9 +137,12 @@
 
     @property
     def view(self) -> FeedView:
-        """How far and how current the view of the kind is."""
-        reached = -1 if self._must_list else self._cursor.revision
-        return FeedView(reached, self._current_ms)
+        """How far and how current the view of the kind is.
+
+        It grows old while the kind has to be listed again. Were it withdrawn at once,
+        all nodes would ask the store for what this one lists in a tenth of a second.
+        """
+        return FeedView(self._cursor.revision, self._current_ms)
 
     @property
     def items(self) -> list[SnapshotItem]:
@@ -190,6 +194,7 @@
                 self._recovered()
             except HistoryDroppedError:
                 LOG.info("History dropped, listing again.", kind=self.kind)
+                self._current_ms = min(self._current_ms, elapsed_ms() - UNHEARD_MS)
                 self._must_list = True
             except WatchInterruptedError:
                 self._must_list = True
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.feeds import UNHEARD_MS
 from ploverhatch.gateway.keymap_relay import KeymapRelay
 from ploverhatch.gateway.relay import PROOF_WAIT_PART
 from ploverhatch.sharding.keymap import (
@@ -14,7 +15,12 @@
     begin_moves,
     first_assignment,
 )
-from ploverhatch.store.objects import ObjectChange, StoreCallError, VersionedObject
+from ploverhatch.store.objects import (
+    HistoryDroppedError,
+    ObjectChange,
+    StoreCallError,
+    VersionedObject,
+)
 from tests.functional.test_gateway import CONFIG, Site
 
 HOLDERS = [Holder(f"s{number}", "10.0.0.1", 9000 + number) for number in range(3)]
@@ -104,6 +110,34 @@
     assert leader.leads
 
 
+def test_while_the_leader_lists_again_the_others_go_on_by_its_word(pair, monkeypatch):
+    """Found on the shifted site: each failed watch of the leader made 78 nodes ask for all."""
+    site, leader, follower = pair
+    until(lambda: follower._relay.covered)
+    monkeypatch.setattr(follower._store, "list_all", refuse)
+    asked = []
+    monkeypatch.setattr(follower._store, "watch", lambda kind, *_: asked.append(kind) or refuse())
+    site.store.compact()
+    leader._store.interrupt()
+    gevent.sleep(1.0)
+    assert asked == []
+    assert follower._relay.covered
+
+
+def test_dropped_history_makes_a_view_older_by_what_watches_did_not_hear(pair, monkeypatch):
+    _site, leader, _follower = pair
+    (task,) = [task for task in leader._feeds if task.kind == "servers"]
+    until(lambda: elapsed_ms() - task.view.current_ms < 500.0)
+    monkeypatch.setattr(leader._store, "list_all", refuse)
+
+    def dropped(_kind, _after, _wait_s):
+        raise HistoryDroppedError("servers")
+
+    monkeypatch.setattr(leader._store, "watch", dropped)
+    leader._store.interrupt()
+    until(lambda: elapsed_ms() - task.view.current_ms >= UNHEARD_MS, 3.0)
+
+
 def test_in_an_outage_one_task_of_a_node_asks_for_all(pair, monkeypatch):
     """Found on the large site: 195 nodes asked for two kinds, at each beacon of the leader."""
     site, leader, follower = pair
