Choose servers in a module of its own

Nothing else differs. Ruled out: nothing. Result: tests of the forwarder, supervision and callers pass; no behaviour changed.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -6,7 +6,6 @@
 
 import random
 from contextlib import ExitStack
-from dataclasses import dataclass
 
 import gevent
 
@@ -14,15 +13,16 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.results import Result
+from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.messages import CallerReply, CallerRequest, RequestFacts
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
+from ploverhatch.gateway.server_choice import ServerChoice
 from ploverhatch.gateway.shared_slots import SharedSlot, SharedSlots, SlotWish, TurnedAwayError
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
-from ploverhatch.routing import balancer
 from ploverhatch.routing.attempt_outcome import (
     AttemptHistory,
     AttemptResult,
@@ -30,8 +30,7 @@
     next_step,
 )
 from ploverhatch.routing.retry_budget import SharedRetryBudget
-from ploverhatch.routing.route_table import Route, ShareSplitter
-from ploverhatch.state.servers import ServerRecord
+from ploverhatch.routing.route_table import ShareSplitter
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     NotConnectedError,
@@ -48,13 +47,6 @@
 LONGEST_RETRY_AFTER_S = 2.0  # longer waits are of no use to callers, whose deadlines are seconds
 MOVE_PART = 0.6  # of the objective: how long to wait for keys that change hands
 LEAST_ATTEMPT_PART = 0.1  # of the objective: less time than that is no use
-DRAINING_HOLDER_MS = 700.0  # how long a draining server still gets its keys' requests
-# Of the time until an evacuated zone gets nothing: how long its servers still get their
-# keys' requests while these wait for a new holder. Another part goes by until this node
-# hears of the evacuation, and a request that was sent may take a while to arrive.
-EVACUATED_HOLDER_PART = 0.3
-JITTER = 0.15
-DEFAULT_ANSWER_MS = 100.0
 RETRY_AFTER_BUSY_S = 0.15
 RETRY_AFTER_MOVE_S = 0.25
 RETRY_AFTER_NO_SERVER_S = 0.5
@@ -67,27 +59,6 @@
 UNANSWERED_RESULTS = frozenset({AttemptResult.NOT_CONNECTED, AttemptResult.TIMED_OUT})
 
 
-@dataclass(slots=True)
-class Call:
-    """A request after matching; times are elapsed milliseconds."""
-
-    request: CallerRequest
-    facts: RequestFacts
-    route: Route
-    service: str
-    partitioned: bool
-    deadline_ms: float
-    offer_by_ms: float
-    move_by_ms: float
-    trace: RequestTrace
-    token: int = 0  # of the key's range, when it was looked up
-
-    @property
-    def left_ms(self) -> float:
-        """Time until the caller's deadline or the route's timeout."""
-        return self.deadline_ms - elapsed_ms()
-
-
 class RefusedError(Exception):
     """Ends a request with an answer of our own."""
 
@@ -110,10 +81,9 @@
         shared_slots: SharedSlots | None = None,
         evacuate_ms: float = 0.0,
     ) -> None:
-        self._evacuated_holder_ms = evacuate_ms * EVACUATED_HOLDER_PART
+        self._choice = ServerChoice(directory, pool, evacuate_ms)
         self._shared_slots = shared_slots
         self._directory = directory
-        self._pool = pool
         self._dialect = dialect
         self._budget = budget
         self._splitter = ShareSplitter()
@@ -266,7 +236,7 @@
         upstream = self._await_upstream(call, tried, history) if call.partitioned else None
         with ExitStack() as held:
             slot = self._shared_slot(call, history, upstream, held)
-            given = self._still_right(call, slot) if slot else None
+            given = self._choice.of_slot(call, slot.server_id) if slot else None
             if slot is not None and given is not None:
                 with given.given_slot():
                     result, answer = self._attempt_noted(call, given)
@@ -277,20 +247,10 @@
                 return given, result, answer
         # The wait for a slot may have been long: the holder is looked up again.
         upstream = self._await_upstream(call, tried, history)
-        if self._bounded_by_cold(upstream.record):
+        if self._choice.needs_dispatcher(upstream.record):
             raise self._out_of_time(call, history, results.QUEUE_TIMEOUT)
         return upstream, *self._attempt_in_slot(call, upstream, history)
 
-    def _still_right(self, call: Call, slot: SharedSlot) -> Upstream | None:
-        """Return the server of a slot, unless it left or lost the key during the wait."""
-        if call.partitioned:
-            holder = self._holder(call)
-            return holder if holder and holder.record.server_id == slot.server_id else None
-        record = self._directory.servers.records.get(slot.server_id)
-        if record is None or record.leaving or not record.lies_in(call.route.regions):
-            return None
-        return self._pool.get(slot.server_id)
-
     def _shared_slot(
         self, call: Call, history: AttemptHistory, holder: Upstream | None, held: ExitStack
     ) -> SharedSlot | None:
@@ -406,92 +366,15 @@
         :raises RefusedError: when there is none in time.
         """
         while True:
-            upstream = self._holder(call) if call.partitioned else self._cheapest(call, tried)
+            if call.partitioned:
+                upstream = self._choice.holder(call)
+            else:
+                upstream = self._choice.cheapest(call, tried)
             if upstream is not None:
                 return upstream
-            if self._nobody_may(call):
+            if self._choice.nobody_may(call):
                 raise self._out_of_time(call, history, results.NO_OWNER, RETRY_AFTER_NO_SERVER_S)
-            left_ms = self._wait_until_ms(call) - elapsed_ms()
+            left_ms = self._choice.wait_until_ms(call) - elapsed_ms()
             if left_ms <= 0:
                 raise self._out_of_time(call, history, results.NO_OWNER)
             self._directory.changed.wait(left_ms / 1000)
-
-    def _nobody_may(self, call: Call) -> bool:
-        """Whether operators want nothing sent to any server of the service: no wait helps."""
-        records = self._directory.servers.of_service(call.service)
-        regions = call.route.regions
-        return bool(records) and all(
-            record.evacuated or not record.lies_in(regions) for record in records
-        )
-
-    def _wait_until_ms(self, call: Call) -> float:
-        """Return until when a request waits for a server.
-
-        A move whose holder answers is over soon. Where the holder is silent, its
-        lease has to lapse, which takes seconds: then the caller is told early.
-        """
-        if call.partitioned and not self._directory.moves_slowly(call.service, call.token):
-            return call.move_by_ms
-        return call.offer_by_ms
-
-    def _holder(self, call: Call) -> Upstream | None:
-        keymap = self._directory.keymaps.get(call.service)
-        key = call.facts.shard_key
-        found = keymap.find(key) if keymap is not None and key is not None else None
-        if found is None:
-            return None
-        call.token = found.token
-        if not self._directory.is_granted(call.service, found):
-            return None
-        if not self._directory.keymaps_trusted:
-            return None
-        server_id = found.holder.server_id
-        record = self._directory.servers.records.get(server_id)
-        if record is None:
-            return None  # it has ended, though the pool may not know yet
-        if not record.lies_in(call.route.regions):
-            return None
-        if self._left_long_ago(server_id):
-            return None
-        return self._pool.get(server_id)
-
-    def _left_long_ago(self, server_id: str) -> bool:
-        """Whether a server is leaving for so long that its keys' requests go there no more."""
-        servers = self._directory.servers
-        since_ms = servers.leaving_since.get(server_id)
-        if since_ms is None:
-            return False
-        drains = servers.records[server_id].draining
-        limit_ms = DRAINING_HOLDER_MS if drains else self._evacuated_holder_ms
-        return elapsed_ms() - since_ms > limit_ms
-
-    def _cheapest(self, call: Call, tried: set[str]) -> Upstream | None:
-        upstreams = [
-            upstream
-            for record in self._directory.servers.of_service(call.service)
-            if self._usable(record, call, tried) and (upstream := self._pool.get(record.server_id))
-        ]
-        times = [upstream.answer_time for upstream in upstreams]
-        answered = [time.mean_ms for time in times if time.count]
-        usual_ms = sum(answered) / len(answered) if answered else DEFAULT_ANSWER_MS
-        now_ms = elapsed_ms()
-        servers = self._directory.servers
-        loads = [
-            upstream.load(usual_ms, servers.is_cold(upstream.record.server_id, now_ms))
-            for upstream in upstreams
-        ]
-        jitter = {load.server_id: random.uniform(1 - JITTER, 1 + JITTER) for load in loads}
-        chosen = balancer.choose(loads, jitter)
-        return self._pool.get(chosen) if chosen else None
-
-    def _usable(self, record: ServerRecord, call: Call, tried: set[str]) -> bool:
-        if record.leaving or record.server_id in tried:
-            return False
-        if not record.lies_in(call.route.regions):
-            return False
-        return not self._bounded_by_cold(record)
-
-    def _bounded_by_cold(self, record: ServerRecord) -> bool:
-        """Whether only the group's dispatcher may give a server's slots: it counts for all."""
-        cold = self._directory.servers.is_cold(record.server_id, elapsed_ms())
-        return cold and self._directory.cold_per_s(record.service) > 0
