In an outage of the store, weak machines ask less and less often

Change: those that may lead soon ask at a steady pace as before; the others double their pause up to 2 s, since leaders tell them that the store answers. Turned away requests are answered in their order. Ruled out: longer pauses for all (a new leader would be found later).

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -255,10 +255,10 @@
         return answers
 
     def _turn_away(self, wishes: list[Wish], now_ms: float) -> list[Answer]:
-        gone = [wish.asker for wish in wishes]
+        gone = {wish.asker for wish in wishes}
         self._waiting = [wish for wish in self._waiting if wish.asker not in gone]
         after_ms = max(self._expected_wait_ms(len(self._waiting), now_ms), LEAST_AFTER_MS)
-        return [TurnedAway(asker, after_ms) for asker in gone]
+        return [TurnedAway(wish.asker, after_ms) for wish in wishes]
 
     # ---- decisions ----------------------------------------------------------------------
 
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -27,7 +27,6 @@
 LOG = PartLogger("elector")
 
 NODE_PREFIX = "node-"
-RETRY_S = 0.25
 RESIGNED_PAUSE_MS = 6000.0
 
 
@@ -60,6 +59,7 @@
         self._wake = Signal()
         self._look_due = False  # another task got no answer from the store
         self._store_away = False
+        self._failures = 0  # calls in a row that got no answer
         self._registered = False
         self._renewal = 0
         self._nodes: dict[str, VersionedObject] = {}
@@ -137,7 +137,10 @@
         except StoreCallError as error:
             self._looked.set()
             self._note_store(error)
-            return RETRY_S + random.uniform(0.0, RETRY_S)
+            self._failures += 1
+            pause_ms = election.outage_pause_ms(self.state, self._failures, random.random())
+            return pause_ms / 1000
+        self._failures = 0
         self._note_store(None)
         if self.state.leading:
             return election.RENEW_MS / 1000
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -25,6 +25,10 @@
 SPREAD_EACH_MS = 20.0
 LONGEST_CLAIM_DELAY_MS = 1000.0
 CLEARLY_WEAKER = 0.3  # of what leading takes: a leader so much weaker hands over
+# In an outage of the store, those that may lead soon ask it at a steady pace; the others
+# hear from them that it answers again, and ask less and less often.
+OUTAGE_MS = 250.0
+LONGEST_OUTAGE_MS = 2000.0
 LEAST_LEAD_MS = 2000.0  # a leader hands over after this time at the earliest
 
 
@@ -153,6 +157,18 @@
     return left_ms + spread * min(SPREAD_EACH_MS * state.rivals, LOOK_MS)
 
 
+def outage_pause_ms(state: ElectionState, failures: int, spread: float) -> float:
+    """Return the time to the next call after the store did not answer.
+
+    :param failures: calls in a row without an answer, this one included.
+    :param spread: 0 to 1, drawn by the node.
+    """
+    pause_ms = OUTAGE_MS
+    if not state.leading and not state.is_strongest:
+        pause_ms = min(OUTAGE_MS * 2.0**failures, LONGEST_OUTAGE_MS)
+    return pause_ms * (1.0 + spread)
+
+
 def should_hand_over(state: ElectionState, offered: float, led_ms: float) -> bool:
     """Whether this leader makes way for a stronger node that is ready to lead.
 
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -219,3 +219,17 @@
     state = election.observe(ElectionState("s", "1"), replace(lease, revision=5), 0.0)
     assert state.leader_is_weak
     assert not election.observe(state, LeaseObject(6, "b", "1"), 1.0).leader_is_weak
+
+
+def test_in_an_outage_weak_machines_ask_less_and_less_often():
+    """Found on trouble-3: 79 nodes asked 190 times a second for 8 s."""
+    pauses = [election.outage_pause_ms(weak(), failures, 0.0) for failures in range(1, 8)]
+    assert pauses == sorted(pauses)
+    asked = sum(sum(pauses[:count]) < 8000.0 for count in range(len(pauses)))
+    assert asked <= 6
+    assert pauses[-1] == election.LONGEST_OUTAGE_MS
+
+
+def test_in_an_outage_those_that_may_lead_ask_at_a_steady_pace():
+    for state in (ElectionState("s", "1"), replace(weak(), leading=True), weak(strongest=0.2)):
+        assert election.outage_pause_ms(state, 20, 0.0) == election.OUTAGE_MS
