--- a/tests/unit/test_cold_servers.py
+++ b/tests/unit/test_cold_servers.py
@@ -66,6 +66,11 @@
     assert most_in_a_second(sorted(times)) <= FALLS_OVER_AT
 
 
+def test_without_the_rate_a_cold_server_would_be_tipped_over(monkeypatch):
+    monkeypatch.setattr(ColdRate, "has_token", lambda self, now_ms: True)
+    assert most_in_a_second(flood(group([record(0)], {"s0": 1e9}), 0.0, 2000.0)["s0"]) > 100
+
+
 def test_warm_servers_take_what_a_cold_one_does_not_bear():
     made = group([record(0), record(1)], {"s0": 1e9})
     given_ms = flood(made, 0.0, 2000.0)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -65,6 +65,24 @@
     assert found == []
 
 
+def test_settings_of_deployments_that_evacuate_zones_and_have_regions():
+    text = SETTINGS.replace(b"hold_max_ms = 10000", b"evacuate_ms = 5000")
+    text = text.replace(b"[network.listen", b'[network.zones]\nz1 = "north"\n[network.listen')
+    settings = parse_settings(text)
+    assert (settings.evacuate_ms, settings.zone_regions) == (5000.0, {"z1": "north"})
+    plain = parse_settings(SETTINGS)
+    assert (plain.evacuate_ms, plain.zone_regions) == (0.0, {})
+
+
+@pytest.mark.parametrize(
+    ("limits", "strength"),
+    [(b"", 1.0), (b"link_mbps = 10", 0.2), (b"cpu_share = 0.4", 0.8), (b"cpu_cores = 3", 1.0)],
+)
+def test_how_much_of_what_leading_takes_a_machine_has(limits, strength):
+    text = SETTINGS.replace(b"max_fds = 4100", limits)
+    assert parse_settings(text).strength == pytest.approx(strength)
+
+
 def test_settings():
     settings = parse_settings(SETTINGS)
     assert settings.callers == HostPort("10.1.0.34", 8548)
