--- a/ploverhatch/admission/cold_rate.py
+++ b/ploverhatch/admission/cold_rate.py
@@ -1,13 +1,13 @@
 """How often a cold server is given a request. Pure; milliseconds.
 
-A server that has just started, or came back after its caches were lost, bears few
-requests a second and falls over well above that. Its group's dispatcher counts them
-for all nodes; a node that hears of no dispatcher sends it nothing.
+A server that has just started, or came back after its caches were lost, sustains a
+rate that the configuration states, and fails well above it. Its group's dispatcher
+counts for all nodes; a node that hears of no dispatcher sends it nothing.
 
 Two nodes may take themselves for the dispatcher for a while, and a new one knows
 nothing of what the last one gave. Both together then give a cold server at most
-twice the rate and two requests in a second, which a service that bears 6.7 a second
-for sure, and 18 at most before it falls over, still bears.
+twice the rate and two requests in a second: 15.4 where 6.7 a second are sustained,
+and where more than 18 in one second make it fail.
 """
 
 from dataclasses import dataclass
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True)
 class ColdRate:
-    """Tokens of one server: one a request, refilled at what the server bears."""
+    """Tokens of one server: one a request, refilled at the rate that it sustains."""
 
     per_s: float
     filled_ms: float
--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -93,7 +93,7 @@
     """What is known of a service's cold servers.
 
     ``until_ms`` holds by server until when each is cold; ``per_s`` is how many requests
-    a second one bears meanwhile, 0 where it is not bounded.
+    a second one sustains meanwhile, 0 where it is not bounded.
     """
 
     until_ms: Mapping[str, float] = field(default_factory=dict)
--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -98,7 +98,7 @@
         self.changed.raise_()
 
     def cold_per_s(self, service: str) -> float:
-        """Return how many requests a second a cold server of a service bears; 0: no bound."""
+        """Return how many requests a second a cold server of a service sustains; 0: no bound."""
         known = self._table.services.get(service) if self._table else None
         return known.cold_per_s if known else 0.0
 
--- a/ploverhatch/routing/route_table.py
+++ b/ploverhatch/routing/route_table.py
@@ -35,7 +35,7 @@
     partitioned: bool
     max_connections: int
     cold_ms: float = 0.0  # how long a server is cold after a start during traffic
-    cold_per_s: float = 0.0  # requests a second that a cold server bears; 0: no bound
+    cold_per_s: float = 0.0  # requests a second that a cold server sustains; 0: no bound
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -55,7 +55,7 @@
     store_failed_ms: float = -1e12
 
     def is_cold(self, server_id: str, now_ms: float) -> bool:
-        """Whether a server bears few requests for now."""
+        """Whether a server sustains few requests for now."""
         return self.cold_until_ms.get(server_id, -1e12) > now_ms
 
     def cold(self, now_ms: float) -> int:
--- a/tests/unit/test_cold_servers.py
+++ b/tests/unit/test_cold_servers.py
@@ -10,8 +10,8 @@
 from ploverhatch.state.servers import ServerRecord, ServerSet
 
 NODE = ("10.0.0.1", 7000)
-BEARS_PER_S = 6.7
-FALLS_OVER_AT = BEARS_PER_S * 1.5 + 8
+SUSTAINED_PER_S = 6.7
+FAILS_ABOVE = SUSTAINED_PER_S * 1.5 + 8
 
 
 def record(number, slots=3, zone="a", warmup_ms=0.0):
@@ -24,7 +24,7 @@
     )
 
 
-def group(records, until_ms, now_ms=0.0, per_s=BEARS_PER_S):
+def group(records, until_ms, now_ms=0.0, per_s=SUSTAINED_PER_S):
     made = Group()
     made.set_members(records, now_ms, ColdServers(until_ms, per_s))
     return made
@@ -50,23 +50,23 @@
     return given_ms
 
 
-def test_a_cold_server_gets_no_more_a_second_than_it_bears():
+def test_a_cold_server_gets_its_rate_and_no_more():
     made = group([record(0)], {"s0": 1e9})
     times = flood(made, 0.0, 5000.0)["s0"]
-    assert most_in_a_second(times) <= BEARS_PER_S + 1
-    assert len(times) >= BEARS_PER_S * 5 - 1  # nor is it left idle
+    assert most_in_a_second(times) <= SUSTAINED_PER_S + 1
+    assert len(times) >= SUSTAINED_PER_S * 5 - 1  # nor is it left idle
 
 
-def test_two_nodes_that_both_keep_the_queue_do_not_tip_a_cold_server_over():
+def test_two_nodes_that_both_keep_the_queue_do_not_overload_a_cold_server():
     times = [
         time
         for number in range(2)
         for time in flood(group([record(0)], {"s0": 1e9}), 100.0 * number, 4000.0)["s0"]
     ]
-    assert most_in_a_second(sorted(times)) <= FALLS_OVER_AT
+    assert most_in_a_second(sorted(times)) <= FAILS_ABOVE
 
 
-def test_without_the_rate_a_cold_server_would_be_tipped_over(monkeypatch):
+def test_without_the_rate_a_cold_server_would_be_overloaded(monkeypatch):
     monkeypatch.setattr(ColdRate, "has_token", lambda self, now_ms: True)
     assert most_in_a_second(flood(group([record(0)], {"s0": 1e9}), 0.0, 2000.0)["s0"]) > 100
 
@@ -74,7 +74,7 @@
 def test_warm_servers_take_what_a_cold_one_does_not_bear():
     made = group([record(0), record(1)], {"s0": 1e9})
     given_ms = flood(made, 0.0, 2000.0)
-    assert most_in_a_second(given_ms.get("s0", [])) <= BEARS_PER_S + 1
+    assert most_in_a_second(given_ms.get("s0", [])) <= SUSTAINED_PER_S + 1
     assert len(given_ms["s1"]) > 300
 
 
@@ -87,8 +87,8 @@
 def test_a_server_that_turns_cold_again_is_bounded_from_then_on():
     made = group([record(0)], {})
     assert len(flood(made, 0.0, 500.0)["s0"]) > 90
-    made.set_members([record(0)], 500.0, ColdServers({"s0": 1e9}, BEARS_PER_S))
-    assert most_in_a_second(flood(made, 500.0, 3000.0)["s0"]) <= BEARS_PER_S + 1
+    made.set_members([record(0)], 500.0, ColdServers({"s0": 1e9}, SUSTAINED_PER_S))
+    assert most_in_a_second(flood(made, 500.0, 3000.0)["s0"]) <= SUSTAINED_PER_S + 1
 
 
 def test_without_a_bound_a_cold_server_is_merely_the_last_choice():
@@ -98,7 +98,7 @@
     assert {answer.server_id for answer in answers} == {"s0", "s1"}
 
 
-def test_a_request_waits_for_the_next_one_that_a_cold_server_bears():
+def test_a_request_waits_for_the_next_token_of_a_cold_server():
     made = group([record(0)], {"s0": 1e9})
     assert isinstance(made.ask(wish(1, 0.0), 0.0)[0], Given)
     assert isinstance(made.ask(wish(2, 0.0), 0.0)[0], Queued)
--- a/tests/unit/test_evacuation.py
+++ b/tests/unit/test_evacuation.py
@@ -145,7 +145,7 @@
     assert of_kind(core.tick(1000.0, view(servers.of_service(SERVICE)), True), StoreMap) == []
 
 
-def test_a_cold_server_is_given_no_more_busy_keys_than_it_bears():
+def test_a_cold_server_is_given_no_more_busy_keys_than_it_can_serve():
     """Keys of a lost server go where they can be served."""
     core = three_holders()
     records = [record(0), record(1), record(2)]
