Tell what a planned stop meets, and whose requests get no answer

Cause: the logs of a stop hold the requests under way at its begin and end; whether new connections or kept ones keep a process busy, and what is closed under whom, can't be told from them, so the hypotheses of the incident can't be told apart. Change: the line of a stop counts new connections, first and later requests of connections, closes at rest and requests that crossed these; a request without an answer has a line, also where its caller left or the answer could not be delivered (swallowed before). A connection closed at rest stays for 50 ms to see what crossed; what it takes and sends is as before.

--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -20,16 +20,21 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.messages import CallerGoneError, CallerReply, CallerRequest, HeaderList
 from ploverhatch.routing.route_table import ClientLimits
 from ploverhatch.transport.http_connection import HostPort
 
+LOG = PartLogger("callers")
+
 READ_SIZE = 65_536
 BACKLOG = 1024
 MAX_CONNECTIONS = 2048
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 1.0
+CROSSING_S = 0.05  # from our close until all that crossed it has come: a round trip to callers
 READ_EVENT = 1  # libev's number for "readable"
+_PEEK = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
 
 REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
 
@@ -60,6 +65,17 @@
     expects_continue: bool = False
 
 
+@dataclass(slots=True)
+class StopCounts:
+    """What came in, and what was closed, since a planned stop began."""
+
+    opened: int = 0  # connections that were taken
+    first: int = 0  # requests that were the first ones of their connections
+    later: int = 0  # requests on connections that had served one before
+    closed: int = 0  # connections that were closed at rest
+    crossed: int = 0  # of these, the ones on which a request was already under way
+
+
 class CallerConnection:
     """One caller's connection."""
 
@@ -72,6 +88,7 @@
         self._parser = HttpRequestParser(self)
         self.busy = False
         self._closing = False
+        self._served = 0
 
     # ---- parser callbacks -----------------------------------------------------------
 
@@ -142,6 +159,8 @@
         except (OSError, CallerGoneError, gevent.Timeout):
             pass
         finally:
+            if self._closing:
+                self._note_crossing()
             with suppress(OSError):
                 self._socket.close()
 
@@ -153,18 +172,27 @@
             body=b"".join(incoming.body),
             received_ms=incoming.received_ms,
         )
+        self._served += 1
+        self._server.note_taken(first=self._served == 1)
         self.busy = True
         try:
             with _DepartureWatch(self._socket):
                 reply = self._server.handler(request)
             close = not incoming.keep_alive or self._server.draining
-            self._send(reply, incoming.method, close)
+            self._deliver(reply, incoming.method, close)
         finally:
             self.busy = False
         if close:
             self._linger()
         return not close
 
+    def _deliver(self, reply: CallerReply, method: bytes, close: bool) -> None:
+        try:
+            self._send(reply, method, close)
+        except OSError as error:
+            LOG.info("Answer not delivered.", status=reply.status, cause=repr(error))
+            raise
+
     def _next_request(self) -> _Incoming | None:
         """Return the next whole request; ``None`` when the connection is over."""
         while not self._ready:
@@ -229,16 +257,32 @@
 
     def close_if_idle(self) -> None:
         """Close a connection on which no request is being read or served."""
-        if self.busy or self._incoming is not None or self._ready or self._has_unread():
+        if self._closing or self.busy or self._incoming is not None or self._ready:
+            return
+        if self._has_unread():
             return
         self._closing = True
+        self._server.stop_counts.closed += 1
         with suppress(OSError):
             self._socket.shutdown(stdlib_socket.SHUT_RDWR)
 
+    def _note_crossing(self) -> None:
+        """Note a request that was on its way when the connection was closed at rest.
+
+        It stays unread, so that its caller knows that it was never taken.
+        """
+        gevent.sleep(CROSSING_S)
+        try:
+            came = bool(self._socket._sock.recv(1, _PEEK))
+        except BlockingIOError:
+            came = False
+        except OSError:  # what comes after our close may be answered by a reset at once
+            came = True
+        self._server.stop_counts.crossed += came
+
     def _has_unread(self) -> bool:
-        flags = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
         try:
-            return bool(self._socket._sock.recv(1, flags))
+            return bool(self._socket._sock.recv(1, _PEEK))
         except OSError:
             return False
 
@@ -263,9 +307,8 @@
         self._watcher.close()
 
     def _readable(self) -> None:
-        flags = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
         try:
-            gone = not self._socket._sock.recv(1, flags)
+            gone = not self._socket._sock.recv(1, _PEEK)
         except BlockingIOError:
             return
         except OSError:
@@ -291,6 +334,7 @@
         self.limits = limits
         self.rejected = rejected
         self.draining = False
+        self.stop_counts = StopCounts()
         self._connections: set[CallerConnection] = set()
         self._server = StreamServer(tuple(address), self._accepted, backlog=BACKLOG)
 
@@ -317,6 +361,15 @@
         """Number of requests being served."""
         return sum(connection.busy for connection in self._connections)
 
+    def note_taken(self, first: bool) -> None:
+        """Count a request, if it came after a planned stop began.
+
+        :param first: whether it is the first one of its connection.
+        """
+        if self.draining:
+            self.stop_counts.first += first
+            self.stop_counts.later += not first
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self._connections):
@@ -329,6 +382,7 @@
             return
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.stop_counts.opened += self.draining
         connection = CallerConnection(sock, self)
         self._connections.add(connection)
         try:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -16,7 +16,12 @@
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
-from ploverhatch.gateway.messages import CallerReply, CallerRequest, RequestFacts
+from ploverhatch.gateway.messages import (
+    CallerGoneError,
+    CallerReply,
+    CallerRequest,
+    RequestFacts,
+)
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
 from ploverhatch.gateway.server_choice import ServerChoice
@@ -87,6 +92,7 @@
         self._dialect = dialect
         self._budget = budget
         self._splitter = ShareSplitter()
+        self._under_way: dict[CallerRequest, RequestTrace] = {}
         self.sampled_keys: dict[str, list[int]] = {}
         self.metrics = GatewayMetrics()
 
@@ -98,6 +104,7 @@
         trace = RequestTrace()
         detail = ""
         result = results.OK
+        self._under_way[request] = trace
         try:
             facts = self._dialect.facts(request)
             trace.request_id = facts.request_id.decode("latin-1") or "-"
@@ -113,11 +120,21 @@
             LOG.error("Request failed.", request=trace.request_id, cause=repr(error))
             result, detail = results.INTERNAL_ERROR, type(error).__name__
             reply = self._refuse(RefusedError(result), facts)
+        except CallerGoneError:
+            trace.tell_unanswered("caller-gone", elapsed_ms() - request.received_ms)
+            raise
+        finally:
+            del self._under_way[request]
         took_ms = elapsed_ms() - request.received_ms
         self.metrics.ended(result.code, took_ms)
         trace.finish(reply.status, result.code, detail, took_ms)
         return reply
 
+    def tell_unanswered(self, cause: str) -> None:
+        """Write a line for each request under way, since the process ends."""
+        for request, trace in self._under_way.items():
+            trace.tell_unanswered(cause, elapsed_ms() - request.received_ms)
+
     def _refuse(self, refusal: RefusedError, facts: RequestFacts | None) -> CallerReply:
         result = refusal.result
         retry_after_s = refusal.retry_after_s if result.retryable else None
--- a/ploverhatch/gateway/messages.py
+++ b/ploverhatch/gateway/messages.py
@@ -5,7 +5,7 @@
 HeaderList = list[tuple[bytes, bytes]]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class CallerRequest:
     """A caller's whole request; times are elapsed milliseconds."""
 
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -217,7 +217,19 @@
             if not self._callers.open_connections:
                 break
             gevent.sleep(0.1)
-        LOG.info("Stopped.", busy=self._callers.busy)
+        self._forwarder.tell_unanswered("process-ends")
+        counts = self._callers.stop_counts
+        LOG.info(
+            "Stopped.",
+            busy=self._callers.busy,
+            took_ms=round(elapsed_ms() - start_ms),
+            connections=self._callers.open_connections,
+            opened=counts.opened,
+            first=counts.first,
+            later=counts.later,
+            closed=counts.closed,
+            crossed=counts.crossed,
+        )
         self._stopped.set()
 
     # ---- feeds ------------------------------------------------------------------------
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -184,3 +184,30 @@
     sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
     assert read(sock, 0.3) == b""
     assert application.requests == []
+
+
+def test_what_comes_during_a_planned_stop_is_counted(server):
+    """The first requests of connections and later ones are told apart."""
+    kept = socket.create_connection(("127.0.0.1", server.port))
+    kept.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    gevent.sleep(0.05)
+    server.draining = True
+    kept.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    fresh = socket.create_connection(("127.0.0.1", server.port))
+    fresh.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    gevent.sleep(0.05)
+    counts = server.stop_counts
+    assert (counts.opened, counts.first, counts.later) == (1, 1, 1)
+
+
+def test_a_request_that_crosses_a_close_is_counted(server, application):
+    crossing = socket.create_connection(("127.0.0.1", server.port))
+    resting = socket.create_connection(("127.0.0.1", server.port))
+    gevent.sleep(0.02)
+    server.draining = True
+    server.close_idle()
+    crossing.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    resting.close()
+    gevent.sleep(0.2)
+    assert (server.stop_counts.closed, server.stop_counts.crossed) == (2, 1)
+    assert application.requests == []
--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -149,3 +149,12 @@
     assert 'ploverhatch_request_ms_bucket{le="50"} 2' in rows
     assert 'ploverhatch_request_ms_bucket{le="+Inf"} 4' in rows
     assert "ploverhatch_leading 1" in rows
+
+
+def test_a_request_whose_caller_got_no_answer_is_told(caplog):
+    trace = RequestTrace("r1", "route", "service")
+    with caplog.at_level(logging.INFO, "absl"):
+        trace.tell_unanswered("process-ends", 12.4)
+    (line,) = [row.getMessage() for row in caplog.records]
+    assert line.startswith("[request] Request without answer. request=r1 status=0 result=0")
+    assert "detail=process-ends took_ms=12" in line
