--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -1,5 +1,7 @@
 """The callers' server: framing, limits, departures and planned stops."""
 
+import socket as stdlib_socket
+
 import gevent
 import pytest
 from gevent import socket
@@ -211,3 +213,12 @@
     gevent.sleep(0.2)
     assert (server.stop_counts.closed, server.stop_counts.crossed) == (2, 1)
     assert application.requests == []
+
+
+def test_connections_that_wait_to_be_taken_are_served_when_listening_ends(server):
+    """A caller was connected, as far as it could see: closing the listener reset it."""
+    sock = stdlib_socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(b"GET /waiting HTTP/1.1\r\n\r\n")
+    server.stop()
+    answer = gevent.get_hub().threadpool.spawn(sock.recv, 1000).get(timeout=2.0)
+    assert b"X-Target: /waiting" in answer
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -12,6 +12,9 @@
 Cause: the stop bounded how long it waits for requests, not which requests it still takes.
 
 Proof: a caller that opens connection after connection reproduces it each time.
+
+Beside it: a new connection was closed as resting before its first request had come, so that
+its caller lost a try. Callers that send a moment after they connected reproduce it.
 """
 
 import signal
@@ -44,8 +47,9 @@
 class Callers:
     """Ask on a new connection each time, as long as the process takes any."""
 
-    def __init__(self, port):
+    def __init__(self, port, pause_s=0.0):
         self._port = port
+        self._pause_s = pause_s  # between connecting and sending
         self._count = 0
         self.statuses = Counter()
         self.unanswered = []
@@ -55,6 +59,7 @@
         self._count += 1
         name = b"r%d" % self._count
         with socket.create_connection(("127.0.0.1", self._port), timeout=5.0) as sock:
+            gevent.sleep(self._pause_s)
             answer = _exchange(sock, REQUEST % name)
         if not answer:
             self.unanswered.append(name.decode())
@@ -106,18 +111,29 @@
     return time.monotonic() - start_s
 
 
-def test_no_request_is_given_up_while_new_connections_keep_coming(site):
+def ask_during_a_stop(site, work_s, pause_s):
+    """Let callers ask on new connections until a process that is stopped takes no more."""
     (gateway,) = site.gateways
-    callers = Callers(gateway.front)
+    callers = Callers(gateway.front, pause_s)
     await_service(callers)
     for upstream in site.upstreams.values():
         if upstream.service == PLAIN:
-            upstream.behaviour.work_s = WORK_S
+            upstream.behaviour.work_s = work_s
     tasks = [gevent.spawn(callers.run) for _ in range(CALLERS)]
     gevent.sleep(0.5)
     stop(gateway)
     gevent.joinall(tasks, timeout=5.0)
+    return callers
+
+
+def test_no_request_is_given_up_while_new_connections_keep_coming(site):
+    callers = ask_during_a_stop(site, WORK_S, 0.0)
     ran = {name for name, _ in site.ran()}
     given_up = [name for name in callers.unanswered if name in ran]
     assert given_up == [], callers.statuses
-    assert gateway.process.returncode == 0
+    assert site.gateways[0].process.returncode == 0
+
+
+def test_no_new_connection_is_closed_before_its_first_request(site):
+    callers = ask_during_a_stop(site, 0.01, 0.1)
+    assert callers.unanswered == [], callers.statuses
