A process that stops takes only what it can finish, and stops listening before it ends

Cause: the stop bounded how long it waits for requests, not which ones it still takes. Where an ingress goes on handing over new connections (fewer than half of a zone's nodes ready) the process was never empty and ended at 0.9 of its grace time with requests under way. Beside it, connections that were just opened were closed as resting, and the end of the listener reset those that waited to be taken.

--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -32,6 +32,7 @@
 MAX_CONNECTIONS = 2048
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 1.0
+FIRST_REQUEST_S = 0.5  # callers send within a round trip of connecting; then one is at rest
 CROSSING_S = 0.05  # from our close until all that crossed it has come: a round trip to callers
 READ_EVENT = 1  # libev's number for "readable"
 _PEEK = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
@@ -89,6 +90,7 @@
         self.busy = False
         self._closing = False
         self._served = 0
+        self._used_ms = elapsed_ms()
 
     # ---- parser callbacks -----------------------------------------------------------
 
@@ -182,6 +184,7 @@
             self._deliver(reply, incoming.method, close)
         finally:
             self.busy = False
+            self._used_ms = elapsed_ms()
         if close:
             self._linger()
         return not close
@@ -255,11 +258,11 @@
             while self._socket.recv(READ_SIZE):
                 pass
 
-    def close_if_idle(self) -> None:
-        """Close a connection on which no request is being read or served."""
+    def close_if_idle(self, rest_s: float) -> None:
+        """Close a connection that has been at rest for some time."""
         if self._closing or self.busy or self._incoming is not None or self._ready:
             return
-        if self._has_unread():
+        if elapsed_ms() - self._used_ms < rest_s * 1000 or self._has_unread():
             return
         self._closing = True
         self._server.stop_counts.closed += 1
@@ -343,8 +346,24 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop to listen; open connections go on."""
+        """Stop to listen; open connections go on, also those that wait to be taken."""
+        if not self._server.closed:
+            self._take_waiting()
         self._server.close()
+        gevent.sleep(0)  # the tasks of what was just taken begin, and are counted
+
+    def _take_waiting(self) -> None:
+        """Take the connections that wait: closing the listener would reset them."""
+        self._server.stop_accepting()
+        for _ in range(BACKLOG):
+            try:
+                waiting = self._server.do_read()
+            except OSError as error:
+                LOG.warning("Connection not taken.", cause=repr(error))
+                return
+            if not waiting:
+                return
+            self._server.do_handle(*waiting)
 
     @property
     def port(self) -> int:
@@ -370,10 +389,14 @@
             self.stop_counts.first += first
             self.stop_counts.later += not first
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+    def close_idle(self, rest_s: float = 0.0) -> None:
+        """Close the connections on which nothing is under way.
+
+        :param rest_s: how long they must have been at rest. A connection that was
+            just opened is: its first request is on its way.
+        """
         for connection in list(self._connections):
-            connection.close_if_idle()
+            connection.close_if_idle(rest_s)
 
     def _accepted(self, sock: Any, _address: object) -> None:
         if len(self._connections) >= self._max_connections:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -34,6 +34,7 @@
     NextStep,
     next_step,
 )
+from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.routing.route_table import ShareSplitter
 from ploverhatch.transport.http_connection import (
@@ -55,9 +56,9 @@
 RETRY_AFTER_BUSY_S = 0.15
 RETRY_AFTER_MOVE_S = 0.25
 RETRY_AFTER_NO_SERVER_S = 0.5
+RETRY_AFTER_STOP_S = 0.0  # another node can serve it at once
 RETRY_PAUSE_S = 0.02
 
-
 FAILED_RESULTS = frozenset(
     {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}
 )
@@ -92,6 +93,7 @@
         self._dialect = dialect
         self._budget = budget
         self._splitter = ShareSplitter()
+        self.planned_stop: PlannedStop | None = None  # once the process was told to stop
         self._under_way: dict[CallerRequest, RequestTrace] = {}
         self.sampled_keys: dict[str, list[int]] = {}
         self.metrics = GatewayMetrics()
@@ -157,8 +159,9 @@
         trace.objective_ms, trace.key = route.objective_ms, facts.shard_key
         if partitioned and facts.shard_key is None:
             raise RefusedError(results.KEY_MISSING)
-        limit_ms = min(route.timeout_ms, facts.deadline_ms or route.timeout_ms)
         start_ms = request.received_ms
+        limit_ms = min(route.timeout_ms, facts.deadline_ms or route.timeout_ms)
+        limit_ms = self._limit_by_stop(start_ms + limit_ms) - start_ms
         return Call(
             request=request,
             facts=facts,
@@ -171,6 +174,18 @@
             trace=trace,
         )
 
+    def _limit_by_stop(self, deadline_ms: float) -> float:
+        """Return a request's deadline, no later than the end of a process that stops.
+
+        :raises RefusedError: when the process would end before the request does.
+        """
+        stop = self.planned_stop
+        if stop is None:
+            return deadline_ms
+        if not stop.takes(elapsed_ms(), deadline_ms):
+            raise RefusedError(results.NODE_DRAINING, "", RETRY_AFTER_STOP_S)
+        return stop.bounded(deadline_ms)
+
     # ---- attempts -------------------------------------------------------------------
 
     def _run(self, call: Call) -> CallerReply:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -11,7 +11,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway import keymap_codec
-from ploverhatch.gateway.caller_server import CallerServer
+from ploverhatch.gateway.caller_server import FIRST_REQUEST_S, CallerServer
 from ploverhatch.gateway.dialect import Dialect
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
@@ -30,6 +30,7 @@
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.relay.messages import Beacon, Told
 from ploverhatch.relay.publisher import Term
+from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
@@ -50,9 +51,7 @@
 # told something new, the second one where all was known, as from the leader.
 SERVERS_PAUSES = Pauses(news_s=0.25, known_s=0.25)
 KEYMAPS_PAUSES = Pauses(news_s=0.1, known_s=1.0)
-READINESS_MISSES_S = 2.6  # until no new connections come after readiness ends
-LONGEST_UNREADY_PART = 0.5  # of the grace time: the rest is for what is under way
-STOP_MARGIN_PART = 0.1  # of the grace time, before the platform kills the process
+STOP_POLL_S = 0.1  # between looks at the callers' connections
 
 
 class Gateway:
@@ -200,29 +199,38 @@
         self._stopped.set()
 
     def drain(self) -> None:
-        """Stop in order: unready first, then idle connections, then the rest."""
+        """Stop in order: unready first, then what callers still send, then the rest."""
         if self._draining:
             return
         self._draining = True
+        stop = PlannedStop(elapsed_ms(), self._settings.grace_s * 1000)
+        self._forwarder.planned_stop = stop
         self._callers.draining = True
         self._slots.leaving = True
-        start_ms = elapsed_ms()
         LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
         gevent.spawn(self._elector.stop)
-        grace_s = self._settings.grace_s
-        gevent.sleep(min(READINESS_MISSES_S, grace_s * LONGEST_UNREADY_PART))
-        limit_s = grace_s * (1 - STOP_MARGIN_PART)
-        while (elapsed_ms() - start_ms) / 1000 < limit_s:
-            self._callers.close_idle()
-            if not self._callers.open_connections:
-                break
-            gevent.sleep(0.1)
+        gevent.sleep((stop.last_call_ms - elapsed_ms()) / 1000)
+        self._await_empty(stop.listening_until_ms)
+        # While new connections come the process is never empty, and it would end
+        # with requests under way.
+        self._callers.stop()
+        self._await_empty(stop.end_ms)
+        self._tell_stopped(stop)
+        self._stopped.set()
+
+    def _await_empty(self, until_ms: float) -> None:
+        """Close connections at rest until no caller is connected, or the time has come."""
+        while elapsed_ms() < until_ms and self._callers.open_connections:
+            self._callers.close_idle(FIRST_REQUEST_S)
+            gevent.sleep(STOP_POLL_S)
+
+    def _tell_stopped(self, stop: PlannedStop) -> None:
         self._forwarder.tell_unanswered("process-ends")
         counts = self._callers.stop_counts
         LOG.info(
             "Stopped.",
             busy=self._callers.busy,
-            took_ms=round(elapsed_ms() - start_ms),
+            took_ms=round(elapsed_ms() - stop.begun_ms),
             connections=self._callers.open_connections,
             opened=counts.opened,
             first=counts.first,
@@ -230,7 +238,6 @@
             closed=counts.closed,
             crossed=counts.crossed,
         )
-        self._stopped.set()
 
     # ---- feeds ------------------------------------------------------------------------
 
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -13,6 +13,7 @@
 from ploverhatch.gateway.shared_slots import SharedSlot, TurnedAwayError
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.platform.dialect import PlatformDialect
+from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.routing.route_table import Route, RouteTable, Service, ServiceShare
 from ploverhatch.sharding.keymap import LAST_KEY, Holder, KeyMap, KeyRange
@@ -132,6 +133,27 @@
     assert elapsed_ms() - started < 400 * 0.3
 
 
+def test_a_stopping_process_refuses_what_would_outlive_it(bench):
+    """It has not run, and another node can serve it at once."""
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    bench.forwarder.planned_stop = PlannedStop(elapsed_ms() - 3000.0, 4000.0)
+    reply = bench.ask(b"/once/", method=b"POST")
+    assert (reply.status, field(reply, b"ploverhatch-result")) == (503, [b"2106"])
+    assert field(reply, b"retry-after") == [b"0.000"]
+    assert upstream.arrived == []
+    assert bench.ask(b"/once/", headers=[(b"Request-Deadline-Ms", b"300")]).status == 200
+
+
+def test_before_the_last_call_a_server_gets_no_more_time_than_the_process_has(bench):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    bench.forwarder.planned_stop = PlannedStop(elapsed_ms(), 600.0)
+    assert bench.ask(b"/once/", method=b"POST").status == 200
+    (arrived,) = upstream.ran
+    assert int(field(arrived, b"request-deadline-ms")[0]) <= 600 * 0.9
+
+
 # What the first upstream does, whether the route may repeat, the answer, arrivals.
 ATTEMPTS = {
     "not executed, repeatable": ({"refuse": 1}, b"/read/", 200, 2),
--- /dev/null
+++ b/tests/unit/test_planned_stop.py
@@ -0,0 +1,46 @@
+"""The plan of a planned stop: what is taken ends before the process does."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ploverhatch.routing.planned_stop import READINESS_MISSES_MS, PlannedStop
+
+GRACE_MS = st.floats(1000.0, 120_000.0)
+TIMES_MS = st.floats(0.0, 1e9)
+SPANS_MS = st.floats(0.0, 200_000.0)
+
+
+@given(TIMES_MS, GRACE_MS)
+def test_the_times_of_a_stop_follow_each_other(begun_ms, grace_ms):
+    stop = PlannedStop(begun_ms, grace_ms)
+    times = [
+        begun_ms,
+        stop.last_call_ms,
+        stop.listening_until_ms,
+        stop.answered_by_ms,
+        stop.end_ms,
+        begun_ms + grace_ms,
+    ]
+    assert times == sorted(times)
+    assert stop.last_call_ms < stop.listening_until_ms < stop.end_ms
+
+
+@given(TIMES_MS, GRACE_MS, SPANS_MS, SPANS_MS)
+def test_what_is_taken_after_the_last_call_ends_by_its_own_deadline(begun, grace, after, limit):
+    stop = PlannedStop(begun, grace)
+    now_ms = stop.last_call_ms + after
+    if stop.takes(now_ms, now_ms + limit):
+        assert stop.bounded(now_ms + limit) == now_ms + limit
+        assert now_ms + limit < stop.end_ms
+
+
+@given(TIMES_MS, GRACE_MS, SPANS_MS)
+def test_no_request_that_is_taken_outlives_the_process(begun, grace, limit):
+    stop = PlannedStop(begun, grace)
+    assert stop.takes(begun, begun + limit)
+    assert stop.bounded(begun + limit) < stop.end_ms
+
+
+def test_a_short_grace_time_leaves_half_of_it_for_what_is_under_way():
+    assert PlannedStop(0.0, 2000.0).last_call_ms == 1000.0
+    assert PlannedStop(0.0, 60_000.0).last_call_ms == READINESS_MISSES_MS
