--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -1,6 +1,7 @@
 """The callers' server: framing, limits, departures and planned stops."""
 
 import socket as stdlib_socket
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -15,6 +16,8 @@
     header_bytes=400, body_bytes=1000, header_timeout_ms=150.0, idle_timeout_ms=250.0
 )
 
+PATIENT_LIMITS = replace(LIMITS, idle_timeout_ms=10_000.0)
+
 
 class Application:
     """Echoes, waits on demand, and remembers."""
@@ -222,3 +225,36 @@
     server.stop()
     answer = gevent.get_hub().threadpool.spawn(sock.recv, 1000).get(timeout=2.0)
     assert b"X-Target: /waiting" in answer
+
+
+def test_a_kept_connection_states_how_long_it_may_rest(application):
+    """A close at rest crosses no request if the caller no longer uses the connection.
+
+    Seen: of 9,210 connections that stopping processes closed at rest, 34 had a request on
+    its way, whose caller got no answer. Callers that are told a time of rest shorter than
+    the time from the stop's begin to these closes send nothing on them.
+    """
+    running = CallerServer(
+        HostPort("127.0.0.1", 0), application, lambda: PATIENT_LIMITS, keep_alive_s=2
+    )
+    running.start()
+    answer = talk(running, b"GET / HTTP/1.1\r\n\r\n", 0.1)
+    assert b"\r\nKeep-Alive: timeout=2\r\n" in answer
+    running.draining = True
+    answer = talk(running, b"GET / HTTP/1.1\r\n\r\n", 0.1)
+    assert b"Keep-Alive" not in answer
+    assert b"Connection: close" in answer
+    running.stop()
+
+
+def test_no_longer_rest_is_stated_than_the_configuration_allows(application):
+    allowed = replace(PATIENT_LIMITS, idle_timeout_ms=1500.0)
+    running = CallerServer(HostPort("127.0.0.1", 0), application, lambda: allowed, keep_alive_s=2)
+    running.start()
+    assert b"Keep-Alive: timeout=1\r\n" in talk(running, b"GET / HTTP/1.1\r\n\r\n", 0.1)
+    running.stop()
+
+
+def test_where_less_than_a_second_is_allowed_nothing_is_stated(server):
+    """The field has whole seconds; 0 would forbid to keep the connection at all."""
+    assert b"Keep-Alive" not in talk(server, b"GET / HTTP/1.1\r\n\r\n", 0.1)
