Tell callers how long a kept connection may rest, shorter than the notice of a stop

Change: answers carry Keep-Alive with 2 s (of a grace time of 6 s; no more than the configured idle time). What is kept when a stop begins is either used, and closed by its answer, or no longer used by then. Ruled out: half-close and reading on: the caller sees the end of the connection all the same.

--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -247,10 +247,16 @@
             rows.append(b"Content-Length: %d" % len(reply.body))
         if close:
             rows.append(b"Connection: close")
+        elif rest_s := self._rest_s():
+            rows.append(b"Keep-Alive: timeout=%d" % rest_s)
         head = b"\r\n".join(rows) + b"\r\n\r\n"
         self._socket.settimeout(WRITE_TIMEOUT_S)
         self._socket.sendall(head if method == b"HEAD" else head + reply.body)
 
+    def _rest_s(self) -> int:
+        """Return how long the caller may rest on the connection, in whole seconds."""
+        return min(self._server.keep_alive_s, int(self._limits().idle_timeout_ms / 1000))
+
     def _linger(self) -> None:
         """Let the caller read the last answer: unread bytes would reset it."""
         with suppress(OSError), gevent.Timeout(LINGER_S, False):
@@ -331,8 +337,15 @@
         limits: Callable[[], ClientLimits],
         rejected: Callable[[int], None] = lambda status: None,
         max_connections: int = MAX_CONNECTIONS,
+        keep_alive_s: int = 0,
     ) -> None:
+        """Prepare to serve.
+
+        :param keep_alive_s: how long callers are told to rest on a connection at most;
+            0: nothing is told.
+        """
         self.handler = handler
+        self.keep_alive_s = keep_alive_s
         self._max_connections = max_connections
         self.limits = limits
         self.rejected = rejected
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -30,7 +30,7 @@
 from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.relay.messages import Beacon, Told
 from ploverhatch.relay.publisher import Term
-from ploverhatch.routing.planned_stop import PlannedStop
+from ploverhatch.routing.planned_stop import PlannedStop, caller_rest_s
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
@@ -132,6 +132,7 @@
             self.directory.limits,
             self._note_rejected,
             settings.max_caller_connections,
+            caller_rest_s(settings.grace_s * 1000),
         )
         self._readiness = CallerServer(
             settings.readiness, self._answer_readiness, self.directory.limits
@@ -180,6 +181,7 @@
         if settings != self._settings:
             LOG.info("Settings taken.")
         self._settings = settings
+        self._callers.keep_alive_s = caller_rest_s(settings.grace_s * 1000)
         self._budget.ratio = settings.retry_ratio
         self._budget.slack = settings.retry_slack
         self._budget.window_s = settings.retry_window_s
--- a/ploverhatch/routing/planned_stop.py
+++ b/ploverhatch/routing/planned_stop.py
@@ -19,6 +19,7 @@
 # connection; with this one 843, and as many were served.
 LISTENING_PART = 0.8  # of the grace time
 END_MARGIN_PART = 0.1  # of the grace time, before the platform kills the process
+REST_MARGIN_MS = 250.0  # for a request that a caller sends at the last moment to arrive
 ANSWER_MARGIN_MS = 100.0  # for a last answer to leave a busy process before it ends
 
 
@@ -61,3 +62,14 @@
     def bounded(self, deadline_ms: float) -> float:
         """Return the time by which a request that is taken has its answer."""
         return min(deadline_ms, self.answered_by_ms)
+
+
+def caller_rest_s(grace_ms: float) -> int:
+    """Return how long callers may rest on a connection before they use it again.
+
+    Once a stop has begun, each answer closes its connection. What is still kept at the
+    last call has been at rest since before the stop; where its caller was told a shorter
+    time, closing it crosses no request. 0: less than a second.
+    """
+    stop = PlannedStop(0.0, grace_ms)
+    return int(max(0.0, stop.last_call_ms - REST_MARGIN_MS) / 1000)
--- a/tests/unit/test_planned_stop.py
+++ b/tests/unit/test_planned_stop.py
@@ -3,7 +3,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ploverhatch.routing.planned_stop import READINESS_MISSES_MS, PlannedStop
+from ploverhatch.routing.planned_stop import (
+    READINESS_MISSES_MS,
+    REST_MARGIN_MS,
+    PlannedStop,
+    caller_rest_s,
+)
 
 GRACE_MS = st.floats(1000.0, 120_000.0)
 TIMES_MS = st.floats(0.0, 1e9)
@@ -44,3 +49,11 @@
 def test_a_short_grace_time_leaves_half_of_it_for_what_is_under_way():
     assert PlannedStop(0.0, 2000.0).last_call_ms == 1000.0
     assert PlannedStop(0.0, 60_000.0).last_call_ms == READINESS_MISSES_MS
+
+
+@given(TIMES_MS, GRACE_MS)
+def test_callers_are_told_to_use_no_connection_that_a_stop_may_close(begun, grace):
+    """A connection that is kept while the stop begins is at rest for that long before its close."""
+    stop = PlannedStop(begun, grace)
+    rest_s = caller_rest_s(grace)
+    assert rest_s == 0 or rest_s * 1000 + REST_MARGIN_MS <= stop.last_call_ms - begun + 1e-3
