Take no request at a planned stop of a node that has no room to end

Cause: the drain bounded the wait. Idle connections took requests up to the limit and while records were settled; a head under way did not count; the backlog was reset. Change: what waits in the backlog is accepted first; after the linger time idle connections close, and a request counts from its first line on.

--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -35,6 +35,14 @@
         sock.shutdown(socket.SHUT_RDWR)
 
 
+def has_unread(sock: Any) -> bool:
+    """Whether bytes came that nobody has read."""
+    try:
+        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def check_framing(lengths: list[str], encodings: list[str]) -> None:
     """Refuse header fields from which two parties could read two lengths.
 
@@ -51,6 +59,9 @@
 class StrictHandler(WSGIHandler):
     """Handler of one connection."""
 
+    idle = True  # no request is being read or served
+    serving = False  # a request is being served
+
     def handle(self) -> None:
         """Serve requests of one connection until it closes."""
         set_no_delay(self.socket)
@@ -61,6 +72,19 @@
         finally:
             server.connections.discard(self)
 
+    def read_requestline(self) -> Any:
+        """Read a request's first line; until then the connection is idle."""
+        self.idle = True
+        line = super().read_requestline()
+        self.idle = not line
+        return line
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is there; one that crosses is not taken."""
+        sock = getattr(self, "socket", None)
+        if sock is not None and self.idle and not has_unread(sock):
+            cut(sock)
+
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802 - name of the base class
         """Parse header fields and check the framing they state."""
         headers = super().MessageClass(*args)
@@ -86,11 +110,11 @@
     def handle_one_response(self) -> None:
         """Serve one request, and note that the connection is busy."""
         server: HttpServer = self.server
-        server.busy += 1
+        self.serving = True
         try:
             super().handle_one_response()
         finally:
-            server.busy -= 1
+            self.serving = False
             if server.draining:
                 self.close_connection = True
 
@@ -121,9 +145,13 @@
     def __init__(self, address: tuple[str, int], application: Any) -> None:
         super().__init__(address, application, log=None, error_log=None)
         self.connections: set[StrictHandler] = set()
-        self.busy = 0
         self.draining = False
 
+    @property
+    def busy(self) -> int:
+        """Number of requests being served."""
+        return sum(handler.serving for handler in self.connections)
+
     @property
     def port(self) -> int:
         """Port that is listened on."""
@@ -133,27 +161,52 @@
         """Stop at once and cut open connections, as a crash would."""
         self.stop(timeout=0)
         for handler in list(self.connections):
-            sock = getattr(handler, "socket", None)
-            if sock is not None:
-                cut(sock)
+            self._cut(handler)
 
     def drain(self, limit_s: float, linger_s: float) -> bool:
-        """Stop accepting, and wait for open requests.
+        """Stop accepting, wait for open requests, and take no others.
 
         Idle connections stay for ``linger_s``, since a request may be on its
-        way; its answer closes the connection.
+        way; its answer closes the connection. After that no request is begun,
+        so that each one begun has the rest of ``limit_s`` to end.
 
         :returns: whether every request ended within ``limit_s``.
         """
         self.draining = True
-        self.stop_accepting()
+        self._accept_waiting()
         self.close()
-        end_s = gevent.get_hub().loop.now() + limit_s
-        idle_end_s = gevent.get_hub().loop.now() + linger_s
-        while gevent.get_hub().loop.now() < end_s:
-            lingering = self.connections and gevent.get_hub().loop.now() < idle_end_s
-            if not self.busy and not lingering:
-                return True
+        gevent.sleep(0)  # what was accepted last is counted from its first turn
+        loop = gevent.get_hub().loop
+        end_s = loop.now() + limit_s
+        idle_end_s = loop.now() + linger_s
+        while self.connections and loop.now() < end_s:
+            if loop.now() >= idle_end_s:
+                self._close_idle()
             gevent.sleep(0.02)
-            gevent.get_hub().loop.update_now()
+            loop.update_now()
+        self._close_not_served()
         return not self.busy
+
+    def _accept_waiting(self) -> None:
+        """Accept what the kernel has set up: closing the listener would reset it."""
+        with contextlib.suppress(OSError):
+            for _ in range(self.backlog):
+                accepted = self.do_read()
+                if not accepted:
+                    return
+                self.do_handle(*accepted)
+
+    def _close_idle(self) -> None:
+        for handler in list(self.connections):
+            handler.close_if_idle()
+
+    def _close_not_served(self) -> None:
+        """Close connections whose request is still not whole."""
+        for handler in list(self.connections):
+            if not handler.serving:
+                self._cut(handler)
+
+    def _cut(self, handler: StrictHandler) -> None:
+        sock = getattr(handler, "socket", None)
+        if sock is not None:
+            cut(sock)
