Answer operators' requests under way before a node stops

Cause: the administration server took requests until the end and was then aborted. Change: it is drained last, for 3 s at most; a request that is cut there counts too.

--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -43,6 +43,7 @@
 FEED_HEARTBEAT_S = 0.4
 HAND_OVER_S = 3.0
 SETTLE_LIMIT_S = 3.0
+ADMIN_LIMIT_S = 3.0  # for operators' requests that are under way at the end
 CONSENSUS_MESSAGES = (
     wire.VoteRequest,
     wire.VoteReply,
@@ -175,6 +176,8 @@
         timing = self.settings.timing
         clean = self.http.drain(timing.drain_limit_ms / 1000, timing.drain_linger_ms / 1000)
         settled = self.router.finish_settling(SETTLE_LIMIT_S)
+        # Last: operators see until then how the stop goes.
+        clean = self.admin_http.drain(ADMIN_LIMIT_S, 0.0) and clean
         self.stop()
         LOG.info("Stopped.", clean=clean, settled=settled)
         return clean
