Give the lease back also when it is being claimed or renewed at a stop

Cause: a resignation during a renewal or claim was refused for its revision or not written, and the write's answer made the node that stops the leader again. Change: what the store acknowledges after a resignation is given back; a claim is asked again whether the node resigned.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -64,6 +64,7 @@
         self._renewal = 0
         self._nodes: dict[str, VersionedObject] = {}
         self._not_before_ms = 0.0
+        self._resigned_ms = -1e12
         self._stopped = False
         self._looked = Event()  # the lease was read once, or a leader was heard
         self.state = ElectionState(node, life, strength=strength, strongest=strength)
@@ -225,8 +226,8 @@
             current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
             if current is not None:
                 self._observe(keymap_codec.decode_lease(current))
-        now_ms = elapsed_ms()
-        if not election.wants_takeover(self.state, now_ms):
+        now_ms = elapsed_ms()  # it may have resigned, or stopped, since the look
+        if now_ms < self._not_before_ms or not election.wants_takeover(self.state, now_ms):
             return
         predecessor = self.state.seen.node
         if self._write_lease(self.state.seen.revision):
@@ -246,7 +247,8 @@
     # ---- leading ------------------------------------------------------------------------
 
     def _renew(self) -> None:
-        if not self._write_lease(self.state.seen.revision):
+        held = self._write_lease(self.state.seen.revision)
+        if not held and self.state.seen.node != self.state.node:
             LOG.warning("Lease was taken over.", by=self.state.seen.node)
 
     def _write_lease(self, revision: int) -> bool:
@@ -262,9 +264,15 @@
         except OutcomeUnknownError:
             current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
             return self._settle_conflict(current, sent_ms)
-        self.state = election.acquired(
-            self.state, replace(lease, revision=written.revision), sent_ms
-        )
+        return self._acquire(replace(lease, revision=written.revision), sent_ms, sent_ms)
+
+    def _acquire(self, lease: LeaseObject, renewed_ms: float, sent_ms: float) -> bool:
+        """Hold a lease that the store has; false when this node resigned meanwhile."""
+        if self._resigned_ms >= sent_ms:
+            self.state = election.observe(self.state, lease, elapsed_ms())
+            self._give_back()
+            return False
+        self.state = election.acquired(self.state, lease, renewed_ms)
         return True
 
     def _put(self, content: object, revision: int) -> VersionedObject:
@@ -282,8 +290,7 @@
             # Our own earlier write arrived: nobody else can have held the lease
             # since, so it counts from when this one was sent at the latest.
             renewed_ms = self.state.renewed_ms if self.state.leading else sent_ms
-            self.state = election.acquired(self.state, lease, renewed_ms)
-            return True
+            return self._acquire(lease, renewed_ms, sent_ms)
         self._observe(lease)
         self.state = election.stepped_down(self.state)
         return False
@@ -294,9 +301,12 @@
 
     def resign(self, pause_ms: float = RESIGNED_PAUSE_MS) -> None:
         """Give the lease back, so that another node takes it at once."""
-        self._not_before_ms = elapsed_ms() + pause_ms
-        if not self.state.leading:
-            return
+        self._resigned_ms = elapsed_ms()
+        self._not_before_ms = self._resigned_ms + pause_ms
+        if self.state.leading:
+            self._give_back()
+
+    def _give_back(self) -> None:
         revision = self.state.seen.revision
         lease = election.lease_to_write(self.state, self._address, elapsed_ms(), released=True)
         self.state = election.stepped_down(self.state)
