Write the last log lines when a process ends

Cause: lines waited in the buffer, or half written, while the pipe was full at the end. Change: the handler's close writes them for 0.4 s at most, without the event loop.

--- a/ploverhatch/common/log_output.py
+++ b/ploverhatch/common/log_output.py
@@ -5,15 +5,20 @@
 """
 
 import logging
+import os
+import select
 import sys
 import time
 from collections import deque
+from contextlib import suppress
 
 import gevent
 from gevent import os as gevent_os
 from typing_extensions import override
 
 CAPACITY = 2000  # lines
+LINES_AT_ONCE = 64
+LAST_LINES_S = 0.4  # how long the end of the process may wait for the reader
 
 
 class BufferedOutput(logging.Handler):
@@ -27,6 +32,7 @@
         self._descriptor = descriptor
         self._capacity = capacity
         self._lines: deque[str] = deque()
+        self._data = b""  # what is being written
         self._dropped = 0  # since the last line that told
         self.dropped = 0  # in all
         self._task: gevent.Greenlet | None = None
@@ -55,18 +61,41 @@
 
     def _write_all(self) -> None:
         try:
-            while self._lines:
-                data = "".join(f"{line}\n" for line in self._take(64)).encode()
-                while data:
-                    written = gevent_os.nb_write(self._descriptor, data)
-                    data = data[written:]
+            while self._take():
+                written = gevent_os.nb_write(self._descriptor, self._data)
+                self._data = self._data[written:]
         except OSError:
-            self._lines.clear()  # nobody reads: the lines are lost, the process goes on
+            self._lines.clear()
+            self._data = b""  # nobody reads: the lines are lost, the process goes on
         finally:
             self._task = None
 
-    def _take(self, most: int) -> list[str]:
-        return [self._lines.popleft() for _ in range(min(most, len(self._lines)))]
+    def _take(self) -> bool:
+        """Encode the next lines when the last ones are written; false when none are left."""
+        if not self._data:
+            lines = [self._lines.popleft() for _ in range(min(LINES_AT_ONCE, len(self._lines)))]
+            self._data = "".join(f"{line}\n" for line in lines).encode()
+        return bool(self._data)
+
+    @override
+    def close(self) -> None:
+        """Write what is left, for a bounded time, when the process ends.
+
+        It waits without the event loop, which may have ended.
+        """
+        with suppress(OSError):
+            self._write_last(time.monotonic() + LAST_LINES_S)
+        super().close()
+
+    def _write_last(self, end_s: float) -> None:
+        poll = select.poll()
+        while self._take():
+            poll.register(self._descriptor, select.POLLOUT)
+            left_ms = (end_s - time.monotonic()) * 1000
+            if left_ms <= 0 or not poll.poll(left_ms):
+                return
+            with suppress(BlockingIOError):
+                self._data = self._data[os.write(self._descriptor, self._data) :]
 
 
 def start(node: str) -> None:
