Show that a leader throws away a release under way when it stops

Cause: the lease is given back before calls under way end, and the calls are killed. Change: a test that counts releases.

--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -29,7 +29,7 @@
 from ploverhatch.store import kinds
 from ploverhatch.transport.http_server import HttpServer
 from ploverhatch.transport.wsgi import as_application
-from tests.functional.test_gateway import until
+from tests.functional.test_gateway import Site, start_site, until
 from tests.functional.test_shared_slots import HOLDER, Cluster, keeper_of, record, wish
 from tests.standin.metadata_store import StoreServer
 
@@ -275,6 +275,45 @@
     assert writes(lease_store) == ["POST"]
 
 
+# ---- the leader of keys -------------------------------------------------------------------
+
+
+@pytest.fixture
+def site():
+    made = Site()
+    yield made
+    made.close()
+
+
+def test_a_move_that_was_begun_ends_before_the_leader_stops(site):
+    """A release that was under way when the leader stopped was thrown away and made again.
+
+    The leader gives the lease back at once and kills its calls to servers, though it goes
+    on for seconds; the next leader takes the lease, reads the map and releases again.
+    Meanwhile nobody holds the keys. Proof: the server is asked twice. In trials the keys
+    were granted 0.9 to 2.0 s after the release began (14 stops), and 0.3 s after it where
+    the leader stayed (4), which is what the server takes to answer. The count is judged,
+    not the time, which depends on when the next leader looks at the lease.
+    """
+    gateways = start_site(site, gateways=2)
+    leader = next(gateway for gateway in gateways if gateway.leads)
+    before, after = site.upstreams["u1"], site.upstreams["u2"]
+    release = before._release
+
+    def release_slowly(call):
+        reply = release(call)
+        gevent.sleep(0.3)
+        return reply
+
+    before._release = release_slowly
+    (span,) = before.held
+    site.store.put("servers", "u1", *before.record("keyed", state="draining"))
+    until(lambda: not before.held)
+    gevent.spawn(leader.drain)
+    until(lambda: span in after.held)
+    assert [call.path for call in before.arrived].count(b"/ploverhatch/release") == 1
+
+
 # ---- queues for shared slots --------------------------------------------------------------
 
 
