Send those who wait at a stopping node's queue to the node that keeps it next

Change: at the last call the queue is dismissed; who waited asks the next dispatcher with the time left. Measured: test_one_that_waits_at_a_node_that_stops_goes_on_elsewhere failed before and passes; it now plays the stop's new step as the process does, and asserts what it did. A lost datagram leaves the old outcome.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -235,6 +235,12 @@
                 server.work_ms = before_ms + WORK_WEIGHT * (took_ms - before_ms)
         return self.expire(now_ms)
 
+    def dismiss(self) -> list[Asker]:
+        """Empty the queue, since another node keeps it from now on; return who waited."""
+        askers = [wish.asker for wish in self._waiting]
+        self._waiting = []
+        return askers
+
     def expire(self, now_ms: float) -> list[Answer]:
         """Take back slots whose time is over, and give what is free to those who wait."""
         for asker in [asker for asker, held in self._leases.items() if held.until_ms <= now_ms]:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -212,6 +212,7 @@
         LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
         gevent.spawn(self._elector.stop)
         gevent.sleep((stop.last_call_ms - elapsed_ms()) / 1000)
+        self._slots.dismiss_waiting()
         self._await_empty(stop.listening_until_ms)
         # While new connections come the process is never empty, and it would end
         # with requests under way.
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -207,32 +207,23 @@
         self, name: GroupName, wish: SlotWish, wait_ms: float
     ) -> Iterator[SharedSlot | None]:
         number = next(self._numbers)
-        ask = SlotAsk(
-            number,
-            name.service,
-            name.zone,
-            name.holder,
-            self._zone,
-            wish.priority,
-            min(wish.useful_ms, wait_ms),
-            wait_ms,
-            wish.hold_ms,
-            wish.avoid,
-            name.regions,
-        )
+        start_ms = elapsed_ms()
         slot = SharedSlot()
         pending = self._pending[number] = _Pending()
         asked = ""
         try:
             for _ in range(ASKED_NODES):
+                spent_ms = elapsed_ms() - start_ms
+                left = wish.after(spent_ms)
+                ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms))
                 asked = groups.dispatcher(name, self._members(), self._passed())
                 word = self._ask(ask, pending, asked) if asked else None
+                if word is not None and word.queued:
+                    word = self._await_turn(pending, word, ask.wait_ms)
                 if word is None or not word.leaving:
                     break
                 self._pass_over(asked)
                 pending.word = None
-            if word is not None and word.queued:
-                word = self._await_turn(pending, word, wait_ms)
             if word is not None and not word.server and word.after_ms > 0:
                 raise TurnedAwayError(word.after_ms, asked)
             slot.server_id = word.server if word else ""
@@ -253,6 +244,21 @@
                 )
                 self._send(back, HostPort.parse(asked))
 
+    def _ask_for(self, number: int, name: GroupName, wish: SlotWish, wait_ms: float) -> SlotAsk:
+        return SlotAsk(
+            number,
+            name.service,
+            name.zone,
+            name.holder,
+            self._zone,
+            wish.priority,
+            min(wish.useful_ms, wait_ms),
+            wait_ms,
+            wish.hold_ms,
+            wish.avoid,
+            name.regions,
+        )
+
     def _passed(self) -> set[str]:
         now_ms = elapsed_ms()
         self._passed_ms = {node: end for node, end in self._passed_ms.items() if end > now_ms}
@@ -336,6 +342,16 @@
         for answer in answers:
             self._send(_word(answer), answer.asker.node)
 
+    def dismiss_waiting(self) -> None:
+        """Send those who wait here to the nodes that keep the queues from now on.
+
+        Not before this node is about to end: until then it gives them the slots that
+        come back to it, of which the other nodes don't know.
+        """
+        for kept in self._kept.values():
+            for asker in kept.group.dismiss():
+                self._send(SlotWord(asker.number, leaving=True), asker.node)
+
     def expire_forever(self) -> None:
         """Take back slots whose time is over."""
         while True:
--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -21,10 +21,10 @@
 from ploverhatch.emulator.platform import PlatformEmulator
 from ploverhatch.gateway import keymap_codec
 from ploverhatch.gateway.elector import Elector
-from ploverhatch.gateway.process import READINESS_MISSES_S
 from ploverhatch.gateway.shared_slots import TurnedAwayError
 from ploverhatch.node.process import Node
 from ploverhatch.platform.store import PlatformStore
+from ploverhatch.routing.planned_stop import READINESS_MISSES_MS
 from ploverhatch.settings.loader import load_settings
 from ploverhatch.store import kinds
 from ploverhatch.transport.http_server import HttpServer
@@ -322,7 +322,7 @@
 
     A node that is about to stop turns away new asks, but keeps those in its queue; they
     hear nothing when it exits, though the server has room. A wait outlasts the unready
-    time where a route allows more than 4.8 s. Proof: the holders give their slots back,
+    time where a route allows more than 4.7 s. Proof: the holders give their slots back,
     and the request is turned away after all its time.
     """
     cluster = Cluster([record(0)], zones=("a", "a", "a"))
@@ -334,7 +334,9 @@
     gevent.sleep(0.1)
     assert keeper.slots.waiting == 1
     keeper.slots.leaving = True
-    gevent.sleep(READINESS_MISSES_S)
+    gevent.sleep(READINESS_MISSES_MS / 1000)
+    keeper.slots.dismiss_waiting()
+    gevent.sleep(0.05)
     keeper.stop()
     gevent.joinall([waiting, *holders], timeout=6.0)
     for node in cluster.nodes:
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -433,3 +433,12 @@
         made.give_back(Asker(NODE, number), 100.0, False, 900.0)
     given = [made.ask(wish(number, until_ms=5000.0), 900.0)[0] for number in range(10, 13)]
     assert [answer.server_id for answer in given] == ["s1"] * 3
+
+
+def test_a_queue_that_is_dismissed_is_empty_and_names_who_waited():
+    made = full_group()
+    for number in (10, 11):
+        assert isinstance(made.ask(wish(number), 0.0)[0], Queued)
+    assert [asker.number for asker in made.dismiss()] == [10, 11]
+    assert (made.waiting, made.in_use) == (0, 3)
+    assert given_to(made.give_back(Asker(NODE, 0), 50.0, False, 1.0)) == []
