Have the stand-in site record what was done to each process and what upstreams ran

Cause: whether a stopped process left a request unanswered can't be told without the times of its SIGTERM, of faults, of arrivals and of work. Change: a record of each life of a gateway process; grace time and kill as the platform does them; work as long as a request asks, with its start and end; spans of faults; a route for slow requests. Ruled out: nothing.

--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -2,13 +2,17 @@
 
 import itertools
 import os
+import re
 import signal
 import subprocess
 import sys
 import tempfile
 import time
+from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 
+import gevent
 from gevent import socket
 
 from ploverhatch.gateway.messages import CallerReply
@@ -18,6 +22,10 @@
 from tests.standin.upstream import Upstream
 
 KEYED, PLAIN = "keyed", "plain"
+GRACE_S = 6.0  # from SIGTERM until the platform kills a process
+POLL_S = 0.02
+STOPPED_LINE = re.compile(r"\[gateway\] Stopped\. busy=(\d+)")
+STARTED_LINE = b"[gateway] Started."
 
 
 def free_port():
@@ -41,17 +49,32 @@
     return True
 
 
-# Parallel test processes begin at different places.
+# Parallel test processes begin at different places, or each where its starter says:
+# a port is free again while its gateway restarts.
 _FIRST_PORT, _PORT_COUNT = 12_000, 16_000
-_PORTS = (_FIRST_PORT + (os.getpid() * 1009 + number) % _PORT_COUNT for number in itertools.count())
+PORTS_VARIABLE = "PLOVERHATCH_TEST_PORTS"
+_START = int(os.environ.get(PORTS_VARIABLE, os.getpid() * 1009))
+_PORTS = (_FIRST_PORT + (_START + number) % _PORT_COUNT for number in itertools.count())
 
 
-def route(name, service):
+def hold_port(port):
+    """Return a socket that keeps other test processes from taking a port meanwhile.
+
+    It does not listen, and the server that may bind beside it states that it reuses
+    addresses; :func:`free_port` does not, and passes the port over.
+    """
+    holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", port))
+    return holder
+
+
+def route(name, service, timeout_ms=2000):
     return {
         "name": name,
         "path_prefix": f"/{name}/",
         "kind": "unsafe",
-        "timeout_ms": 2000,
+        "timeout_ms": timeout_ms,
         "target_latency_ms": 1000,
         "max_attempts": 2,
         "priority": 0,
@@ -67,7 +90,14 @@
             {"name": PLAIN, "max_connections": 100},
         ],
         "virtual_hosts": [
-            {"host": "h.example", "route_paths": [route("k", KEYED), route("p", PLAIN)]}
+            {
+                "host": "h.example",
+                "route_paths": [
+                    route("k", KEYED),
+                    route("p", PLAIN),
+                    route("slow", PLAIN, timeout_ms=6000),
+                ],
+            }
         ],
     }
 
@@ -108,6 +138,69 @@
         """End as a crash would."""
         self.close()
         self.keys.crash()
+        self.ended_s = time.monotonic()
+
+
+@dataclass
+class Life:
+    """One process of a node, and what was done to it; times in monotonic seconds."""
+
+    node: str
+    process: subprocess.Popen
+    log_start: int  # size of the node's log when it started
+    stop_s: float | None = None  # of the first SIGTERM
+    killed_after_grace: bool = False
+    faults: list = field(default_factory=list)  # (start, end) of kills and freezes
+
+    @property
+    def alive(self):
+        return self.process.poll() is None
+
+    @property
+    def stopping(self):
+        return self.stop_s is not None and self.alive
+
+    @property
+    def killed(self):
+        return any(end == inf for _, end in self.faults)
+
+    def signal(self, number):
+        if self.alive:
+            self.process.send_signal(number)
+
+    def stop(self):
+        """Send SIGTERM; true for the first one to a living process."""
+        if not self.alive:
+            return False
+        first = self.stop_s is None
+        if first:
+            self.stop_s = time.monotonic()
+        self.signal(signal.SIGTERM)
+        return first
+
+    def finish(self):
+        """Wait until the grace time is over, then kill, as the platform does."""
+        while self.alive and time.monotonic() < self.stop_s + GRACE_S:
+            gevent.sleep(POLL_S)
+        if self.alive and not self.killed:
+            self.killed_after_grace = True
+            self.signal(signal.SIGKILL)
+        while self.alive:
+            gevent.sleep(POLL_S)
+
+    def freeze(self, length_s):
+        """Stand still for a time."""
+        now_s = time.monotonic()
+        self.faults.append((now_s, now_s + length_s))
+        self.signal(signal.SIGSTOP)
+        gevent.spawn_later(length_s, self.signal, signal.SIGCONT)
+
+    def kill(self):
+        """End as a crash would."""
+        self.faults.append((time.monotonic(), inf))
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
 
 
 class GatewayProcess:
@@ -115,52 +208,101 @@
 
     def __init__(self, name, store, folder):
         self.name = name
+        self.store = store
         self.front = free_port()
         self.ready = free_port()
+        self.internal = free_port(), free_port()
+        self._held = [hold_port(port) for port in (self.front, self.ready, *self.internal)]
         self.path = Path(folder) / f"{name}.toml"
         self.log = Path(folder) / f"{name}.log"
-        self.path.write_text(
+        self.log.touch()
+        self.lives = []
+        self.closed = False
+        self.write_settings()
+        self.start()
+
+    def write_settings(self, retry_slack=50.0):
+        """Write the settings file whole: the process may read it at any time."""
+        fresh = self.path.with_suffix(".fresh")
+        fresh.write_text(
             f"""
 [self_node]
-node = "{name}"
+node = "{self.name}"
 ip = "127.0.0.1"
 zone = "z1"
 [network]
-internal_ports = [{free_port()}, {free_port()}]
+internal_ports = [{self.internal[0]}, {self.internal[1]}]
 [network.listen_addrs]
 front = "127.0.0.1:{self.front}"
 ready = "127.0.0.1:{self.ready}"
 [platform.platform]
-address = "{store.host}:{store.port}"
+address = "{self.store.host}:{self.store.port}"
+[terms.bounds]
+grace_s = {GRACE_S}
+retry_slack = {retry_slack}
 """
         )
-        self.process = None
-        self.start()
+        fresh.replace(self.path)
+
+    @property
+    def life(self):
+        """The present process, or the last one."""
+        return self.lives[-1]
+
+    @property
+    def process(self):
+        return self.life.process
 
     def start(self):
+        """Start a process, unless the site has closed meanwhile."""
+        if self.closed:
+            return
         environment = {**os.environ, "PLOVERHATCH_NODE_FILE": str(self.path)}
+        size = self.log.stat().st_size
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
+            process = subprocess.Popen(
                 [sys.executable, "-m", "ploverhatch.cli.platform_gateway"],
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
+        self.lives.append(Life(self.name, process, size))
+
+    def started(self):
+        """Whether the present process serves: before, signals end it as they do any program."""
+        with self.log.open("rb") as log:
+            log.seek(self.life.log_start)
+            return STARTED_LINE in log.read(4096) and self.life.alive
+
+    def busy_at_stops(self):
+        """Return how many requests were under way at the end of each process that was stopped."""
+        return [int(count) for count in STOPPED_LINE.findall(self.log.read_text(errors="replace"))]
+
+    def last_words(self, life):
+        """Return the last line that a process wrote."""
+        start = life.log_start
+        later = [other.log_start for other in self.lives if other.log_start > start]
+        lines = self.log.read_bytes()[start : min(later, default=None)].splitlines()
+        return lines[-1].decode(errors="replace") if lines else ""
 
     def signal(self, number):
-        if self.process.poll() is None:
-            self.process.send_signal(number)
+        self.life.signal(number)
 
     def end(self):
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        self.process.wait()
+        self.life.kill()
+
+    def close(self):
+        """End for good."""
+        self.end()
+        for holder in self._held:
+            holder.close()
 
 
 class StandinSite:
     """Everything of one site on loopback."""
 
     def __init__(self, gateways=3, keyed=4, plain=2):
+        self.store_faults = []  # (start, end) in monotonic seconds
         self.server = StoreServer()
         self.store = self.server.store
         self.journal = Journal()
@@ -191,15 +333,45 @@
     def ran(self):
         """Return the ids that upstreams ran, with the life that did."""
         return [
-            (dict((k.lower(), v) for k, v in request.headers)[b"request-id"].decode(), life)
+            (_request_id(request), life)
             for life, upstream in self.upstreams.items()
             for request in upstream.ran
         ]
 
+    def arrivals(self):
+        """Return id, life and time of each request that reached an upstream."""
+        return [
+            (_request_id(request), life, request.received_ms / 1000)
+            for life, upstream in self.upstreams.items()
+            for request in upstream.arrived
+            if _request_id(request) is not None
+        ]
+
+    def work(self):
+        """Return id, life, start and end of all work; the end is ``None`` until it ends."""
+        return [
+            (_request_id(work.request), life, work.start_s, work.end_s)
+            for life, upstream in self.upstreams.items()
+            for work in upstream.work
+        ]
+
+    def stopping(self):
+        """Return the gateways that were told to stop and still run."""
+        return [gateway for gateway in self.gateways if gateway.life.stopping]
+
     def close(self):
         for gateway in self.gateways:
-            gateway.end()
+            gateway.closed = True
+        for gateway in self.gateways:
+            gateway.close()
         for upstream in self.upstreams.values():
             upstream.close()
         self.server.close()
         self.folder.cleanup()
+
+
+def _request_id(request):
+    for name, value in request.headers:
+        if name.lower() == b"request-id":
+            return value.decode()
+    return None
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -9,7 +9,7 @@
 from gevent.server import StreamServer
 
 from ploverhatch.gateway.caller_server import CallerServer
-from ploverhatch.gateway.messages import CallerReply
+from ploverhatch.gateway.messages import CallerReply, CallerRequest
 from ploverhatch.routing.route_table import ClientLimits
 from ploverhatch.transport.http_connection import HostPort
 
@@ -27,6 +27,15 @@
     hang: bool = False
 
 
+@dataclass
+class Work:
+    """One request that ran, in monotonic seconds; without an end while it runs."""
+
+    request: CallerRequest
+    start_s: float
+    end_s: float | None = None
+
+
 @dataclass
 class Upstream:
     """One life of an upstream."""
@@ -37,9 +46,11 @@
     behaviour: Behaviour = field(default_factory=Behaviour)
     ran: list = field(default_factory=list)
     arrived: list = field(default_factory=list)
+    work: list = field(default_factory=list)
     held: dict = field(default_factory=dict)  # (first, last) -> (fence, until)
     seen: list = field(default_factory=list)  # (first, last, fence)
     grants: list = field(default_factory=list)
+    ended_s: float | None = None  # of a crash, monotonic
 
     def __post_init__(self):
         self._slots = BoundedSemaphore(self.slots)
@@ -107,13 +118,23 @@
             gevent.sleep(60)
         with self._slots:
             self.ran.append(request)
-            gevent.sleep(behaviour.work_s)
+            self._work(request, headers)
         if behaviour.wrong_id:
             base = [(b"Request-Id", b"another")]
         if behaviour.sealed:
             base.append((b"Response-Seal", b"seal"))
         return CallerReply(behaviour.status, base, b"answer of " + self.server_id.encode())
 
+    def _work(self, request, headers):
+        """Work for as long as the request says, else as the behaviour does."""
+        asked_ms = headers.get(b"work-ms")
+        work = Work(request, time.monotonic())
+        self.work.append(work)
+        try:
+            gevent.sleep(self.behaviour.work_s if asked_ms is None else int(asked_ms) / 1000)
+        finally:
+            work.end_s = time.monotonic()
+
 
 def _overlap(span, other):
     return span[0] <= other[1] and other[0] <= span[1]
