Soak stops as an operator's platform does them, with clients that keep connections

Requests that a stopping process had sent to a server got no answer when connections went on arriving; the soak had one kind of client and single stops, and judged no unanswered request. Change: clients on new and on kept connections, also to processes that stop; overlapping series of SIGTERM, a kill after the grace time and a start; SIGTERM again, SIGHUP and configurations in between; `--planned`, `--gateways`, `--seeds`, `--jobs`. A verdict, from records alone, on requests under a stop that reached an upstream. Clients and trouble draw from separate streams, so the order of trouble no longer depends on answers. Ruled out: nothing.

--- a/tests/probe/test_gateway_soak.py
+++ b/tests/probe/test_gateway_soak.py
@@ -1,4 +1,4 @@
-"""A short soak over real gateway processes; longer ones: ``python -m tests.soak``."""
+"""Short soaks over real gateway processes; longer ones: ``python -m tests.soak``."""
 
 import pytest
 
@@ -7,10 +7,22 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_soak(seed):
-    found, load, faults, site = soak(10.0, seed)
+    result = soak(10.0, seed)
     try:
-        assert found == []
-        assert sum(status == 200 for status, _ in load.answers.values()) > 300
-        assert sum(faults.seen.values()) >= 3
+        assert result.found == []
+        assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
+        assert sum(result.faults.seen.values()) >= 3
     finally:
-        site.close()
+        result.site.close()
+
+
+def test_soak_of_planned_work():
+    result = soak(12.0, seed=3, gateways=4, planned_only=True)
+    try:
+        assert result.found == []
+        assert result.verdict.judged > 100
+        assert result.verdict.stops >= 4
+        assert result.planned.seen["stop_again"] and result.planned.seen["hang_up"]
+        assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
+    finally:
+        result.site.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,257 +1,233 @@
-"""Randomized faults over real gateway processes, against our stand-ins.
+"""Randomized faults and planned work over real gateway processes, against our stand-ins.
 
     python -m tests.soak --seconds 300 --seed 1
-
-A client sends requests that may run once at most, each with an id of its own;
-faults come at random: processes killed, frozen and stopped, the store away,
-slow, losing answers and its history, upstreams ending, leaving and joining.
-At the end all is healed and judged from the upstreams' records alone. Exit
-code 1 when a promise was broken; the gateways' logs are kept then.
+    python -m tests.soak --planned --seeds 100:150 --jobs 2
+
+Clients send requests that may run once at most, each with an id of its own, on
+new and on kept connections. Faults come at random: processes killed and frozen,
+the store away, slow, losing answers and its history, upstreams ending, leaving
+and joining; and planned work: stops in overlapping series, each with a kill
+after the grace time and a new start, SIGTERM again, SIGHUP, configurations.
+With ``--planned`` there is planned work only. At the end all is healed and
+judged from records alone. Exit code 1 when a promise was broken; the gateways'
+logs are kept then.
 """
 
+import os
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import time
 from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
 
 import click
 import gevent
-from gevent import socket
+from gevent.pool import Pool
 
-from ploverhatch.simulation.keys.judge import judge
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
-from tests.standin.site import KEYED, StandinSite, configuration
-
-REQUEST_PAUSE_S = 0.01
-CLIENTS = 6
-ANSWER_LIMIT_S = 4.0
-FAULT_PAUSE_S = (0.3, 2.5)
-FAULT_LENGTH_S = (0.5, 6.0)
+from tests.standin.clients import Load
+from tests.standin.site import PORTS_VARIABLE, StandinSite
+from tests.standin.trouble import FAULT_LENGTH_S, Faults, PlannedWork
+from tests.standin.verdict import Verdict, judge_soak
+
+DRAWN_GATEWAYS = (3, 4, 6, 8, 12)
+CLIENTS = (18, 4, 96)  # at least, for each gateway, at most
+START_LIMIT_S = 60.0
+SETTLE_S = FAULT_LENGTH_S[1] + 3.0
 RECOVERY_LIMIT_S = 40.0
-NO_ANSWER = 0
-NOT_RUN = {429, 503}
-
-
-class Load:
-    """Clients, and what they saw."""
-
-    def __init__(self, site, chance):
-        self.site = site
-        self.random = chance
-        self.answers = {}  # id -> (status, body)
-        self.count = 0
-
-    def run(self):
-        while True:
-            gevent.sleep(REQUEST_PAUSE_S)
-            gateway = self.random.choice(self.site.gateways)
-            keyed = self.random.random() < 0.7
-            self.ask(gateway, self.random.choice(SAMPLE_KEYS) if keyed else None)
-
-    def ask(self, gateway, key):
-        self.count += 1
-        name = f"r{self.count}"
-        path = "/p/a" if key is None else "/k/a"
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {name}\r\n"
-            f"Request-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 0\r\n"
-        )
-        if key is not None:
-            head += f"Shard-Key: {key}\r\n"
-        self.answers[name] = status, _ = exchange(gateway.front, (head + "\r\n").encode())
-        return status
-
-
-def exchange(port, payload):
-    """Return status and body; status 0 when no whole answer came."""
-    data = b""
-    try:
-        with gevent.Timeout(ANSWER_LIMIT_S, OSError):
-            sock = socket.create_connection(("127.0.0.1", port))
-            with sock:
-                sock.sendall(payload)
-                while part := sock.recv(65536):
-                    data += part
-    except OSError:
-        return NO_ANSWER, b""
-    head, _, body = data.partition(b"\r\n\r\n")
-    return (int(head.split()[1]), body) if head else (NO_ANSWER, b"")
-
-
-class Faults:
-    """Brings faults about and heals them."""
-
-    def __init__(self, site, chance):
-        self.site = site
-        self.random = chance
-        self.seen = Counter()
-        self.kinds = [
-            self.kill, self.kill_all, self.freeze, self.stop, self.store_refuses,
-            self.store_silent, self.store_slow, self.store_loses, self.store_forgets,
-            self.upstream_ends, self.upstream_leaves, self.upstream_joins, self.reconfigure,
-        ]  # fmt: skip
-
-    def run(self):
-        while True:
-            gevent.sleep(self.random.uniform(*FAULT_PAUSE_S))
-            kind = self.random.choice(self.kinds)
-            self.seen[kind.__name__] += 1
-            kind()
-
-    def later(self, task, *arguments):
-        gevent.spawn_later(self.random.uniform(*FAULT_LENGTH_S), task, *arguments)
-
-    def _gateway(self):
-        return self.random.choice(self.site.gateways)
-
-    def restart(self, gateway):
-        if gateway.process.poll() is not None:
-            gateway.start()
-
-    def kill(self):
-        gateway = self._gateway()
-        gateway.end()
-        self.later(self.restart, gateway)
-
-    def kill_all(self):
-        for gateway in self.site.gateways:
-            gateway.end()
-            self.later(self.restart, gateway)
-
-    def freeze(self):
-        gateway = self._gateway()
-        gateway.signal(signal.SIGSTOP)
-        self.later(gateway.signal, signal.SIGCONT)
-
-    def stop(self):
-        gateway = self._gateway()
-        gateway.signal(signal.SIGTERM)
-        gevent.spawn_later(8.0, self.restart, gateway)
-
-    def _store_fault(self, name, value, healed):
-        setattr(self.site.store.faults, name, value)
-        self.site.store.wake()
-        self.later(setattr, self.site.store.faults, name, healed)
-
-    def store_refuses(self):
-        self._store_fault("refuse", self.random.choice([429, 503]), 0)
-
-    def store_silent(self):
-        self._store_fault("silent", True, False)
-
-    def store_slow(self):
-        self._store_fault("delay_s", 0.3, 0.0)
-
-    def store_loses(self):
-        self.site.store.faults.lose_late_s = self.random.choice([0.0, 2.0])
-        self._store_fault("lose_answers", self.random.randint(1, 3), 0)
-
-    def store_forgets(self):
-        self.site.store.compact()
-
-    def _some_upstream(self):
-        alive = [
-            upstream
-            for upstream in self.site.upstreams.values()
-            if ("servers", upstream.server_id) in self.site.store.objects
-        ]
-        return self.random.choice(alive) if len(alive) > 4 else None
-
-    def _remove(self, upstream):
-        if ("servers", upstream.server_id) in self.site.store.objects:
-            self.site.store.remove("servers", upstream.server_id)
-
-    def upstream_ends(self):
-        upstream = self._some_upstream()
-        if upstream is not None and upstream.service == KEYED:
-            upstream.end()
-            self.later(self._remove, upstream)
-            self.later(self.site.start_upstream, upstream.service)
-
-    def upstream_leaves(self):
-        upstream = self._some_upstream()
-        if upstream is not None:
-            record = upstream.record(upstream.service, state="draining")
-            self.site.store.put("servers", upstream.server_id, *record)
-            gevent.spawn_later(4.0, self._remove, upstream)
-            self.later(self.site.start_upstream, upstream.service)
-
-    def upstream_joins(self):
-        if len(self.site.upstreams) < 30:
-            self.site.start_upstream(KEYED)
-
-    def reconfigure(self):
-        self.site.version += 3
-        self.site.store.put("config", "main", configuration(self.site.version))
-
-    def heal(self):
-        faults = self.site.store.faults
-        faults.refuse = faults.lose_answers = 0
-        faults.silent = False
-        faults.delay_s = 0.0
-        for gateway in self.site.gateways:
-            gateway.signal(signal.SIGCONT)
-
-
-def broken_promises(site, load):
-    """Return what the upstreams' records show."""
-    runs = Counter(name for name, _ in site.ran())
-    by_name = dict(site.ran())
-    found = [f"{name} ran {count} times" for name, count in runs.items() if count > 1]
-    for name, (status, body) in load.answers.items():
-        if status in NOT_RUN and runs[name]:
-            found.append(f"{name} was answered {status} and ran")
-        if status == 200 and body != b"answer of " + by_name.get(name, "?").encode():
-            found.append(f"{name} got another's answer")
-    return found + judge(site.journal.holds)
-
-
-def recovered(site, load):
-    """Whether every key is served by every gateway again."""
-    return all(load.ask(gateway, key) == 200 for gateway in site.gateways for key in SAMPLE_KEYS)
-
-
-def soak(seconds, seed):
-    """Run one soak; return what was broken, the load, the faults and the site."""
-    chance = random.Random(seed)
-    site = StandinSite()
-    load = Load(site, chance)
-    faults = Faults(site, chance)
+RECOVERY_CALLS = 8  # at a time
+SEED_MARGIN_S = 180.0  # of one seed beyond the time of its faults
+JOB_PORTS = 4000
+
+
+@dataclass
+class Soak:
+    """One soak that is over; its site is still there."""
+
+    site: StandinSite
+    load: Load
+    faults: Faults
+    planned: PlannedWork
+    verdict: Verdict
+    unserved: int  # pairs of a gateway and a key in the end
+
+    @property
+    def found(self):
+        unserved = [f"{self.unserved} pairs of gateway and key are not served again"]
+        return (unserved if self.unserved else []) + self.verdict.found
+
+    @property
+    def seen(self):
+        """How often each fault and each piece of planned work came."""
+        return self.faults.seen + self.planned.seen
+
+
+def drawn_gateways(seed):
+    """Return how many gateways a seed's site has."""
+    return random.Random(f"{seed} gateways").choice(DRAWN_GATEWAYS)
+
+
+def make_site(gateways):
+    """Start a site with servers for as many clients as it gets."""
+    keyed, plain = max(4, gateways * 2 // 3), max(2, gateways // 3)
+    return StandinSite(gateways, min(keyed, 32), min(plain, 16))
+
+
+def await_start(site):
+    """Wait until every gateway serves, for a bounded time."""
     gevent.sleep(4.0)
-    clients = [gevent.spawn(load.run) for _ in range(CLIENTS)]
-    trouble = gevent.spawn(faults.run)
+    end_s = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < end_s and not all(gateway.started() for gateway in site.gateways):
+        gevent.sleep(0.2)
+
+
+def unserved_pairs(site, load):
+    """Return how many pairs of a gateway and a key are not served."""
+    pairs = [(gateway, key) for gateway in site.gateways for key in SAMPLE_KEYS]
+    statuses = Pool(RECOVERY_CALLS).map(lambda pair: load.ask(*pair), pairs)
+    return sum(status != 200 for status in statuses)
+
+
+def await_recovery(site, load):
+    """Ask until every key is served by every gateway; return what is not in the end."""
+    end_s = time.monotonic() + RECOVERY_LIMIT_S
+    while (unserved := unserved_pairs(site, load)) and time.monotonic() < end_s:
+        gevent.sleep(0.5)
+    return unserved
+
+
+def soak(seconds, seed, gateways=3, planned_only=False):
+    """Run one soak; its site is closed by the caller, or here when it fails to end."""
+    site = make_site(gateways)
+    try:
+        return _soak(site, seconds, seed, planned_only)
+    except BaseException:
+        site.close()
+        raise
+
+
+def _soak(site, seconds, seed, planned_only):
+    load = Load(site, seed)
+    planned = PlannedWork(site, seed)
+    faults = Faults(site, seed, planned)
+    await_start(site)
+    least, each, most = CLIENTS
+    count = min(max(least, each * len(site.gateways)), most)
+    clients = [gevent.spawn(load.run, number) for number in range(count)]
+    trouble = gevent.spawn(planned.run if planned_only else faults.run)
     gevent.sleep(seconds)
     trouble.kill()
-    gevent.sleep(FAULT_LENGTH_S[1] + 3.0)
-    faults.heal()
+    planned.end()
+    if not planned_only:
+        gevent.sleep(SETTLE_S)
+        faults.heal()
+    planned.settle(SETTLE_S)
     gevent.killall(clients)
-    found = []
-    deadline = time.monotonic() + RECOVERY_LIMIT_S
-    while not recovered(site, load):
-        if time.monotonic() > deadline:
-            found.append("not every key is served again")
-            break
-        gevent.sleep(0.5)
-    return found + broken_promises(site, load), load, faults, site
+    unserved = await_recovery(site, load)
+    return Soak(site, load, faults, planned, judge_soak(site, load), unserved)
+
+
+def summary(seed, result):
+    """Return one line on a soak."""
+    statuses = Counter(status for status, _ in result.load.answers.values())
+    verdict = result.verdict
+    return (
+        f"seed {seed}: {f'FAILED, {len(result.found)} found' if result.found else 'passed'}; "
+        f"gateways {len(result.site.gateways)}, requests {result.load.count}, "
+        f"answers {dict(sorted(statuses.items()))}, refused {result.load.refused}; "
+        f"under stops {verdict.judged} judged, {verdict.lost} lost, {verdict.exempt} exempt, "
+        f"{verdict.excused} excused; unanswered that reached no upstream {verdict.reached_none}; "
+        f"stops {verdict.stops}, busy {verdict.busy_stops} (requests {verdict.busy_requests}), "
+        f"killed after grace {verdict.killed_after_grace}"
+    )
+
+
+def run_one(seconds, seed, gateways, planned, keep_logs):
+    """Run and report one seed; return whether it passed."""
+    result = soak(seconds, seed, gateways or drawn_gateways(seed), planned)
+    try:
+        click.echo(summary(seed, result))
+        click.echo(f"  trouble {dict(result.seen)}")
+        for sentence in result.found[:20]:
+            click.echo(f"  {sentence}")
+        if result.found and keep_logs:
+            shutil.copytree(result.site.folder.name, keep_logs, dirs_exist_ok=True)
+        return not result.found
+    finally:
+        result.site.close()
+
+
+def run_seed_apart(seed, options, slot, keep_logs):
+    """Run one seed in a process of its own; return its output and whether it passed."""
+    command = [sys.executable, "-m", "tests.soak", "--seed", str(seed), *options]
+    if keep_logs:
+        command += ["--keep-logs", str(Path(keep_logs) / f"seed-{seed}")]
+    environment = {**os.environ, PORTS_VARIABLE: str(slot * JOB_PORTS)}
+    process = subprocess.Popen(
+        command, env=environment, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    try:
+        output = gevent.get_hub().threadpool.apply(process.communicate)[0]
+    finally:
+        if process.poll() is None:  # it ends its own processes
+            process.send_signal(signal.SIGTERM)
+    return output, process.returncode == 0
+
+
+def run_seeds(seeds, options, jobs, keep_logs):
+    """Run seeds side by side, one line each; return how many failed."""
+    waiting, failed = list(reversed(seeds)), []
+
+    def work(slot):
+        while waiting:
+            seed = waiting.pop()
+            output, passed = run_seed_apart(seed, options, slot, keep_logs)
+            lines = output.splitlines() or ["no output"]
+            first = next((line for line in lines if line.startswith("seed ")), None)
+            click.echo(first or f"seed {seed}: FAILED, did not end: {lines[-1]}")
+            if not passed:
+                failed.append(seed)
+                click.echo("\n".join(line for line in lines[2:5]))
+
+    workers = [gevent.spawn(work, slot) for slot in range(jobs)]
+    try:
+        gevent.joinall(workers, raise_error=True)
+    finally:
+        gevent.killall(workers)
+    click.echo(f"{len(seeds)} seeds, {len(failed)} failed: {sorted(failed)}")
+    return len(failed)
+
+
+def end_in_order():
+    """Have SIGTERM and the time limit end this program through its clean-up."""
+    main_task = gevent.getcurrent()
+    gevent.signal_handler(signal.SIGTERM, lambda: gevent.kill(main_task, SystemExit(143)))
+    return main_task
 
 
 @click.command()
 @click.option("--seconds", default=60.0, show_default=True, help="How long faults come.")
 @click.option("--seed", default=1, show_default=True)
+@click.option("--seeds", help="Run many seeds, FIRST:END, each in a process of its own.")
+@click.option("--jobs", default=1, show_default=True, help="Seeds side by side (at most 4).")
+@click.option("--gateways", type=int, help="Processes; otherwise the seed draws 3 to 12.")
+@click.option("--planned", is_flag=True, help="Planned work only: stops, SIGHUP, configurations.")
 @click.option("--keep-logs", type=click.Path(file_okay=False), help="Where logs go if it fails.")
-def main(seconds, seed, keep_logs):
-    found, load, faults, site = soak(seconds, seed)
-    statuses = Counter(status for status, _ in load.answers.values())
-    click.echo(f"seed {seed}: {load.count} requests, answers {dict(statuses)}")
-    click.echo(f"faults {dict(faults.seen)}")
-    for sentence in found[:20]:
-        click.echo(f"  {sentence}")
-    if found and keep_logs:
-        shutil.copytree(site.folder.name, keep_logs, dirs_exist_ok=True)
-    site.close()
-    sys.exit(1 if found else 0)
+def main(seconds, seed, seeds, jobs, gateways, planned, keep_logs):
+    main_task = end_in_order()
+    if seeds:
+        first, _, end = seeds.partition(":")
+        options = ["--seconds", str(seconds), *(["--planned"] if planned else [])]
+        options += ["--gateways", str(gateways)] if gateways else []
+        jobs = min(jobs, 4)
+        sys.exit(1 if run_seeds(range(int(first), int(end)), options, jobs, keep_logs) else 0)
+    limit_s = seconds + SEED_MARGIN_S
+    gevent.spawn_later(limit_s, gevent.kill, main_task, SystemExit(f"not over after {limit_s} s"))
+    sys.exit(0 if run_one(seconds, seed, gateways, planned, keep_logs) else 1)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/standin/trouble.py
@@ -0,0 +1,232 @@
+"""What happens to a stand-in site: planned work of its operator, and faults."""
+
+import random
+import signal
+import time
+from collections import Counter
+
+import gevent
+
+from tests.standin.site import KEYED, configuration
+
+SERIES_PAUSE_S = (1.0, 2.0)  # from one node of a series to the next
+SECOND_SERIES_S = (1.0, 4.0)  # after the first one began
+ROUND_PAUSE_S = (3.0, 6.0)
+RESTART_PAUSE_S = (0.0, 1.0)
+ERRAND_PAUSE_S = (0.2, 1.0)
+RETRY_SLACKS = (20.0, 50.0, 80.0)
+FAULT_PAUSE_S = (0.3, 2.5)
+FAULT_LENGTH_S = (0.5, 6.0)
+
+
+class PlannedWork:
+    """Stops with a restart, in series that overlap; SIGHUP and changes in between."""
+
+    def __init__(self, site, seed):
+        self.site = site
+        self.seed = seed
+        self.seen = Counter()
+        self._series = []
+        self._stops = []
+
+    def run(self):
+        """Keep two overlapping series going, and errands beside them."""
+        chance = random.Random(f"{self.seed} series")
+        self._series.append(gevent.spawn(self._run_errands))
+        for number in range(1_000_000):
+            pair = [self.begin_series(f"{number} first")]
+            gevent.sleep(chance.uniform(*SECOND_SERIES_S))
+            pair.append(self.begin_series(f"{number} second"))
+            gevent.joinall(pair)
+            gevent.sleep(chance.uniform(*ROUND_PAUSE_S))
+
+    def end(self):
+        """Begin nothing more; stops that were begun are finished."""
+        gevent.killall(self._series)
+
+    def settle(self, limit_s):
+        """Wait until every process that was stopped has been started again."""
+        gevent.joinall(self._stops, timeout=limit_s)
+
+    def begin_series(self, name):
+        """Stop each node in turn, in an order of the series' own."""
+        self.seen["series"] += 1
+        series = gevent.spawn(self._stop_each, random.Random(f"{self.seed} series {name}"))
+        self._series.append(series)
+        return series
+
+    def _stop_each(self, chance):
+        for gateway in chance.sample(self.site.gateways, len(self.site.gateways)):
+            self.stop(gateway, chance.uniform(*RESTART_PAUSE_S))
+            gevent.sleep(chance.uniform(*SERIES_PAUSE_S))
+
+    def stop(self, gateway, pause_s):
+        """Send SIGTERM; where it is the first, see to the end and to the next start."""
+        life = gateway.life
+        if life.stop():
+            self.seen["stop"] += 1
+            self._stops.append(gevent.spawn(self._restart, gateway, life, pause_s))
+        elif life.alive:
+            self.seen["stop_again"] += 1
+
+    def _restart(self, gateway, life, pause_s):
+        life.finish()
+        gevent.sleep(pause_s)
+        if gateway.life is life:
+            gateway.start()
+
+    def _run_errands(self):
+        chance = random.Random(f"{self.seed} errands")
+        while True:
+            gevent.sleep(chance.uniform(*ERRAND_PAUSE_S))
+            gateway = chance.choice(self.site.gateways)
+            errand = chance.choice([self.stop_again, self.hang_up, self.reconfigure])
+            errand(gateway, chance)
+
+    def stop_again(self, gateway, _chance):
+        """Send SIGTERM once more to a process that stops."""
+        if gateway.life.stopping:
+            self.stop(gateway, 0.0)
+
+    def hang_up(self, gateway, chance):
+        """Have a process read its settings again, some of which changed."""
+        gateway.write_settings(chance.choice(RETRY_SLACKS))
+        if gateway.started():
+            self.seen["hang_up"] += 1
+            gateway.signal(signal.SIGHUP)
+
+    def reconfigure(self, _gateway, _chance):
+        """Put a new configuration into the store."""
+        self.seen["reconfigure"] += 1
+        self.site.version += 3
+        self.site.store.put("config", "main", configuration(self.site.version))
+
+
+class Faults:
+    """Brings faults about and heals them; planned work comes in between."""
+
+    def __init__(self, site, seed, planned):
+        self.site = site
+        self.planned = planned
+        self.random = random.Random(f"{seed} faults")
+        self.seen = Counter()
+        self.kinds = [
+            self.kill, self.kill_all, self.freeze, self.stop, self.store_refuses,
+            self.store_silent, self.store_slow, self.store_loses, self.store_forgets,
+            self.upstream_ends, self.upstream_leaves, self.upstream_joins, self.reconfigure,
+            self.stop_twice, self.series, self.hang_up,
+        ]  # fmt: skip
+
+    def run(self):
+        while True:
+            gevent.sleep(self.random.uniform(*FAULT_PAUSE_S))
+            kind = self.random.choice(self.kinds)
+            self.seen[kind.__name__] += 1
+            kind()
+
+    def _length_s(self):
+        return self.random.uniform(*FAULT_LENGTH_S)
+
+    def later(self, task, *arguments):
+        gevent.spawn_later(self._length_s(), task, *arguments)
+
+    def _gateway(self):
+        return self.random.choice(self.site.gateways)
+
+    def restart(self, gateway):
+        if not gateway.life.alive:
+            gateway.start()
+
+    def kill(self):
+        gateway = self._gateway()
+        gateway.end()
+        self.later(self.restart, gateway)
+
+    def kill_all(self):
+        for gateway in self.site.gateways:
+            gateway.end()
+            self.later(self.restart, gateway)
+
+    def freeze(self):
+        self._gateway().life.freeze(self._length_s())
+
+    def stop(self):
+        self.planned.stop(self._gateway(), self.random.uniform(*RESTART_PAUSE_S))
+
+    def stop_twice(self):
+        gateway = self._gateway()
+        self.planned.stop(gateway, self.random.uniform(*RESTART_PAUSE_S))
+        pause_s = self.random.uniform(*SERIES_PAUSE_S)
+        gevent.spawn_later(pause_s, self.planned.stop_again, gateway, self.random)
+
+    def series(self):
+        self.planned.begin_series(f"among faults {self.seen['series']}")
+
+    def hang_up(self):
+        self.planned.hang_up(self._gateway(), self.random)
+
+    def reconfigure(self):
+        self.planned.reconfigure(None, self.random)
+
+    def _store_fault(self, name, value, healed):
+        now_s, length_s = time.monotonic(), self._length_s()
+        self.site.store_faults.append((now_s, now_s + length_s))
+        setattr(self.site.store.faults, name, value)
+        self.site.store.wake()
+        gevent.spawn_later(length_s, setattr, self.site.store.faults, name, healed)
+
+    def store_refuses(self):
+        self._store_fault("refuse", self.random.choice([429, 503]), 0)
+
+    def store_silent(self):
+        self._store_fault("silent", True, False)
+
+    def store_slow(self):
+        self._store_fault("delay_s", 0.3, 0.0)
+
+    def store_loses(self):
+        self.site.store.faults.lose_late_s = self.random.choice([0.0, 2.0])
+        self._store_fault("lose_answers", self.random.randint(1, 3), 0)
+
+    def store_forgets(self):
+        self.site.store_faults.append((time.monotonic(), time.monotonic()))
+        self.site.store.compact()
+
+    def _some_upstream(self):
+        alive = [
+            upstream
+            for upstream in self.site.upstreams.values()
+            if ("servers", upstream.server_id) in self.site.store.objects
+        ]
+        return self.random.choice(alive) if len(alive) > 4 else None
+
+    def _remove(self, upstream):
+        if ("servers", upstream.server_id) in self.site.store.objects:
+            self.site.store.remove("servers", upstream.server_id)
+
+    def upstream_ends(self):
+        upstream = self._some_upstream()
+        if upstream is not None and upstream.service == KEYED:
+            upstream.end()
+            self.later(self._remove, upstream)
+            self.later(self.site.start_upstream, upstream.service)
+
+    def upstream_leaves(self):
+        upstream = self._some_upstream()
+        if upstream is not None:
+            record = upstream.record(upstream.service, state="draining")
+            self.site.store.put("servers", upstream.server_id, *record)
+            gevent.spawn_later(4.0, self._remove, upstream)
+            self.later(self.site.start_upstream, upstream.service)
+
+    def upstream_joins(self):
+        if len(self.site.upstreams) < 30:
+            self.site.start_upstream(KEYED)
+
+    def heal(self):
+        faults = self.site.store.faults
+        faults.refuse = faults.lose_answers = 0
+        faults.silent = False
+        faults.delay_s = 0.0
+        for gateway in self.site.gateways:
+            gateway.signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/unit/test_soak_verdict.py
@@ -0,0 +1,115 @@
+"""What a soak's verdict says of records that are laid down here."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from tests.standin.clients import End, Sent
+from tests.standin.site import Life
+from tests.standin.verdict import judge_soak
+
+STOP_S = 100.0
+FOREVER = float("inf")
+
+
+def life(stop_s=STOP_S, code=0, faults=()):
+    process = SimpleNamespace(poll=lambda: code, returncode=code)
+    return Life("node-0", process, 0, stop_s, faults=list(faults))
+
+
+def judged(sent, arrived=True, work=None, store_faults=(), crash_s=None, busy=()):
+    """Return the verdict on one request; ``work`` is its start and end after SIGTERM."""
+    spans = [] if work is None else [(sent.name, "life-1", STOP_S + work[0], STOP_S + work[1])]
+    gateway = SimpleNamespace(
+        lives=[sent.life], busy_at_stops=lambda: list(busy), last_words=lambda life: "a word"
+    )
+    site = SimpleNamespace(
+        gateways=[gateway],
+        upstreams={"life-1": SimpleNamespace(ended_s=crash_s)},
+        store_faults=list(store_faults),
+        journal=SimpleNamespace(holds=[]),
+        ran=lambda: [(name, server) for name, server, _, _ in spans],
+        arrivals=lambda: [(sent.name, "life-1", sent.sent_s)] if arrived else [],
+        work=lambda: spans,
+    )
+    answers = {sent.name: (sent.status, sent.body)}
+    return judge_soak(site, SimpleNamespace(requests=[sent], answers=answers))
+
+
+def request(sent_s, end_s, end=End.CLOSED, of=None):
+    """Return a request; times are after SIGTERM."""
+    return Sent("r1", of or life(), False, 100, STOP_S + sent_s, STOP_S + end_s, end)
+
+
+@pytest.mark.parametrize("end", [End.CLOSED, End.SILENT])
+@pytest.mark.parametrize("sent_s", [-0.5, 1.0, 4.5])
+def test_request_that_ran_and_got_no_answer_breaks_the_promise(sent_s, end):
+    verdict = judged(request(sent_s, sent_s + 0.9, end), work=(sent_s + 0.1, sent_s + 0.9))
+    assert (verdict.judged, verdict.lost, len(verdict.found)) == (1, 1, 1)
+    assert "began it" in verdict.found[0]
+
+
+def test_request_that_waited_at_an_upstream_breaks_it_too():
+    verdict = judged(request(4.5, 5.4))
+    assert (verdict.lost, len(verdict.found)) == (1, 1)
+    assert "received it" in verdict.found[0]
+
+
+def test_answered_request_is_judged_and_kept():
+    verdict = judged(request(4.5, 5.0, End.ANSWERED), work=(4.6, 4.9))
+    assert (verdict.judged, verdict.lost, verdict.found) == (1, 0, [])
+
+
+def test_request_that_reached_no_upstream_is_only_counted():
+    verdict = judged(request(4.5, 5.4), arrived=False)
+    assert (verdict.judged, verdict.reached_none, verdict.found) == (0, 1, [])
+
+
+def test_request_that_ended_before_the_stop_is_not_judged():
+    assert judged(request(-2.0, -0.1, End.ANSWERED), work=(-1.9, -0.2)).judged == 0
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "work", "exempt"),
+    [
+        (2.9, (3.0, 5.4), 1),
+        (2.9, (3.0, FOREVER), 1),
+        (2.9, (3.0, 4.9), 0),  # over before the last part of the grace time
+        (3.1, (3.2, 5.4), 0),  # sent too late for the exemption
+    ],
+)
+def test_only_early_requests_with_late_work_are_exempt(sent_s, work, exempt):
+    verdict = judged(request(sent_s, 5.4), work=work)
+    assert (verdict.exempt, verdict.lost) == (exempt, 1 - exempt)
+
+
+@pytest.mark.parametrize(
+    ("span", "excused"),
+    [((1.5, 2.0), 1), ((4.6, 5.0), 1), ((1.0, 1.4), 0), ((5.5, 6.0), 0)],
+)
+@pytest.mark.parametrize("kind", ["store", "process"])
+def test_faults_excuse_only_requests_near_them(span, excused, kind):
+    fault = (STOP_S + span[0], STOP_S + span[1])
+    own = life(faults=[fault] if kind == "process" else [])
+    faults = [fault] if kind == "store" else []
+    verdict = judged(request(4.5, 5.4, of=own), work=(4.6, 5.4), store_faults=faults)
+    assert (verdict.excused, verdict.lost) == (excused, 1 - excused)
+
+
+def test_crash_of_the_server_excuses():
+    assert judged(request(4.5, 5.4), work=(4.6, 5.4), crash_s=STOP_S + 5.0).excused == 1
+    assert judged(request(4.5, 5.4), work=(4.6, 5.4), crash_s=STOP_S + 6.0).lost == 1
+
+
+def test_process_that_ends_by_itself_is_found():
+    alone = life(stop_s=None, code=1)
+    assert judged(request(1.0, 2.0, End.ANSWERED, of=alone)).found == [
+        "node-0 ended by itself with code 1: a word"
+    ]
+    killed = life(stop_s=None, code=-9, faults=[(STOP_S, FOREVER)])
+    assert judged(request(1.0, 2.0, End.ANSWERED, of=killed)).found == []
+
+
+def test_stops_are_counted():
+    verdict = judged(request(1.0, 2.0, End.ANSWERED), busy=[0, 3, 2])
+    assert (verdict.stops, verdict.busy_stops, verdict.busy_requests) == (3, 2, 5)
