End a log writer before its test closes the pipe that it waits on

A log test filled a pipe and closed it under its writer; which test came next in the same process decided the rest. Reproduced in one process: log tests, planned stops, then that test. Without the log tests it passes. Change: the fixture reads the pipe empty, so that its writer ends, before it closes it; no assert changed.

--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+from contextlib import suppress
 
 import gevent
 import pytest
@@ -22,9 +23,14 @@
 
 @pytest.fixture
 def pipe():
+    """Return both ends of a pipe; a writer that still waits ends before they are closed."""
     reading, writing = os.pipe()
     os.set_blocking(writing, False)
     yield reading, writing
+    os.set_blocking(reading, False)
+    with suppress(BlockingIOError):
+        while os.read(reading, 65536):
+            gevent.sleep(0.01)
     os.close(reading)
     os.close(writing)
 
