A leader that stops ends the moves of keys that it began

Change: for up to 1 s the leader begins no moves, ends those under way and stores them at once; it goes on to tell the others until its lease is given back. Pure: LeaderCore.tick(finishing), unfinished. Ruled out as a danger: it acts by its lease as before, and only does less.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -77,6 +77,7 @@
         self._answer_times = AnswerTimes()
         self._readings: dict[str, Reading] = {}
         self._tasks: set[gevent.Greenlet] = set()
+        self._finishing = False
         self._handlers: dict[type, Callable[..., None]] = {
             StoreMap: self._store_map,
             SendGrant: self._send_grant,
@@ -104,6 +105,17 @@
             for control in self._controls.values():
                 control.close()
 
+    def finish(self, limit_s: float) -> None:
+        """Begin no more moves, and wait until those that were begun are done.
+
+        A move that is left half done is made again by the next leader, and its keys
+        stand still until that one has the lease and has read the map.
+        """
+        self._finishing = True
+        end_ms = elapsed_ms() + limit_s * 1000
+        while self._core.unfinished and self._elector.has_authority and elapsed_ms() < end_ms:
+            gevent.sleep(TICK_S)
+
     def _load_maps(self) -> None:
         while self._elector.state.leading:
             try:
@@ -143,7 +155,8 @@
             seen = self._directory.keymaps.get(service)
             if seen is not None:
                 self._core.map_seen(seen, now_ms)
-        self._execute(self._core.tick(now_ms, views, self._elector.may_change))
+        may_change = self._elector.may_change
+        self._execute(self._core.tick(now_ms, views, may_change, self._finishing))
 
     def _forget_gone(self) -> None:
         known = self._core.forget_gone(self._directory.servers.records, elapsed_ms())
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -51,6 +51,8 @@
 # told something new, the second one where all was known, as from the leader.
 SERVERS_PAUSES = Pauses(news_s=0.25, known_s=0.25)
 KEYMAPS_PAUSES = Pauses(news_s=0.1, known_s=1.0)
+# For moves under way when their leader stops: a release ends with what its server runs.
+MOVES_LIMIT_S = 1.0
 STOP_POLL_S = 0.1  # between looks at the callers' connections
 
 
@@ -210,7 +212,7 @@
         self._callers.draining = True
         self._slots.leaving = True
         LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
-        gevent.spawn(self._elector.stop)
+        gevent.spawn(self._leave)
         gevent.sleep((stop.last_call_ms - elapsed_ms()) / 1000)
         self._slots.dismiss_waiting()
         self._await_empty(stop.listening_until_ms)
@@ -221,6 +223,12 @@
         self._tell_stopped(stop)
         self._stopped.set()
 
+    def _leave(self) -> None:
+        """Finish the moves of keys that were begun, then give the lease back."""
+        if self._leader is not None:
+            self._leader.finish(MOVES_LIMIT_S)
+        self._elector.stop()
+
     def _await_empty(self, until_ms: float) -> None:
         """Close connections at rest until no caller is connected, or the time has come."""
         while elapsed_ms() < until_ms and self._callers.open_connections:
@@ -267,7 +275,7 @@
     def _term(self) -> Term | None:
         """Return the term while this node leads."""
         state = self._elector.state
-        if not self._elector.has_authority or self._draining:
+        if not self._elector.has_authority:
             return None
         return Term(state.seen.revision, state.renewed_ms)
 
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -150,20 +150,34 @@
             self._leases[holder.server_id] = lease
         return lease
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether moves were begun that the store does not yet show as done."""
+        return any(state.transfers or state.storing for state in self._services.values())
+
     # ---- rounds -------------------------------------------------------------------------
 
     def tick(
-        self, now_ms: float, views: Mapping[str, ServiceView], may_change: bool
+        self,
+        now_ms: float,
+        views: Mapping[str, ServiceView],
+        may_change: bool,
+        finishing: bool = False,
     ) -> list[Action]:
         """Return what is due.
 
         :param views: all partitioned services.
-        :param may_change: whether new moves may begin.
+        :param may_change: whether maps may be stored.
+        :param finishing: whether this node is about to give its lease back: it begins no
+            moves, and stores at once what is done.
         """
         actions: list[Action] = []
         for view in views.values():
             self._note_silent(view, now_ms)
-        if may_change:
+        if may_change and finishing:
+            for state in self._services.values():
+                actions += self._settle(state, now_ms, wait_ms=0.0)
+        elif may_change:
             for service, view in views.items():
                 state = self._services.setdefault(service, _ServiceState(KeyMap(service)))
                 actions += self._plan(state, view, now_ms)
@@ -199,11 +213,15 @@
             state, now_ms
         )
 
-    def _settle(self, state: _ServiceState, now_ms: float) -> list[Action]:
+    def _settle(
+        self, state: _ServiceState, now_ms: float, wait_ms: float = SETTLE_MS
+    ) -> list[Action]:
         """Store that ranges are with their new holders, if that waits for long enough."""
+        if state.storing is not None:
+            return []
         times = [transfer.done_ms for transfer in state.transfers.values()]
         done = [done_ms for done_ms in times if done_ms is not None]
-        if not done or now_ms - min(done) < SETTLE_MS:
+        if not done or now_ms - min(done) < wait_ms:
             return []
         return self._store(state, merge_neighbours(self._granted_map(state)))
 
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -407,3 +407,22 @@
     rates = {5: 20.0, 40_000: 10.0}
     assert core.rates_of_holders(SERVICE, rates, 1150.0 + STEADY_MS - 1) == {}
     assert core.rates_of_holders(SERVICE, rates, 1150.0 + STEADY_MS) == {"s1": 30.0}
+
+
+def test_a_leader_that_is_about_to_go_ends_its_moves_and_begins_none():
+    """Its successor would release the range again, and its keys stand still meanwhile."""
+    core = two_servers()
+    records = view(record(0, draining=True), record(1))
+    store(core, core.tick(1000.0, records, True), 2)
+    (release,) = of_kind(core.tick(1050.0, records, True), SendRelease)
+    assert core.unfinished
+    both_leave = view(record(0, draining=True), record(1, draining=True), record(2))
+    (grant,) = of_kind(core.release_ended(release, CallOutcome.DONE, "h", 1200.0), SendGrant)
+    assert of_kind(core.tick(1250.0, both_leave, True, finishing=True), StoreMap) == []
+    core.grant_ended(grant, CallOutcome.DONE, 1300.0)
+    actions = core.tick(1350.0, both_leave, True, finishing=True)
+    (settled,) = of_kind(actions, StoreMap)
+    assert {item.holder for item in settled.keymap.ranges} == {holder(1)}
+    store(core, actions, 3)
+    assert not core.unfinished
+    assert of_kind(core.tick(9000.0, both_leave, True, finishing=True), StoreMap) == []
