--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -25,12 +25,13 @@
 import pytest
 from gevent import socket
 
-from tests.standin.site import PLAIN, StandinSite
+from tests.standin.site import GRACE_S, PLAIN, StandinSite, configuration
 
 CALLERS = 6
 WORK_S = 0.3
+LONG_WORK_S = 1.2  # of 1.5 s that callers allow
 REQUEST = (
-    b"GET /p/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: 1500\r\n\r\n"
+    b"GET /p/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\n\r\n"
 )
 UNANSWERED = "sent, no answer"
 START_LIMIT_S = 15.0
@@ -47,7 +48,8 @@
 class Callers:
     """Ask on a new connection each time, as long as the process takes any."""
 
-    def __init__(self, port, pause_s=0.0):
+    def __init__(self, port, pause_s=0.0, deadline_ms=1500):
+        self._deadline_ms = deadline_ms
         self._port = port
         self._pause_s = pause_s  # between connecting and sending
         self._count = 0
@@ -58,9 +60,9 @@
         """Return the status of one request; raise when no connection is taken."""
         self._count += 1
         name = b"r%d" % self._count
-        with socket.create_connection(("127.0.0.1", self._port), timeout=5.0) as sock:
+        with socket.create_connection(("127.0.0.1", self._port), timeout=30.0) as sock:
             gevent.sleep(self._pause_s)
-            answer = _exchange(sock, REQUEST % name)
+            answer = _exchange(sock, REQUEST % (name, self._deadline_ms))
         if not answer:
             self.unanswered.append(name.decode())
         status = int(answer.split()[1]) if answer else UNANSWERED
@@ -121,19 +123,39 @@
             upstream.behaviour.work_s = work_s
     tasks = [gevent.spawn(callers.run) for _ in range(CALLERS)]
     gevent.sleep(0.5)
-    stop(gateway)
-    gevent.joinall(tasks, timeout=5.0)
+    assert stop(gateway) < GRACE_S
+    assert len(gevent.joinall(tasks, timeout=5.0, raise_error=True)) == CALLERS
     return callers
 
 
-def test_no_request_is_given_up_while_new_connections_keep_coming(site):
-    callers = ask_during_a_stop(site, WORK_S, 0.0)
+@pytest.mark.parametrize("work_s", [WORK_S, LONG_WORK_S])
+def test_no_request_is_given_up_while_new_connections_keep_coming(site, work_s):
+    callers = ask_during_a_stop(site, work_s, 0.0)
     ran = {name for name, _ in site.ran()}
     given_up = [name for name in callers.unanswered if name in ran]
     assert given_up == [], callers.statuses
+    # Nor is an answer of our own put in the place of a server's that is at work.
+    assert set(callers.statuses) - {UNANSWERED} <= {200, 503}
     assert site.gateways[0].process.returncode == 0
 
 
+def test_a_request_of_before_the_stop_that_outlasts_the_process_is_answered(site):
+    """It was cut without an answer: its time was set before the stop was known."""
+    document = configuration(2)
+    for route in document["virtual_hosts"][0]["route_paths"]:
+        route["timeout_ms"] = 20_000
+    site.store.put("config", "main", document)
+    (gateway,) = site.gateways
+    callers = Callers(gateway.front, deadline_ms=20_000)
+    await_service(callers)
+    for upstream in site.upstreams.values():
+        upstream.behaviour.work_s = 12.0
+    asked = gevent.spawn(callers.ask)
+    gevent.sleep(0.3)
+    assert stop(gateway) < GRACE_S
+    assert asked.get(timeout=2.0) == 504
+
+
 def test_no_new_connection_is_closed_before_its_first_request(site):
     callers = ask_during_a_stop(site, 0.01, 0.1)
     assert callers.unanswered == [], callers.statuses
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -223,3 +223,50 @@
     with ExitStack() as held:
         slots = [held.enter_context(node.slots.hold(at_home)) for node in cluster.nodes]
     assert [slot.server_id for slot in slots] == ["s1", "s1", "s1"]
+
+
+def in_order(cluster):
+    """Return the nodes in the order in which they keep the queue of the holder."""
+    names = []
+    for _ in cluster.nodes:
+        names.append(groups.dispatcher(HOLDER, cluster.zones, set(names)))
+    return [next(node for node in cluster.nodes if node.name == name) for name in names]
+
+
+def test_while_most_nodes_stop_the_one_that_stays_is_asked():
+    """Two of three stopped: the third was not asked, and requests went without a slot."""
+    cluster = Cluster([record(0)], zones=("a", "a", "a"))
+    first, second, third = in_order(cluster)
+    first.slots.leaving = second.slots.leaving = True
+    with third.slots.hold(wish(holder=record(0), wait_ms=1000.0)) as slot:
+        assert slot is not None
+        assert slot.dispatcher == third.name
+    for node in cluster.nodes:
+        node.stop()
+
+
+def test_a_late_word_of_a_node_that_stops_takes_no_place_at_another():
+    """Its second word came when the request waited elsewhere, which was then given up.
+
+    A stopping node that is 40 ms late answers both asks of a request.
+    """
+    cluster = Cluster([record(0)], zones=("a", "a", "a"))
+    first, second, third = in_order(cluster)
+    first.slots.leaving = True
+    take = first.slots.take
+    first.link.take_slots(lambda message, peer: gevent.spawn_later(0.04, take, message, peer))
+    with ExitStack() as held:
+        for _ in range(3):
+            held.enter_context(second.slots.hold(wish(holder=record(0), hold_ms=9000.0)))
+        third.slots._passed_ms.clear()
+        waiting = gevent.spawn(slot_of, third, wish(holder=record(0), wait_ms=2000.0))
+        gevent.sleep(0.4)
+        assert not waiting.ready()
+    assert waiting.get(timeout=2.0) is not None
+    for node in cluster.nodes:
+        node.stop()
+
+
+def slot_of(node, wanted):
+    with node.slots.hold(wanted) as slot:
+        return slot
