--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -21,7 +21,13 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.gateway.messages import CallerGoneError, CallerReply, CallerRequest, HeaderList
+from ploverhatch.gateway.messages import (
+    CallerGoneError,
+    CallerReply,
+    CallerRequest,
+    HeaderList,
+    ProcessEndsError,
+)
 from ploverhatch.routing.route_table import ClientLimits
 from ploverhatch.transport.http_connection import HostPort
 
@@ -32,6 +38,7 @@
 MAX_CONNECTIONS = 2048
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 1.0
+REST_PART = 0.8  # of the idle time: what callers send until then still comes in time
 FIRST_REQUEST_S = 0.5  # callers send within a round trip of connecting; then one is at rest
 CROSSING_S = 0.05  # from our close until all that crossed it has come: a round trip to callers
 READ_EVENT = 1  # libev's number for "readable"
@@ -89,6 +96,7 @@
         self._parser = HttpRequestParser(self)
         self.busy = False
         self._closing = False
+        self._lingering = False
         self._served = 0
         self._used_ms = elapsed_ms()
 
@@ -158,7 +166,7 @@
             self._server.rejected(error.status)
             self._send(CallerReply(error.status), b"", close=True)
             self._linger()
-        except (OSError, CallerGoneError, gevent.Timeout):
+        except (OSError, CallerGoneError, ProcessEndsError, gevent.Timeout):
             pass
         finally:
             if self._closing:
@@ -248,6 +256,7 @@
         if close:
             rows.append(b"Connection: close")
         elif rest_s := self._rest_s():
+            rows.append(b"Connection: keep-alive")
             rows.append(b"Keep-Alive: timeout=%d" % rest_s)
         head = b"\r\n".join(rows) + b"\r\n\r\n"
         self._socket.settimeout(WRITE_TIMEOUT_S)
@@ -255,10 +264,12 @@
 
     def _rest_s(self) -> int:
         """Return how long the caller may rest on the connection, in whole seconds."""
-        return min(self._server.keep_alive_s, int(self._limits().idle_timeout_ms / 1000))
+        idle_s = self._limits().idle_timeout_ms / 1000
+        return min(self._server.keep_alive_s, int(idle_s * REST_PART))
 
     def _linger(self) -> None:
         """Let the caller read the last answer: unread bytes would reset it."""
+        self._lingering = True
         with suppress(OSError), gevent.Timeout(LINGER_S, False):
             self._socket.shutdown(stdlib_socket.SHUT_WR)
             while self._socket.recv(READ_SIZE):
@@ -266,7 +277,13 @@
 
     def close_if_idle(self, rest_s: float) -> None:
         """Close a connection that has been at rest for some time."""
-        if self._closing or self.busy or self._incoming is not None or self._ready:
+        if (
+            self._closing
+            or self._lingering
+            or self.busy
+            or self._incoming is not None
+            or self._ready
+        ):
             return
         if elapsed_ms() - self._used_ms < rest_s * 1000 or self._has_unread():
             return
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -227,7 +227,9 @@
             if current is not None:
                 self._observe(keymap_codec.decode_lease(current))
         now_ms = elapsed_ms()  # it may have resigned, or stopped, since the look
-        if now_ms < self._not_before_ms or not election.wants_takeover(self.state, now_ms):
+        if self._stopped or now_ms < self._not_before_ms:
+            return
+        if not election.wants_takeover(self.state, now_ms):
             return
         predecessor = self.state.seen.node
         if self._write_lease(self.state.seen.revision):
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -20,6 +20,7 @@
     CallerGoneError,
     CallerReply,
     CallerRequest,
+    ProcessEndsError,
     RequestFacts,
 )
 from ploverhatch.gateway.metrics import GatewayMetrics
@@ -94,7 +95,7 @@
         self._budget = budget
         self._splitter = ShareSplitter()
         self.planned_stop: PlannedStop | None = None  # once the process was told to stop
-        self._under_way: dict[CallerRequest, RequestTrace] = {}
+        self._under_way: dict[CallerRequest, gevent.Greenlet] = {}
         self.sampled_keys: dict[str, list[int]] = {}
         self.metrics = GatewayMetrics()
 
@@ -106,7 +107,7 @@
         trace = RequestTrace()
         detail = ""
         result = results.OK
-        self._under_way[request] = trace
+        self._under_way[request] = gevent.getcurrent()
         try:
             facts = self._dialect.facts(request)
             trace.request_id = facts.request_id.decode("latin-1") or "-"
@@ -125,6 +126,9 @@
         except CallerGoneError:
             trace.tell_unanswered("caller-gone", elapsed_ms() - request.received_ms)
             raise
+        except ProcessEndsError:
+            result = results.DEADLINE_IN_FLIGHT if trace.sent else results.NODE_DRAINING
+            reply = self._refuse(RefusedError(result), facts)
         finally:
             del self._under_way[request]
         took_ms = elapsed_ms() - request.received_ms
@@ -132,10 +136,17 @@
         trace.finish(reply.status, result.code, detail, took_ms)
         return reply
 
-    def tell_unanswered(self, cause: str) -> None:
-        """Write a line for each request under way, since the process ends."""
-        for request, trace in self._under_way.items():
-            trace.tell_unanswered(cause, elapsed_ms() - request.received_ms)
+    def end_under_way(self) -> int:
+        """Have the requests under way answered now, since the process ends.
+
+        These were taken before it was told to stop, and were given more time than it has.
+
+        :returns: how many they are.
+        """
+        tasks = list(self._under_way.values())
+        for task in tasks:
+            gevent.kill(task, ProcessEndsError())
+        return len(tasks)
 
     def _refuse(self, refusal: RefusedError, facts: RequestFacts | None) -> CallerReply:
         result = refusal.result
@@ -374,6 +385,7 @@
             upstream.give_back(connection)
             return AttemptResult.NOT_CONNECTED, None
         payload = self._dialect.encode_request(call.request, record.server_id, left_ms)
+        call.trace.sent = True
         try:
             with gevent.Timeout(left_ms / 1000):
                 answer = connection.exchange(call.request.method, payload)
--- a/ploverhatch/gateway/messages.py
+++ b/ploverhatch/gateway/messages.py
@@ -42,3 +42,7 @@
 
 class CallerGoneError(BaseException):
     """The caller closed its connection; raised into the task that serves it."""
+
+
+class ProcessEndsError(BaseException):
+    """The process ends before the request does; raised into the task that serves it."""
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -213,15 +213,23 @@
         self._slots.leaving = True
         LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
         gevent.spawn(self._leave)
+        try:
+            self._serve_out(stop)
+        finally:  # a fault in between must not keep the process
+            self._stopped.set()
+
+    def _serve_out(self, stop: PlannedStop) -> None:
+        """Serve until no caller is connected, or the plan is over."""
         gevent.sleep((stop.last_call_ms - elapsed_ms()) / 1000)
         self._slots.dismiss_waiting()
         self._await_empty(stop.listening_until_ms)
         # While new connections come the process is never empty, and it would end
         # with requests under way.
         self._callers.stop()
+        self._await_empty(stop.answered_by_ms)
+        given_up = self._forwarder.end_under_way()
         self._await_empty(stop.end_ms)
-        self._tell_stopped(stop)
-        self._stopped.set()
+        self._tell_stopped(stop, given_up)
 
     def _leave(self) -> None:
         """Finish the moves of keys that were begun, then give the lease back."""
@@ -235,12 +243,12 @@
             self._callers.close_idle(FIRST_REQUEST_S)
             gevent.sleep(STOP_POLL_S)
 
-    def _tell_stopped(self, stop: PlannedStop) -> None:
-        self._forwarder.tell_unanswered("process-ends")
+    def _tell_stopped(self, stop: PlannedStop, given_up: int) -> None:
         counts = self._callers.stop_counts
         LOG.info(
             "Stopped.",
             busy=self._callers.busy,
+            given_up=given_up,
             took_ms=round(elapsed_ms() - stop.begun_ms),
             connections=self._callers.open_connections,
             opened=counts.opened,
--- a/ploverhatch/gateway/request_log.py
+++ b/ploverhatch/gateway/request_log.py
@@ -39,6 +39,7 @@
     version: int = 0
     objective_ms: float = 0.0
     attempts: list[AttemptNote] = field(default_factory=list)
+    sent: bool = False  # a server may have got it
     slot: str = ""  # the last word on a slot that all nodes share, and which node gave it
 
     def finish(self, status: int, result_code: int, detail: str, took_ms: float) -> None:
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -39,7 +39,7 @@
 
 ANSWER_S = 0.025  # a dispatcher is asked again after it, and twice before it is passed over
 ASKED_TIMES = 2
-ASKED_NODES = 2  # where the first one is about to stop
+ASKED_NODES = 4  # where the first ones are about to stop, as in a restart of all in turn
 PASSED_MS = 1000.0  # how long a node that did not answer keeps no queue, as seen from here
 LATE_S = 0.02  # the way of an answer to one that waits
 NEAR_PART = 0.3  # of the time that a request waits in its own zone, if there are others
@@ -106,6 +106,7 @@
     """A request that waits for its dispatcher's word."""
 
     def __init__(self) -> None:
+        self.asked: Address = ("", 0)  # the node whose word is waited for
         self.word: SlotWord | None = None
         self._changed = Event()
 
@@ -266,7 +267,7 @@
 
     def _ask(self, ask: SlotAsk, pending: _Pending, node: str) -> SlotWord | None:
         """Return a dispatcher's answer; ``None`` when there is none in time."""
-        address = HostPort.parse(node)
+        address = pending.asked = HostPort.parse(node)
         for _ in range(ASKED_TIMES):
             self._send(ask, address)
             if pending.wait(ANSWER_S):
@@ -294,16 +295,19 @@
     def take(self, message: SlotMessage, peer: Address) -> None:
         """Take a message of another node, or of this one."""
         if isinstance(message, SlotWord):
-            self._take_word(message)
+            self._take_word(message, peer)
         elif isinstance(message, SlotAsk):
             self._take_ask(message, peer)
         else:
             self._take_return(message, peer)
 
-    def _take_word(self, word: SlotWord) -> None:
+    def _take_word(self, word: SlotWord, peer: Address) -> None:
         pending = self._pending.get(word.number)
-        if pending is not None:  # otherwise the request is over, and gave everything back
-            pending.take(word)
+        if pending is None:
+            return  # the request is over, and gave everything back
+        if word.leaving and peer != pending.asked:
+            return  # a repeated answer of a node that was passed over
+        pending.take(word)
 
     def _take_ask(self, ask: SlotAsk, peer: Address) -> None:
         if self.leaving:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -276,3 +276,15 @@
     _, text = get(gateway.settings.readiness, b"/metrics")
     assert b'ploverhatch_requests_total{result="1000"}' in text
     assert b"ploverhatch_leading 1" in text
+
+
+def test_a_fault_in_a_planned_stop_does_not_keep_the_process(site, monkeypatch):
+    gateway = site.start_gateway("node-0", grace_s=1.0)
+
+    def fail():
+        raise RuntimeError("in the stop")
+
+    monkeypatch.setattr(gateway._slots, "dismiss_waiting", fail)
+    gevent.spawn(gateway.drain)
+    gateway.task.join(timeout=2.0)
+    assert gateway.task.ready()
--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -275,6 +275,23 @@
     assert writes(lease_store) == ["POST"]
 
 
+def test_a_node_that_stood_still_after_its_stop_claims_nothing(lease_store):
+    """It was told to stop while it let stronger ones go first, then stood still for 6 s.
+
+    Only the pause after a resignation was looked at, and that was over.
+    """
+    member = keymap_codec.encode_member(keymap_codec.Member("127.0.0.1:2", "z1", 1.0))
+    lease_store.store.put(kinds.LEASES, "node-strong", member)
+    elector = start_elector(lease_store, strength=0.5)
+    until(lambda: elector._registered)
+    gevent.sleep(0.1)
+    elector.stop()
+    time.sleep(6.2)  # the whole process stands still
+    gevent.sleep(1.0)
+    assert not elector.state.leading
+    assert writes(lease_store) == ["POST"]
+
+
 # ---- the leader of keys -------------------------------------------------------------------
 
 
