Give the stop and a caller's connection modules of their own; end after the lease was given back

And a process with no callers left ended though its lease was still being given back to a slow store: nobody led until it lapsed. Change: gateway/stop_sequence.py carries the plan of a stop out, gateway/caller_connection.py is one connection, moved as they were; the sequence waits for the hand-over, to the process's end at most. Measured: test_a_leader_that_stops_has_given_its_lease_back_when_it_ends fails without the wait and passes with it; functional tests pass.

--- /dev/null
+++ b/ploverhatch/gateway/caller_connection.py
@@ -0,0 +1,328 @@
+"""One caller's HTTP/1.1 connection, on gevent and httptools' parser.
+
+Its task reads whole requests, has each answered in turn, and notices when the
+caller leaves meanwhile.
+"""
+
+import socket as stdlib_socket
+from collections import deque
+from contextlib import suppress
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.messages import (
+    CallerGoneError,
+    CallerReply,
+    CallerRequest,
+    HeaderList,
+    ProcessEndsError,
+)
+
+if TYPE_CHECKING:
+    from ploverhatch.gateway.caller_server import CallerServer
+
+LOG = PartLogger("callers")
+
+READ_SIZE = 65_536
+WRITE_TIMEOUT_S = 10.0
+LINGER_S = 1.0
+REST_PART = 0.8  # of the idle time: what callers send until then still comes in time
+CROSSING_S = 0.05  # from our close until all that crossed it has come: a round trip to callers
+READ_EVENT = 1  # libev's number for "readable"
+_PEEK = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
+
+REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
+
+
+class RequestRejectedError(Exception):
+    """A request that can't be read; the connection closes after the answer."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+@dataclass(slots=True)
+class _Incoming:
+    """A request while it is being read."""
+
+    received_ms: float
+    target: bytes = b""
+    headers: HeaderList = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+    header_bytes: int = 0
+    method: bytes = b""
+    headers_done: bool = False
+    keep_alive: bool = False
+    expects_continue: bool = False
+
+
+class CallerConnection:
+    """One caller's connection."""
+
+    def __init__(self, sock: Any, server: "CallerServer") -> None:
+        self._socket = sock
+        self._server = server
+        self._limits = server.limits
+        self._ready: deque[_Incoming] = deque()
+        self._incoming: _Incoming | None = None
+        self._parser = HttpRequestParser(self)
+        self.busy = False
+        self._closing = False
+        self._lingering = False
+        self._served = 0
+        self._used_ms = elapsed_ms()
+
+    # ---- parser callbacks -----------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._incoming = _Incoming(received_ms=elapsed_ms())
+
+    def _current(self) -> _Incoming:
+        if self._incoming is None:
+            raise RequestRejectedError(400)
+        return self._incoming
+
+    def on_url(self, url: bytes) -> None:
+        """A part of the target came."""
+        incoming = self._current()
+        incoming.target += url
+        self._count_header(incoming, len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header field came, or a trailer."""
+        incoming = self._current()
+        self._count_header(incoming, len(name) + len(value) + 4)
+        if incoming.headers_done:
+            return  # a trailer
+        incoming.headers.append((name, value))
+        if name.lower() == b"expect" and value.lower() == b"100-continue":
+            incoming.expects_continue = True
+
+    def _count_header(self, incoming: _Incoming, size: int) -> None:
+        incoming.header_bytes += size
+        if incoming.header_bytes > self._limits().header_bytes:
+            raise RequestRejectedError(431)
+
+    def on_headers_complete(self) -> None:
+        """The header fields are whole."""
+        incoming = self._current()
+        incoming.headers_done = True
+        incoming.method = self._parser.get_method()
+        incoming.keep_alive = self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        """A part of the body came."""
+        incoming = self._current()
+        incoming.body.append(body)
+        incoming.body_bytes += len(body)
+        if incoming.body_bytes > self._limits().body_bytes:
+            raise RequestRejectedError(413)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        incoming = self._current()
+        self._incoming = None
+        self._ready.append(incoming)
+
+    # ---- serving --------------------------------------------------------------------
+
+    def serve(self) -> None:
+        """Serve requests until the connection closes."""
+        try:
+            while True:
+                incoming = self._next_request()
+                if incoming is None or not self._serve_one(incoming):
+                    return
+        except RequestRejectedError as error:
+            self._server.rejected(error.status)
+            self._send(CallerReply(error.status), b"", close=True)
+            self._linger()
+        except (OSError, CallerGoneError, ProcessEndsError, gevent.Timeout):
+            pass
+        finally:
+            if self._closing:
+                self._note_crossing()
+            with suppress(OSError):
+                self._socket.close()
+
+    def _serve_one(self, incoming: _Incoming) -> bool:
+        request = CallerRequest(
+            method=incoming.method,
+            target=incoming.target,
+            headers=incoming.headers,
+            body=b"".join(incoming.body),
+            received_ms=incoming.received_ms,
+        )
+        self._served += 1
+        self._server.note_taken(first=self._served == 1)
+        self.busy = True
+        try:
+            with _DepartureWatch(self._socket):
+                reply = self._server.handler(request)
+            close = not incoming.keep_alive or self._server.draining
+            self._deliver(reply, incoming.method, close)
+        finally:
+            self.busy = False
+            self._used_ms = elapsed_ms()
+        if close:
+            self._linger()
+        return not close
+
+    def _deliver(self, reply: CallerReply, method: bytes, close: bool) -> None:
+        try:
+            self._send(reply, method, close)
+        except OSError as error:
+            LOG.info("Answer not delivered.", status=reply.status, cause=repr(error))
+            raise
+
+    def _next_request(self) -> _Incoming | None:
+        """Return the next whole request; ``None`` when the connection is over."""
+        while not self._ready:
+            limit_s = self._read_limit_s()
+            self._socket.settimeout(limit_s)
+            try:
+                data = self._socket.recv(READ_SIZE)
+            except TimeoutError as error:
+                if self._incoming is None:
+                    return None  # idle for as long as is allowed
+                raise RequestRejectedError(408) from error
+            # A request that crosses our close is left unread and unanswered:
+            # its caller knows that it was never taken.
+            if not data or self._closing:
+                return None
+            self._feed(data)
+        return self._ready.popleft()
+
+    def _read_limit_s(self) -> float:
+        limits = self._limits()
+        incoming = self._incoming
+        if incoming is None:
+            return limits.idle_timeout_ms / 1000
+        if incoming.headers_done:
+            if incoming.expects_continue:
+                incoming.expects_continue = False
+                self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            return limits.idle_timeout_ms / 1000
+        left_ms = incoming.received_ms + limits.header_timeout_ms - elapsed_ms()
+        return max(left_ms / 1000, 0.001)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade as error:
+            raise RequestRejectedError(400) from error
+        except HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, RequestRejectedError):
+                raise cause from error
+            if self._ready:
+                return  # answer what was whole; the next read fails again
+            raise RequestRejectedError(400) from error
+
+    def _send(self, reply: CallerReply, method: bytes, close: bool) -> None:
+        rows = [b"HTTP/1.1 %d %s" % (reply.status, _reason(reply.status))]
+        rows += [name + b": " + value for name, value in reply.headers]
+        if reply.status not in {204, 304}:
+            rows.append(b"Content-Length: %d" % len(reply.body))
+        if close:
+            rows.append(b"Connection: close")
+        elif rest_s := self._rest_s():
+            rows.append(b"Connection: keep-alive")
+            rows.append(b"Keep-Alive: timeout=%d" % rest_s)
+        head = b"\r\n".join(rows) + b"\r\n\r\n"
+        self._socket.settimeout(WRITE_TIMEOUT_S)
+        self._socket.sendall(head if method == b"HEAD" else head + reply.body)
+
+    def _rest_s(self) -> int:
+        """Return how long the caller may rest on the connection, in whole seconds."""
+        idle_s = self._limits().idle_timeout_ms / 1000
+        return min(self._server.keep_alive_s, int(idle_s * REST_PART))
+
+    def _linger(self) -> None:
+        """Let the caller read the last answer: unread bytes would reset it."""
+        self._lingering = True
+        with suppress(OSError), gevent.Timeout(LINGER_S, False):
+            self._socket.shutdown(stdlib_socket.SHUT_WR)
+            while self._socket.recv(READ_SIZE):
+                pass
+
+    def close_if_idle(self, rest_s: float) -> None:
+        """Close a connection that has been at rest for some time."""
+        if (
+            self._closing
+            or self._lingering
+            or self.busy
+            or self._incoming is not None
+            or self._ready
+        ):
+            return
+        if elapsed_ms() - self._used_ms < rest_s * 1000 or self._has_unread():
+            return
+        self._closing = True
+        self._server.stop_counts.closed += 1
+        with suppress(OSError):
+            self._socket.shutdown(stdlib_socket.SHUT_RDWR)
+
+    def _note_crossing(self) -> None:
+        """Note a request that was on its way when the connection was closed at rest.
+
+        It stays unread, so that its caller knows that it was never taken.
+        """
+        gevent.sleep(CROSSING_S)
+        try:
+            came = bool(self._socket._sock.recv(1, _PEEK))
+        except BlockingIOError:
+            came = False
+        except OSError:  # what comes after our close may be answered by a reset at once
+            came = True
+        self._server.stop_counts.crossed += came
+
+    def _has_unread(self) -> bool:
+        try:
+            return bool(self._socket._sock.recv(1, _PEEK))
+        except OSError:
+            return False
+
+
+class _DepartureWatch:
+    """Raises :class:`CallerGoneError` into the task when the caller closes.
+
+    The callback runs in the hub while the task waits, and throws into it at
+    once, as ``gevent.Timeout`` does; after ``__exit__`` none can arrive.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._socket = sock
+        self._task = gevent.getcurrent()
+        self._watcher = gevent.get_hub().loop.io(sock.fileno(), READ_EVENT)
+
+    def __enter__(self) -> None:
+        self._watcher.start(self._readable)
+
+    def __exit__(self, *_: object) -> None:
+        self._watcher.stop()
+        self._watcher.close()
+
+    def _readable(self) -> None:
+        try:
+            gone = not self._socket._sock.recv(1, _PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            gone = True
+        self._watcher.stop()
+        if gone:
+            self._task.throw(CallerGoneError())
+
+
+def _reason(status: int) -> bytes:
+    return REASONS.get(status, b"Unknown")
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -11,7 +11,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway import keymap_codec
-from ploverhatch.gateway.caller_server import FIRST_REQUEST_S, CallerServer
+from ploverhatch.gateway.caller_server import CallerServer
 from ploverhatch.gateway.dialect import Dialect
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
@@ -25,6 +25,7 @@
 from ploverhatch.gateway.relay import Relay
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.gateway.shared_slots import SharedSlots
+from ploverhatch.gateway.stop_sequence import StopSequence
 from ploverhatch.gateway.supervisor import run_forever
 from ploverhatch.gateway.translation import Translation
 from ploverhatch.gateway.upstreams import UpstreamPool
@@ -53,7 +54,6 @@
 KEYMAPS_PAUSES = Pauses(news_s=0.1, known_s=1.0)
 # For moves under way when their leader stops: a release ends with what its server runs.
 MOVES_LIMIT_S = 1.0
-STOP_POLL_S = 0.1  # between looks at the callers' connections
 
 
 class Gateway:
@@ -203,61 +203,23 @@
         self._stopped.set()
 
     def drain(self) -> None:
-        """Stop in order: unready first, then what callers still send, then the rest."""
+        """Stop as planned."""
         if self._draining:
             return
         self._draining = True
-        stop = PlannedStop(elapsed_ms(), self._settings.grace_s * 1000)
-        self._forwarder.planned_stop = stop
-        self._callers.draining = True
-        self._slots.leaving = True
-        LOG.info("Stopping.", busy=self._callers.busy, connections=self._callers.open_connections)
-        gevent.spawn(self._leave)
+        plan = PlannedStop(elapsed_ms(), self._settings.grace_s * 1000)
+        stop = StopSequence(plan, self._callers, self._forwarder, self._slots, self._leave)
         try:
-            self._serve_out(stop)
+            stop.run()
         finally:  # a fault in between must not keep the process
             self._stopped.set()
 
-    def _serve_out(self, stop: PlannedStop) -> None:
-        """Serve until no caller is connected, or the plan is over."""
-        gevent.sleep((stop.last_call_ms - elapsed_ms()) / 1000)
-        self._slots.dismiss_waiting()
-        self._await_empty(stop.listening_until_ms)
-        # While new connections come the process is never empty, and it would end
-        # with requests under way.
-        self._callers.stop()
-        self._await_empty(stop.answered_by_ms)
-        given_up = self._forwarder.end_under_way()
-        self._await_empty(stop.end_ms)
-        self._tell_stopped(stop, given_up)
-
     def _leave(self) -> None:
         """Finish the moves of keys that were begun, then give the lease back."""
         if self._leader is not None:
             self._leader.finish(MOVES_LIMIT_S)
         self._elector.stop()
 
-    def _await_empty(self, until_ms: float) -> None:
-        """Close connections at rest until no caller is connected, or the time has come."""
-        while elapsed_ms() < until_ms and self._callers.open_connections:
-            self._callers.close_idle(FIRST_REQUEST_S)
-            gevent.sleep(STOP_POLL_S)
-
-    def _tell_stopped(self, stop: PlannedStop, given_up: int) -> None:
-        counts = self._callers.stop_counts
-        LOG.info(
-            "Stopped.",
-            busy=self._callers.busy,
-            given_up=given_up,
-            took_ms=round(elapsed_ms() - stop.begun_ms),
-            connections=self._callers.open_connections,
-            opened=counts.opened,
-            first=counts.first,
-            later=counts.later,
-            closed=counts.closed,
-            crossed=counts.crossed,
-        )
-
     # ---- feeds ------------------------------------------------------------------------
 
     def _followed(self, keymap_relay: KeymapRelay) -> list[Feed]:
--- /dev/null
+++ b/ploverhatch/gateway/stop_sequence.py
@@ -0,0 +1,81 @@
+"""Carries a planned stop out, in the order and at the times of its plan."""
+
+from collections.abc import Callable
+
+import gevent
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.caller_server import FIRST_REQUEST_S, CallerServer
+from ploverhatch.gateway.forwarder import Forwarder
+from ploverhatch.gateway.shared_slots import SharedSlots
+from ploverhatch.routing.planned_stop import PlannedStop
+
+LOG = PartLogger("gateway")
+
+POLL_S = 0.1  # between looks at the callers' connections
+
+
+class StopSequence:
+    """One stop: what callers still send is served, then the rest is answered.
+
+    :param leave: gives up this node's duties towards the other nodes.
+    """
+
+    def __init__(
+        self,
+        plan: PlannedStop,
+        callers: CallerServer,
+        forwarder: Forwarder,
+        slots: SharedSlots,
+        leave: Callable[[], None],
+    ) -> None:
+        self._plan = plan
+        self._callers = callers
+        self._forwarder = forwarder
+        self._slots = slots
+        self._leave = leave
+
+    def run(self) -> None:
+        """Return when the process may end."""
+        callers = self._callers
+        self._forwarder.planned_stop = self._plan
+        callers.draining = True
+        self._slots.leaving = True
+        LOG.info("Stopping.", busy=callers.busy, connections=callers.open_connections)
+        leaving = gevent.spawn(self._leave)
+        gevent.sleep(self._left_s(self._plan.last_call_ms))
+        self._slots.dismiss_waiting()
+        self._await_empty(self._plan.listening_until_ms)
+        # While new connections come the process is never empty, and it would end
+        # with requests under way.
+        callers.stop()
+        self._await_empty(self._plan.answered_by_ms)
+        given_up = self._forwarder.end_under_way()
+        self._await_empty(self._plan.end_ms)
+        leaving.join(self._left_s(self._plan.end_ms))
+        self._tell(given_up)
+
+    def _left_s(self, until_ms: float) -> float:
+        return max(0.0, (until_ms - elapsed_ms()) / 1000)
+
+    def _await_empty(self, until_ms: float) -> None:
+        """Close connections at rest until no caller is connected, or the time has come."""
+        while elapsed_ms() < until_ms and self._callers.open_connections:
+            self._callers.close_idle(FIRST_REQUEST_S)
+            gevent.sleep(POLL_S)
+
+    def _tell(self, given_up: int) -> None:
+        counts = self._callers.stop_counts
+        LOG.info(
+            "Stopped.",
+            busy=self._callers.busy,
+            given_up=given_up,
+            took_ms=round(elapsed_ms() - self._plan.begun_ms),
+            connections=self._callers.open_connections,
+            opened=counts.opened,
+            first=counts.first,
+            later=counts.later,
+            closed=counts.closed,
+            crossed=counts.crossed,
+        )
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -6,11 +6,13 @@
 import pytest
 from gevent import socket
 
+from ploverhatch.gateway import keymap_codec
 from ploverhatch.gateway.process import Gateway
 from ploverhatch.gateway.settings import GatewaySettings, SettingsError, SettingsSource
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.platform.documents import PlatformTranslation
 from ploverhatch.platform.store import PlatformStore
+from ploverhatch.store import kinds
 from ploverhatch.transport.http_connection import HostPort
 from tests.standin.metadata_store import StoreServer
 from tests.standin.site import free_port
@@ -144,8 +146,10 @@
     return get(gateway.settings.readiness, b"/ploverhatch/readiness")[0] == 200
 
 
-def start_site(site, gateways=1, evacuate_ms=0.0):
-    started = [site.start_gateway(f"node-{number}", evacuate_ms) for number in range(gateways)]
+def start_site(site, gateways=1, evacuate_ms=0.0, **changes):
+    started = [
+        site.start_gateway(f"node-{number}", evacuate_ms, **changes) for number in range(gateways)
+    ]
     gevent.sleep(0.1)
     assert not is_ready(started[0])
     site.store.put("config", "main", CONFIG)
@@ -288,3 +292,18 @@
     gevent.spawn(gateway.drain)
     gateway.task.join(timeout=2.0)
     assert gateway.task.ready()
+
+
+def test_a_leader_that_stops_has_given_its_lease_back_when_it_ends(site):
+    """Where the store is slow the process ended before, and nobody led until the lease lapsed."""
+    (gateway,) = start_site(site, grace_s=3.0)
+    until(lambda: gateway.leads)
+    site.store.faults.delay_s = 0.9
+    gevent.sleep(0.6)  # a renewal is under way
+    gevent.spawn(gateway.drain)
+    gateway.task.join(timeout=3.0)
+    assert gateway.task.ready()
+    gateway.shut()
+    site.store.faults.delay_s = 0.0
+    item = PlatformStore(site.server.address).get(kinds.LEASES, kinds.LEADER_LEASE)
+    assert keymap_codec.decode_lease(item).released
