Stop leaders as planned in the key simulation

Cause: the simulation had no planned stop, so a leader that ends its moves before it goes was proved by its own test only. Change: a fault stop-leader: no new moves, those under way for up to 1 s, the lease given back, the process ends 2.6 to 5.4 s after the signal.

--- a/ploverhatch/simulation/keys/faults.py
+++ b/ploverhatch/simulation/keys/faults.py
@@ -13,6 +13,7 @@
 LONGEST_FAULT_MS = 18_000.0
 SETTLE_MS = 34_000.0  # longest wait for leases that several lost leaders may have renewed
 CHECK_MS = 3000.0
+STOP_MS = (2600.0, 5400.0)  # from the signal of a planned stop to the end of the process
 
 
 def _some_node(cell: KeyCell) -> str:
@@ -45,6 +46,20 @@
     return _nothing
 
 
+def stop_leader(cell: KeyCell) -> Heal:
+    """Stop the leader as planned; its process ends some time later, and starts again."""
+    name = _leader_or_some(cell)
+    node = cell.nodes[name]
+    node.stop()
+
+    def end() -> None:
+        if cell.nodes.get(name) is node:
+            cell.kill_node(name, cell.world.random.uniform(300, 1500))
+
+    cell.world.after(cell.world.random.uniform(*STOP_MS), end)
+    return _nothing
+
+
 def kill_all(cell: KeyCell) -> Heal:
     """Kill all nodes at once."""
     for name in list(cell.nodes):
@@ -202,6 +217,7 @@
     for fault in (
         kill_node,
         kill_leader,
+        stop_leader,
         kill_all,
         freeze_leader,
         cut_leader_from_store,
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -38,6 +38,7 @@
 SLOW_CONNECT_SHARE = 0.1
 CALL_TIMEOUT_MS = 600.0
 LATE_ORDER_MS = (2000.0, 12_000.0)
+MOVES_LIMIT_MS = 1000.0  # for moves under way at a planned stop, as in gateways
 BEACON_MS = 250.0
 BEACON_LOSS = 0.1
 BEACON_DELAY_MS = (0.2, 3.0)
@@ -60,6 +61,7 @@
         self._loading = False
         self._looked_ms = -1e12
         self._contact_ms = self.now_ms
+        self._stopping_until_ms: float | None = None  # from a planned stop on: end of its moves
         self.granted: frozenset[int] = frozenset()  # tokens, as the leader tells
         cell.store.watchers[name] = self._on_change
         self._list()
@@ -98,7 +100,26 @@
         """Whether grants may be sent right now."""
         return election.has_authority(self.state, self.now_ms)
 
+    def stop(self) -> None:
+        """Stop as planned: end the moves that were begun, then give the lease back."""
+        self._stopping_until_ms = self.now_ms + MOVES_LIMIT_MS
+
+    def _leave_when_done(self) -> None:
+        if self._stopping_until_ms is None or not self.state.leading:
+            return
+        unfinished = self.core is not None and self.core.unfinished
+        if not unfinished or self.now_ms >= self._stopping_until_ms:
+            self._give_back()
+
+    def _give_back(self) -> None:
+        lease = election.lease_to_write(self.state, "", self.now_ms, released=True)
+        revision = self.state.seen.revision
+        self.state = election.stepped_down(self.state)
+        self.cell.store.write(self.name, LEASE, lease, revision, lambda result, item: None)
+
     def _elect(self) -> None:
+        if self._stopping_until_ms is not None and not self.state.leading:
+            return
         if self._busy:
             return
         self._busy = True
@@ -239,6 +260,7 @@
         self.do(take)
 
     def _tick(self) -> None:
+        self._leave_when_done()
         if not self.has_authority:
             self.core = None
             return
@@ -252,7 +274,9 @@
         ]
         known = ServiceView(records, self.cell.rates(), {}, silent=self.cell.silent)
         may_change = election.may_change(self.state, self.now_ms)
-        self._execute(self.core, self.core.tick(self.now_ms, {SERVICE: known}, may_change))
+        finishing = self._stopping_until_ms is not None
+        actions = self.core.tick(self.now_ms, {SERVICE: known}, may_change, finishing)
+        self._execute(self.core, actions)
 
     def _execute(self, core: LeaderCore, actions: list[Action]) -> None:
         if core is not self.core:
