--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -167,8 +167,9 @@
         """Stop accepting, wait for open requests, and take no others.
 
         Idle connections stay for ``linger_s``, since a request may be on its
-        way; its answer closes the connection. After that no request is begun,
-        so that each one begun has the rest of ``limit_s`` to end.
+        way; its answer closes the connection. After that no connection is left
+        on which a request could begin, but those whose head is being read: one
+        that comes to its end late is begun late, and may be cut at the limit.
 
         :returns: whether every request ended within ``limit_s``.
         """
