Tell what answers say of their servers: leaving, and asking for rest

Change: the dialect reads Server-Leaving and the Retry-After of a 503, the directory keeps them by server with bounds, one line tells each when it is new, and counters tell requests that were sent to such servers. No decision uses them yet. The stand-in upstream can leave and ask for rest.

--- a/ploverhatch/gateway/dialect.py
+++ b/ploverhatch/gateway/dialect.py
@@ -5,6 +5,7 @@
 
 from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
 from ploverhatch.routing.attempt_outcome import AttemptResult
+from ploverhatch.state.standing import ServerNotice
 from ploverhatch.transport.http_connection import WireAnswer
 
 
@@ -58,6 +59,10 @@
     def judge(self, facts: RequestFacts, server_id: str, answer: WireAnswer) -> AttemptResult:
         """Tell what a server's whole answer proves."""
 
+    @abstractmethod
+    def notice(self, facts: RequestFacts, server_id: str, answer: WireAnswer) -> ServerNotice:
+        """Read what a server's whole answer says of the server itself."""
+
     @abstractmethod
     def reply_headers(self, answer: WireAnswer) -> HeaderList:
         """Return the header fields of an answer that go to the caller."""
--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -13,6 +13,7 @@
 from ploverhatch.sharding import view
 from ploverhatch.sharding.keymap import KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord, ServerSet
+from ploverhatch.state.standing import ServerNotice
 
 LOG = PartLogger("directory")
 
@@ -74,6 +75,16 @@
         LOG.info("Server record gone.", server=server_id)
         self.changed.raise_()
 
+    def take_notice(self, server_id: str, notice: ServerNotice) -> None:
+        """An answer to this node says something of its server."""
+        if server_id not in self.servers.records:
+            return
+        news = self.servers.standings.note(server_id, notice, elapsed_ms())
+        if news.leaving:
+            LOG.info("Server says that it leaves.", server=server_id, by="its answer")
+        if news.rest_ms:
+            LOG.info("Server asks for rest.", server=server_id, for_ms=round(news.rest_ms))
+
     def replace_servers(self, records: list[ServerRecord]) -> None:
         """Take a whole listing of servers."""
         self.servers.replace_all(records, elapsed_ms())
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -42,6 +42,7 @@
 from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.routing.route_table import ShareSplitter
+from ploverhatch.state.standing import NOTHING
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     NotConnectedError,
@@ -419,6 +420,7 @@
             return AttemptResult.NOT_CONNECTED, None
         payload = self._dialect.encode_request(call.request, record.server_id, left_ms)
         call.trace.sent = True
+        self._count_send(record.server_id)
         try:
             with gevent.Timeout(left_ms / 1000):
                 answer = connection.exchange(call.request.method, payload)
@@ -428,6 +430,9 @@
             self._quarantine.lost(call, upstream, sent_ms)
             return AttemptResult.LOST, None
         result = self._dialect.judge(call.facts, record.server_id, answer)
+        notice = self._dialect.notice(call.facts, record.server_id, answer)
+        if notice != NOTHING:
+            self._directory.take_notice(record.server_id, notice)
         if result is AttemptResult.LOST:
             connection.abort()
             return result, None
@@ -436,6 +441,13 @@
             upstream.answered(elapsed_ms() - sent_ms, call.route.objective_ms)
         return result, answer
 
+    def _count_send(self, server_id: str) -> None:
+        standings = self._directory.servers.standings
+        if standings.leaves(server_id):
+            self.metrics.sends["leaving"] += 1
+        if standings.rest_left_ms(server_id, elapsed_ms()) > 0:
+            self.metrics.sends["resting"] += 1
+
     # ---- choice of the server ---------------------------------------------------------
 
     def _await_upstream(self, call: Call, tried: set[str], history: AttemptHistory) -> Upstream:
--- a/ploverhatch/gateway/metrics.py
+++ b/ploverhatch/gateway/metrics.py
@@ -17,6 +17,7 @@
     def __init__(self) -> None:
         self.results: Counter[int] = Counter()
         self.attempts: Counter[str] = Counter()
+        self.sends: Counter[str] = Counter()  # to servers that leave, or rest
         self._durations: Counter[float] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
 
@@ -40,6 +41,10 @@
             f'{PREFIX}attempts_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.attempts.items())
         ]
+        rows += [
+            f'{PREFIX}sends_total{{server="{name}"}} {count}'
+            for name, count in sorted(self.sends.items())
+        ]
         rows += self._histogram()
         rows += [f"{PREFIX}{name} {read():g}" for name, read in sorted(self._gauges.items())]
         return ("\n".join(rows) + "\n").encode()
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -433,6 +433,9 @@
         metrics.gauge("servers", lambda: float(len(self.directory.servers.records)))
         metrics.gauge("evacuated_zones", lambda: float(len(self.directory.servers.evacuated)))
         metrics.gauge("cold_servers", lambda: float(self.directory.servers.cold(elapsed_ms())))
+        standings = self.directory.servers.standings
+        metrics.gauge("leaving_servers", lambda: float(len(standings.leaving_ms)))
+        metrics.gauge("resting_servers", lambda: float(len(standings.resting(elapsed_ms()))))
         metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
         metrics.gauge("nodes", lambda: float(self._elector.node_count))
         metrics.gauge("connections", lambda: float(self._callers.open_connections))
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -1,8 +1,11 @@
 """The platform's header fields and control calls."""
 
+import math
+
 import msgspec
 from typing_extensions import override
 
+from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.dialect import (
     Dialect,
     GrantCall,
@@ -14,9 +17,14 @@
 from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
 from ploverhatch.platform import names
 from ploverhatch.routing.attempt_outcome import AttemptResult
+from ploverhatch.state.standing import NOTHING, ServerNotice
 from ploverhatch.transport.http_connection import WireAnswer
 
+LOG = PartLogger("platform")
+
 KEY_LIMIT = 65_536
+LEAVING_YES = b"1"
+MOST_MISREAD = 16  # values of a field that are logged, each once
 _SINGLE_HOP = frozenset(
     {
         b"connection",
@@ -39,6 +47,9 @@
 class PlatformDialect(Dialect):
     """Header fields as PROTOCOL.md states them."""
 
+    def __init__(self) -> None:
+        self._misread: set[bytes] = set()
+
     @override
     def facts(self, request: CallerRequest) -> RequestFacts:
         found: dict[bytes, bytes] = {}
@@ -90,6 +101,34 @@
             return AttemptResult.WRONG_INSTANCE
         return AttemptResult.NOT_HOLDER
 
+    @override
+    def notice(self, facts: RequestFacts, server_id: str, answer: WireAnswer) -> ServerNotice:
+        answered_id = answer.get(names.REQUEST_ID)
+        if answered_id is not None and answered_id != facts.request_id:
+            return NOTHING
+        instance = answer.get(names.INSTANCE)
+        if instance is not None and instance != server_id.encode():
+            return NOTHING
+        leaving = answer.get(names.LEAVING)
+        rest_s = 0.0
+        if answer.status == 503:
+            asked = [value for name, value in answer.headers if name.lower() == names.RETRY_AFTER]
+            rest_s = max(map(self._rest_s, asked), default=0.0)
+        return ServerNotice(leaving is not None and leaving.strip() == LEAVING_YES, rest_s * 1000)
+
+    def _rest_s(self, value: bytes) -> float:
+        """Read ``Retry-After``: seconds, fractions included; 0 where it is anything else."""
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = math.nan
+        if math.isfinite(seconds) and seconds >= 0:
+            return seconds
+        if value not in self._misread and len(self._misread) < MOST_MISREAD:
+            self._misread.add(value)
+            LOG.warning("Rest not understood.", value=value[:40].decode("latin-1"))
+        return 0.0
+
     @override
     def reply_headers(self, answer: WireAnswer) -> HeaderList:
         dropped = _SINGLE_HOP | _named_by_connection(answer.headers)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -13,6 +13,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
+from ploverhatch.state.standing import Standings
+
 VANISH_GRACE_MS = 3000.0
 STORE_FAILURE_MEMORY_MS = 4000.0
 
@@ -52,6 +54,7 @@
     leaving_since: dict[str, float] = field(default_factory=dict)  # id -> when heard
     cold_until_ms: dict[str, float] = field(default_factory=dict)  # of servers that were cold
     evacuated: frozenset[str] = frozenset()  # zones
+    standings: Standings = field(default_factory=Standings)
     store_failed_ms: float = -1e12
 
     def is_cold(self, server_id: str, now_ms: float) -> bool:
@@ -148,6 +151,7 @@
         self.vanished.pop(server_id, None)
         self.leaving_since.pop(server_id, None)
         self.cold_until_ms.pop(server_id, None)
+        self.standings.forget({server_id})
 
     def forget_address(self, server_id: str) -> None:
         """Drop a server whose address was seen to belong to another one."""
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -31,6 +31,8 @@
     sealed: bool = True
     hang: bool = False
     crash_after_s: float = 0.03  # from the start of a request that ends its upstream
+    leaving: bool = False  # said in all answers
+    rest_s: float = 0.0  # asked for with each request, which is turned away
 
 
 @dataclass
@@ -56,6 +58,8 @@
     held: dict = field(default_factory=dict)  # (first, last) -> (fence, until)
     seen: list = field(default_factory=list)  # (first, last, fence)
     grants: list = field(default_factory=list)
+    turned_away: list = field(default_factory=list)  # (request, elapsed seconds)
+    passed_on: list = field(default_factory=list)  # the same, of answers that say it leaves
     ended_s: float | None = None  # of a crash, elapsed
     crashed: Callable = lambda upstream: None  # told of a crash by a request
 
@@ -88,6 +92,12 @@
         )
 
     def handle(self, request):
+        reply = self._handle(request)
+        if self.behaviour.leaving:
+            reply.headers.append((b"Server-Leaving", b"1"))
+        return reply
+
+    def _handle(self, request):
         headers = {name.lower(): value for name, value in request.headers}
         if self.ended_s is not None:
             raise ConnectionResetError
@@ -125,11 +135,10 @@
     def _request(self, request, headers):
         behaviour = self.behaviour
         base = [(b"Request-Id", headers.get(b"request-id", b""))]
-        if self.sharded and not self._holds(int(headers[b"shard-key"])):
-            return CallerReply(421, [*base, (b"Not-Executed", b"1")])
-        if behaviour.refuse:
-            behaviour.refuse -= 1
-            return CallerReply(503, [*base, (b"Not-Executed", b"1")])
+        refusal = self._refusal(request, headers)
+        if refusal is not None:
+            status, *fields = refusal
+            return CallerReply(status, [*base, (b"Not-Executed", b"1"), *fields])
         if behaviour.reset:
             behaviour.reset -= 1
             raise ConnectionResetError
@@ -144,8 +153,23 @@
             base = [(b"Request-Id", b"another")]
         if behaviour.sealed:
             base.append((b"Response-Seal", b"seal"))
+        if behaviour.leaving:
+            self.passed_on.append((request, elapsed_ms() / 1000))
         return CallerReply(behaviour.status, base, b"answer of " + self.server_id.encode())
 
+    def _refusal(self, request, headers):
+        """Return status and fields of an answer to a request that is turned away, or nothing."""
+        behaviour = self.behaviour
+        if self.sharded and not self._holds(int(headers[b"shard-key"])):
+            return (421,)
+        if behaviour.rest_s:
+            self.turned_away.append((request, elapsed_ms() / 1000))
+            return 503, (b"Retry-After", b"%g" % behaviour.rest_s)
+        if behaviour.refuse:
+            behaviour.refuse -= 1
+            return (503,)
+        return None
+
     def _crash_under_it(self):
         gevent.sleep(self.behaviour.crash_after_s)
         self.crash()
