--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -354,7 +354,7 @@
     def ran(self):
         """Return the ids that upstreams ran, with the life that did."""
         return [
-            (_request_id(request), life)
+            (request_id(request), life)
             for life, upstream in self.upstreams.items()
             for request in upstream.ran
         ]
@@ -362,16 +362,16 @@
     def arrivals(self):
         """Return id, life and time of each request that reached an upstream."""
         return [
-            (_request_id(request), life, request.received_ms / 1000)
+            (request_id(request), life, request.received_ms / 1000)
             for life, upstream in self.upstreams.items()
             for request in upstream.arrived
-            if _request_id(request) is not None
+            if request_id(request) is not None
         ]
 
     def work(self):
         """Return id, life, start and end of all work; the end is ``None`` until it ends."""
         return [
-            (_request_id(work.request), life, work.start_s, work.end_s)
+            (request_id(work.request), life, work.start_s, work.end_s)
             for life, upstream in self.upstreams.items()
             for work in upstream.work
         ]
@@ -396,7 +396,7 @@
         self.folder.cleanup()
 
 
-def _request_id(request):
+def request_id(request):
     for name, value in request.headers:
         if name.lower() == b"request-id":
             return value.decode()
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -58,7 +58,7 @@
     held: dict = field(default_factory=dict)  # (first, last) -> (fence, until)
     seen: list = field(default_factory=list)  # (first, last, fence)
     grants: list = field(default_factory=list)
-    turned_away: list = field(default_factory=list)  # (request, elapsed seconds)
+    turned_away: list = field(default_factory=list)  # (request, elapsed s, rest asked for)
     passed_on: list = field(default_factory=list)  # the same, of answers that say it leaves
     ended_s: float | None = None  # of a crash, elapsed
     crashed: Callable = lambda upstream: None  # told of a crash by a request
@@ -163,7 +163,7 @@
         if self.sharded and not self._holds(int(headers[b"shard-key"])):
             return (421,)
         if behaviour.rest_s:
-            self.turned_away.append((request, elapsed_ms() / 1000))
+            self.turned_away.append((request, elapsed_ms() / 1000, behaviour.rest_s))
             return 503, (b"Retry-After", b"%g" % behaviour.rest_s)
         if behaviour.refuse:
             behaviour.refuse -= 1
