Have an entry of another writer name no server, and leave the others as they are

Cause: an entry's parts were merged before they were checked (a list as spec ended the task that follows all servers), missing fields were made up, and a page of the store was read as one value. Class: trust in the form of what others write. Change: each field that the pages name has to be there and of its type; an object that cannot be read keeps its name and has no content; an entry that becomes odd takes its server away. Ruled out: keeping the last good entry, since an entry of another writer names no server to use.

--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -288,12 +288,12 @@
         self.directory.replace_servers([record for record in records if record is not None])
 
     def _change_server(self, change: ObjectChange) -> bool:
-        if change.gone:
-            self.directory.remove_server(change.object.name)
-            return True
-        record = self._translation.server(change.object)
+        record = None if change.gone else self._translation.server(change.object)
         if record is not None:
             self.directory.put_server(record)
+        else:
+            # Another writer's entry in place of a server's names none to send requests to.
+            self.directory.remove_server(change.object.name)
         return True
 
     def _take_evacuations(self, items: tuple[VersionedObject, ...]) -> None:
--- a/ploverhatch/platform/documents.py
+++ b/ploverhatch/platform/documents.py
@@ -1,6 +1,10 @@
 """Translates the platform's objects into the product's model."""
 
+import socket
+from typing import Annotated, Literal
+
 import msgspec
+from msgspec import Meta
 from typing_extensions import override
 
 from ploverhatch.common.logs import PartLogger
@@ -19,6 +23,10 @@
 
 LOG = PartLogger("platform")
 
+LAST_PORT = 65_535
+MOST_SLOTS = 100_000  # beyond what one server can work on: an entry that says more is odd
+MOST_COLD_MS = 3_600_000.0
+
 
 class DocumentError(ValueError):
     """An object of the platform does not have the form its pages state."""
@@ -69,21 +77,26 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+# An entry may come from another writer, so each field that its pages name has to be there and
+# of its type: what is made up in its place would be sent requests.
 class _ServerInfo(msgspec.Struct):
-    service: str
-    zone: str = ""
-    slots: int = 1
+    service: Annotated[str, Meta(min_length=1)]
+    version: str
+    zone: str
+    slots: Annotated[int, Meta(ge=1, le=MOST_SLOTS)]
 
 
 class _ServerStatus(msgspec.Struct):
-    state: str = "ready"
-    cold_remaining_ms: float = 0.0
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, Meta(ge=0, le=MOST_COLD_MS)]
+    call_seq: int
 
 
 class _Server(msgspec.Struct):
     address: str
     info: _ServerInfo
-    status: _ServerStatus = msgspec.field(default_factory=_ServerStatus)
+    status: _ServerStatus
+    born: Annotated[int, Meta(ge=0)] = 0
 
 
 def route_table(spec: object) -> RouteTable:
@@ -142,13 +155,15 @@
 
     :raises DocumentError: when it has another form.
     """
-    merged = {**(item.spec or {}), **(item.status or {})}
-    if isinstance(item.status, dict) and "status" not in merged:
+    if not isinstance(item.spec, dict) or not isinstance(item.status, dict | None):
+        raise DocumentError(f"{item.name}: its parts are no tables")
+    merged = dict(item.spec)
+    if item.status is not None:
         merged["status"] = item.status
     try:
-        document = msgspec.convert(merged, _Server, strict=False)
-        address = HostPort.parse(document.address)
-    except ValueError as error:
+        document = msgspec.convert(merged, _Server)
+        address = _address(document.address)
+    except (ValueError, OverflowError) as error:
         raise DocumentError(f"{item.name}: {error}") from error
     return ServerRecord(
         server_id=item.name,
@@ -156,12 +171,27 @@
         host=address.host,
         port=address.port,
         zone=document.info.zone,
-        slots=max(1, document.info.slots),
+        slots=document.info.slots,
         draining=document.status.state == names.STATE_DRAINING,
         warmup_ms=document.status.cold_remaining_ms,
     )
 
 
+def _address(text: str) -> HostPort:
+    """Read an IP number and a port.
+
+    :raises ValueError: when the text is anything else.
+    """
+    address = HostPort.parse(text)
+    try:
+        socket.inet_pton(socket.AF_INET, address.host)
+    except OSError as error:
+        raise ValueError(f"no IP number: {text!r}") from error
+    if not 0 < address.port <= LAST_PORT:
+        raise ValueError(f"no port: {text!r}")
+    return address
+
+
 class PlatformTranslation(Translation):
     """Reads the platform's objects; what can't be read is logged and left out."""
 
--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -1,19 +1,18 @@
 """The platform's metadata store behind the product's :class:`ObjectStore`."""
 
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import quote
 
 import gevent
 import msgspec
 from typing_extensions import override
 
-from ploverhatch.platform import names
+from ploverhatch.platform import names, pages
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
     ChangeBatch,
     HistoryDroppedError,
     Listing,
-    ObjectChange,
     ObjectStore,
     OutcomeUnknownError,
     RevisionConflictError,
@@ -33,7 +32,6 @@
 CALL_TIMEOUT_S = 1.5
 WATCH_SLACK_S = 1.5
 MAX_IDLE = 3
-T = TypeVar("T")
 _KIND_PATHS = {
     kinds.CONFIGURATION: names.KIND_CONFIG,
     kinds.SERVERS: names.KIND_SERVERS,
@@ -41,37 +39,6 @@
 }
 
 
-class _Metadata(msgspec.Struct):
-    name: str = ""
-    revision: int = 0
-    finalizers: list[str] = []
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: Any = None
-    status: Any = None
-
-    def typed(self) -> VersionedObject:
-        return VersionedObject(self.metadata.name, self.metadata.revision, self.spec, self.status)
-
-
-class _Page(msgspec.Struct):
-    items: list[_Object]
-    at: int
-    more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    gone: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    at: int
-
-
 class PlatformStore(ObjectStore):
     """Calls on kept connections; each watched kind has a connection of its own."""
 
@@ -94,14 +61,14 @@
             parts = [*query, f"after={quote(after, safe='')}"] if after else query
             answer = self._call("GET", _path(kind), parts)
             self._expect(answer, 200)
-            page = _decode(answer, _Page)
+            page = pages.read_page(answer.body)
             if first_revision is None:
-                first_revision = page.at
-            items += [item.typed() for item in page.items]
+                first_revision = page.revision
+            items += page.items
             if not page.more or not page.items:
                 # Changes during later pages are reported by a watch from here.
                 return Listing(tuple(items), first_revision)
-            after = page.items[-1].metadata.name
+            after = page.items[-1].name
 
     @override
     def get(self, kind: str, name: str) -> VersionedObject | None:
@@ -109,7 +76,7 @@
         if answer.status == 404:
             return None
         self._expect(answer, 200)
-        return _decode(answer, _Object).typed()
+        return pages.read_object(answer.body)
 
     @override
     def watch(self, kind: str, after: int, wait_s: float) -> ChangeBatch:
@@ -136,9 +103,7 @@
         if answer.status == 410:
             raise HistoryDroppedError(kind)
         self._expect(answer, 200)
-        batch = _decode(answer, _Events)
-        changes = tuple(ObjectChange(item.object.typed(), item.gone) for item in batch.events)
-        return ChangeBatch(changes, batch.at)
+        return pages.read_changes(answer.body)
 
     @override
     def create(self, kind: str, name: str, spec: Any) -> VersionedObject:
@@ -166,12 +131,12 @@
     def _change(self, method: str, path: str, body: object) -> VersionedObject:
         answer = self._call(method, path, body=body)
         if answer.status == 409:
-            current = _decode(answer, _Object).typed() if answer.body else None
+            current = pages.read_object(answer.body) if answer.body else None
             raise RevisionConflictError(current)
         if answer.status == 404:
             raise RevisionConflictError(None)
         self._expect(answer, 200, 201)
-        return _decode(answer, _Object).typed()
+        return pages.read_object(answer.body)
 
     def _call(
         self, method: str, path: str, query: list[str] | None = None, body: object = None
@@ -236,10 +201,3 @@
 def _path(kind: str, name: str = "") -> str:
     path = f"{names.OBJECTS_PATH}/{_KIND_PATHS.get(kind, kind)}"
     return f"{path}/{quote(name, safe='')}" if name else path
-
-
-def _decode(answer: WireAnswer, form: type[T]) -> T:
-    try:
-        return msgspec.json.decode(answer.body, type=form)
-    except ValueError as error:
-        raise StoreCallError(f"not the expected form: {error}") from error
--- /dev/null
+++ b/tests/unit/test_store_pages.py
@@ -0,0 +1,102 @@
+"""Answers of the store with objects of any writer: one never takes the others down."""
+
+import json
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ploverhatch.platform import pages
+from ploverhatch.platform.documents import PlatformTranslation
+from ploverhatch.store.objects import StoreCallError, VersionedObject
+
+SOUND = b'{"metadata":{"name":"sound","revision":4},"spec":{"x":1}}'
+ODD_SPECS = [
+    b'"\xff\xfe"', b'"\\ud800"', b"1e999", b"NaN", b"-Infinity", b"1" * 40, b"[" * 90 + b"]" * 90,
+    b'"\x01"', b"null", b"[]", b'""', b"true",
+]  # fmt: skip
+INFO = {"service": "x", "version": "v1", "zone": "z", "slots": 2}
+STATUS = {"state": "ready", "call_seq": 3, "cold_remaining_ms": 10}
+ENTRY = {"address": "10.0.0.1:80", "info": INFO, "status": STATUS, "born": 1764730000000}
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def odd(spec):
+    return b'{"metadata":{"name":"odd","revision":3},"spec":%s}' % spec
+
+
+@pytest.mark.parametrize("spec", ODD_SPECS)
+def test_a_page_with_an_odd_object_is_read(spec):
+    page = pages.read_page(b'{"items":[%s,%s],"at":9,"more":true}' % (odd(spec), SOUND))
+    assert (page.revision, page.more) == (9, True)
+    assert [item.name for item in page.items] == ["odd", "sound"]
+    assert page.items[1].spec == {"x": 1}
+    assert PlatformTranslation().server(page.items[0]) is None
+    msgspec.msgpack.encode(page.items[0].spec)  # other nodes can be told of it
+
+
+@pytest.mark.parametrize("spec", ODD_SPECS)
+def test_a_report_with_an_odd_object_is_read(spec):
+    rows = b'{"gone":false,"object":%s},{"gone":true,"object":%s}' % (odd(spec), SOUND)
+    batch = pages.read_changes(b'{"events":[%s],"at":9}' % rows)
+    assert [(item.object.name, item.gone) for item in batch.changes] == [
+        ("odd", False),
+        ("sound", True),
+    ]
+
+
+@pytest.mark.parametrize("item", [b"{}", b"[]", b"7", b'{"metadata":{"name":7}}', b"null"])
+def test_an_object_without_a_name_is_left_out(item):
+    page = pages.read_page(b'{"items":[%s,%s],"at":9}' % (item, SOUND))
+    assert [found.name for found in page.items] == ["sound"]
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"items":7,"at":1}', b'{"items":[]}'])
+def test_what_is_no_page_is_a_failed_call(body):
+    with pytest.raises(StoreCallError):
+        pages.read_page(body)
+    with pytest.raises(StoreCallError):
+        pages.read_changes(body)
+
+
+@given(VALUES, VALUES)
+def test_any_entry_is_a_server_or_none(spec, status):
+    PlatformTranslation().server(VersionedObject("s", 1, spec, status))
+
+
+PATHS = [
+    ("address",), ("info",), ("status",), ("born",), *(("info", name) for name in INFO),
+    *(("status", name) for name in STATUS),
+]  # fmt: skip
+
+
+@given(st.sampled_from(PATHS), VALUES)
+def test_a_field_of_another_form_is_left_out_or_sound(path, value):
+    entry = json.loads(json.dumps(ENTRY))
+    part = entry
+    for name in path[:-1]:
+        part = part[name]
+    part[path[-1]] = value
+    record = PlatformTranslation().server(VersionedObject("s", 1, entry))
+    if record is None:
+        return
+    assert 0 < record.port < 65536 and 0 < record.slots <= 100_000 and record.warmup_ms >= 0
+    assert isinstance(record.service, str) and isinstance(record.zone, str) and record.service
+    assert not record.draining or value == "draining"
+
+
+@pytest.mark.parametrize("path", [path for path in PATHS if path != ("born",)])
+def test_a_missing_field_names_no_server(path):
+    entry = json.loads(json.dumps(ENTRY))
+    part = entry
+    for name in path[:-1]:
+        part = part[name]
+    del part[path[-1]]
+    assert PlatformTranslation().server(VersionedObject("s", 1, entry)) is None
+    assert PlatformTranslation().server(VersionedObject("s", 1, ENTRY)) is not None
