Let an odd object of our own kinds stop neither the election nor other services

Cause: the same as for entries of servers, found by looking for it elsewhere: one node's object or one key map that another writer spoilt was taken for an answer that the store did not give, so nobody could lead, or the leader read the maps for ever. Change: such a node is left out, and such a service is left as it is until its map can be read. Not changed: a lease that cannot be read leaves the platform without a leader, since nobody knows who holds it.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -21,6 +21,7 @@
     OutcomeUnknownError,
     RevisionConflictError,
     StoreCallError,
+    UnreadableObjectError,
     VersionedObject,
 )
 
@@ -63,6 +64,7 @@
         self._registered = False
         self._renewal = 0
         self._nodes: dict[str, VersionedObject] = {}
+        self._odd_nodes: dict[str, int] = {}  # objects that can't be read, by revision
         self._not_before_ms = 0.0
         self._resigned_ms = -1e12
         self._stopped = False
@@ -189,7 +191,7 @@
         self._nodes = {
             item.name: item for item in listing.items if item.name.startswith(NODE_PREFIX)
         }
-        members = [keymap_codec.decode_member(item) for item in self._nodes.values()]
+        members = self._read_members()
         self.member_zones = {item.address: item.zone for item in members if item.address}
         strengths = [item.strength for item in members]
         strongest = max([*strengths, self.state.strength])
@@ -207,6 +209,19 @@
             gevent.sleep(delay_ms / 1000)  # stronger machines go first
             self._claim(read_again=stale or delay_ms > 0)
 
+    def _read_members(self) -> list[Member]:
+        """Return the nodes' own objects; one that another writer spoilt names no node."""
+        members, odd = [], {}
+        for item in self._nodes.values():
+            try:
+                members.append(keymap_codec.decode_member(item))
+            except UnreadableObjectError as error:
+                odd[item.name] = item.revision
+                if self._odd_nodes.get(item.name) != item.revision:
+                    LOG.error("Node's object not understood.", name=item.name, cause=error)
+        self._odd_nodes = odd
+        return members
+
     def _observe(self, lease: LeaseObject) -> None:
         before = self.state
         self.state = election.observe(before, lease, elapsed_ms())
@@ -221,7 +236,7 @@
         with suppress(RevisionConflictError):  # an earlier call of this node was late
             if known is None:
                 self._store.create(kinds.LEASES, name, content)
-            elif keymap_codec.decode_member(known) != self._member:
+            elif name in self._odd_nodes or keymap_codec.decode_member(known) != self._member:
                 self._store.replace(kinds.LEASES, name, content, known.revision)
         self._registered = True
 
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -4,7 +4,7 @@
 again when it is about to be sent, after every wait.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 
@@ -39,6 +39,7 @@
     OutcomeUnknownError,
     RevisionConflictError,
     StoreCallError,
+    UnreadableObjectError,
     VersionedObject,
 )
 
@@ -76,6 +77,7 @@
         self._loads: dict[str, KeyLoad] = {}
         self._answer_times = AnswerTimes()
         self._readings: dict[str, Reading] = {}
+        self._unreadable: dict[str, int] = {}  # maps that can't be read, by revision
         self._tasks: set[gevent.Greenlet] = set()
         self._finishing = False
         self._handlers: dict[type, Callable[..., None]] = {
@@ -119,8 +121,7 @@
     def _load_maps(self) -> None:
         while self._elector.state.leading:
             try:
-                listing = self._store.list_all(kinds.KEYMAPS)
-                keymaps = [keymap_codec.decode_keymap(item) for item in listing.items]
+                keymaps = self._read_maps(self._store.list_all(kinds.KEYMAPS).items)
             except StoreCallError as error:
                 LOG.warning("Key maps not read.", cause=error)
                 gevent.sleep(READ_RETRY_S)
@@ -131,6 +132,28 @@
                 self._core.inherit(keymap, renewable_ms, elapsed_ms())
             return
 
+    def _read_maps(self, items: Sequence[VersionedObject]) -> list[KeyMap]:
+        """Return the maps; a service whose map can't be read is left as it is.
+
+        Nobody knows who holds its keys, so none may be granted until it can be read.
+        """
+        keymaps = []
+        for item in items:
+            try:
+                keymaps.append(keymap_codec.decode_keymap(item))
+            except UnreadableObjectError as error:
+                LOG.error("Key map not understood.", service=item.name, cause=error)
+                self._unreadable[item.name] = item.revision
+        return keymaps
+
+    def _is_led(self, service: str) -> bool:
+        """Whether the service's map could be read, at the start of the term or since."""
+        odd_revision = self._unreadable.get(service)
+        if odd_revision is None:
+            return True
+        keymap = self._directory.keymaps.get(service)
+        return keymap is not None and keymap.revision > odd_revision
+
     def take_report(self, report: LoadReport) -> None:
         """Take a node's load report."""
         now_ms = elapsed_ms()
@@ -149,7 +172,7 @@
         views = {
             service.name: self._view(service.name, now_ms)
             for service in table.services.values()
-            if service.partitioned
+            if service.partitioned and self._is_led(service.name)
         }
         for service in views:
             seen = self._directory.keymaps.get(service)
--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -108,6 +108,14 @@
     assert gateway.leads
 
 
+def test_odd_objects_of_our_own_kinds_stop_neither_election_nor_other_services(site):
+    site.store.put("leases", "node-odd", ["x"])
+    site.store.put("keymaps", "another", {"token": "x"})
+    (gateway,) = start_site(site)
+    assert gateway.leads
+    assert [ask(gateway, b"/k/a", key)[0] for key in (0, 30_000, 65_535)] == [200] * 3
+
+
 def test_an_entry_that_another_writer_replaced_names_no_server_any_more(site):
     (gateway,) = start_site(site)
     site.start_upstream("u9", "plain")
