Keep what servers say of themselves, and ask one place before each send

Cause: a node judged an answer for its request only. That its server leaves, or wants a rest, was passed on or dropped. Class: a word that concerns all later requests is kept where one request sees it, and no place decides what may be sent to a server. ServerChoice.bar alone decides what may be sent: when a server is chosen, when a slot of all nodes has come, and right before the send, for first tries and repeats, with a key or without. Dispatchers are told what the asking node may not use. Words of leaving go with the reports to the leader and with its beacons to all; the leader moves a leaving holder's keys, and those of one that asks for rest and answers nobody, unless most rest. A request that nobody may be sent is refused at once with the rest that is left (2112). After a rest a node sends one request at a time until as many were answered as the server has slots. Ruled out: telling rests to other nodes, since a server asks one machine.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -54,6 +54,7 @@
     hold_ms: float
     avoid: str = ""
     zone: str = ""  # of the node that asks
+    barred: frozenset[str] = frozenset()  # servers that the node may not use
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,7 +199,7 @@
     def ask(self, wish: Wish, now_ms: float) -> list[Answer]:
         """A request asks for a slot; an answer that was lost is repeated."""
         answers = self.expire(now_ms)
-        if not self._servers:
+        if self._servers.keys() <= wish.barred:
             return [*answers, Unknown(wish.asker)]
         held = self._leases.get(wish.asker)
         if held is not None:
@@ -206,7 +207,8 @@
         if any(other.asker == wish.asker for other in self._waiting):
             return [*answers, Queued(wish.asker)]
         ahead = sum(other.priority <= wish.priority for other in self._waiting)
-        server_id = None if ahead else self._choose(wish, now_ms)
+        rivals = [other for other in self._waiting[:ahead] if not other.barred]
+        server_id = None if rivals else self._choose(wish, now_ms)
         if server_id is not None:
             return [*answers, self._give(wish, server_id, now_ms)]
         wait_ms = self._expected_wait_ms(ahead, now_ms)
@@ -250,17 +252,25 @@
         hopeless = self._nobody_answers(now_ms)
         over = [wish for wish in self._waiting if hopeless or wish.until_ms <= now_ms]
         answers = self._turn_away(over, now_ms)
-        while self._waiting:
-            self._waiting.sort(key=lambda wish: (wish.priority, wish.useful_ms <= now_ms))
-            server_id = self._choose(self._waiting[0], now_ms)
-            if server_id is None:
-                break
-            answers.append(self._give(self._waiting.pop(0), server_id, now_ms))
+        answers += self._give_free(now_ms)
         if any(wish.useful_ms > now_ms for wish in self._waiting):
             late = [wish for wish in self._waiting if wish.useful_ms <= now_ms]
             answers += self._turn_away(late, now_ms)
         return answers
 
+    def _give_free(self, now_ms: float) -> list[Answer]:
+        """Give free slots in order; one that may not use what is free holds nobody up."""
+        answers: list[Answer] = []
+        self._waiting.sort(key=lambda wish: (wish.priority, wish.useful_ms <= now_ms))
+        for wish in list(self._waiting):
+            server_id = self._choose(wish, now_ms)
+            if server_id is not None:
+                self._waiting.remove(wish)
+                answers.append(self._give(wish, server_id, now_ms))
+            elif not wish.barred:
+                break
+        return answers
+
     def _turn_away(self, wishes: list[Wish], now_ms: float) -> list[Answer]:
         gone = {wish.asker for wish in wishes}
         self._waiting = [wish for wish in self._waiting if wish.asker not in gone]
@@ -286,7 +296,7 @@
         free = [
             (server_id, server)
             for server_id, server in self._servers.items()
-            if server.may_get(now_ms)
+            if server_id not in wish.barred and server.may_get(now_ms)
         ]
         sound = [
             item for item in free if item[1].failing_until_ms <= now_ms and item[0] != wish.avoid
--- a/ploverhatch/admission/messages.py
+++ b/ploverhatch/admission/messages.py
@@ -13,7 +13,8 @@
     before; empty for none. ``zone`` is that of the node that asks, ``group_zone``
     that of the group, empty where it has all servers of the service. ``holder`` is
     the server that must run the request; empty where any of the group may. ``regions``
-    are those whose servers may run it; empty for all.
+    are those whose servers may run it; empty for all. ``barred`` are servers that the
+    sender may not use now, whatever others may.
     """
 
     number: int
@@ -27,6 +28,7 @@
     hold_ms: float
     avoid: str = ""
     regions: tuple[str, ...] = ()
+    barred: tuple[str, ...] = ()
 
 
 class SlotWord(msgspec.Struct, array_like=True, frozen=True, tag=6):
--- a/ploverhatch/common/results.py
+++ b/ploverhatch/common/results.py
@@ -95,6 +95,9 @@
     2109, "DEADLINE_PASSED", 504, _NOT_RUN, True, "The deadline passed before it was sent."
 )
 NOT_READY = _row(2110, "NOT_READY", 503, _NOT_RUN, True, "This router has no configuration yet.")
+SERVERS_REST = _row(
+    2112, "SERVERS_REST", 503, _NOT_RUN, True, "The servers that may run it asked for rest."
+)
 QUARANTINED = _row(
     2111, "QUARANTINED", 503, _NOT_RUN, True, "Servers ended under this request again and again."
 )
--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -13,7 +13,7 @@
 from ploverhatch.sharding import view
 from ploverhatch.sharding.keymap import KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord, ServerSet
-from ploverhatch.state.standing import ServerNotice
+from ploverhatch.state.standing import NOTHING, ServerNotice
 
 LOG = PartLogger("directory")
 
@@ -77,13 +77,35 @@
 
     def take_notice(self, server_id: str, notice: ServerNotice) -> None:
         """An answer to this node says something of its server."""
-        if server_id not in self.servers.records:
-            return
-        news = self.servers.standings.note(server_id, notice, elapsed_ms())
+        news = self.servers.take_notice(server_id, notice, elapsed_ms())
         if news.leaving:
-            LOG.info("Server says that it leaves.", server=server_id, by="its answer")
+            LOG.info("Server says that it leaves.", server=server_id, by="its-answer")
         if news.rest_ms:
             LOG.info("Server asks for rest.", server=server_id, for_ms=round(news.rest_ms))
+        if news != NOTHING:
+            self.changed.raise_()
+
+    def hear_leaving(self, ages_ms: Mapping[str, float], by: str) -> None:
+        """Another node tells which servers said that they leave, and how long ago."""
+        now_ms = elapsed_ms()
+        for server_id, age_ms in ages_ms.items():
+            if self.servers.hear_leaving(server_id, now_ms - age_ms, now_ms):
+                LOG.info(
+                    "Server says that it leaves.",
+                    server=server_id,
+                    by=by,
+                    age_ms=round(age_ms),
+                )
+                self.changed.raise_()
+
+    def leaving_ages_ms(self) -> dict[str, float]:
+        """Return the servers that said that they leave and whose records don't, and when."""
+        now_ms, records = elapsed_ms(), self.servers.records
+        return {
+            name: now_ms - ms
+            for name, ms in self.servers.standings.leaving_ms.items()
+            if not records[name].draining
+        }
 
     def replace_servers(self, records: list[ServerRecord]) -> None:
         """Take a whole listing of servers."""
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -29,7 +29,7 @@
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.quarantine import Quarantine
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
-from ploverhatch.gateway.server_choice import ServerChoice
+from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
 from ploverhatch.gateway.shared_slots import SharedSlot, SharedSlots, SlotWish, TurnedAwayError
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
@@ -61,9 +61,9 @@
 LEAST_ATTEMPT_PART = 0.1  # of the objective: less time than that is no use
 RETRY_AFTER_BUSY_S = 0.15
 RETRY_AFTER_MOVE_S = 0.25
-RETRY_AFTER_NO_SERVER_S = 0.5
 RETRY_AFTER_STOP_S = 0.0  # another node can serve it at once
 RETRY_PAUSE_S = 0.02
+DRAIN_MS = 2000.0  # until a server that says that it leaves gets nothing, where none is given
 
 FAILED_RESULTS = frozenset(
     {AttemptResult.NOT_CONNECTED, AttemptResult.LOST, AttemptResult.TIMED_OUT}
@@ -100,8 +100,9 @@
         shared_slots: SharedSlots | None = None,
         evacuate_ms: float = 0.0,
         quarantine: Quarantine | None = None,
+        drain_ms: float = DRAIN_MS,
     ) -> None:
-        self._choice = ServerChoice(directory, pool, evacuate_ms)
+        self._choice = ServerChoice(directory, pool, evacuate_ms, drain_ms)
         self._shared_slots = shared_slots
         self._directory = directory
         self._dialect = dialect
@@ -250,12 +251,13 @@
             self._learn(upstream, result, call.trace.attempts[-1].took_ms)
             step = self._decide(call, history, result)
             if step is not NextStep.RETRY:
-                return self._give_up(call, step, result, last_answer)
+                return self._give_up(call, step, result, last_answer, tried)
             if not call.partitioned:
                 tried.add(upstream.record.server_id)
             elif result in {AttemptResult.NOT_HOLDER, AttemptResult.NOT_CONNECTED}:
                 self._directory.changed.wait(RETRY_PAUSE_S)
-            else:  # the same server again: not while it is as full as it was
+            elif self._choice.hopeless(call) is None:
+                # The same server again: not while it is as full as it was.
                 gevent.sleep(upstream.answer_time.typical_ms / 1000 * random.random())
 
     def _sample(self, call: Call) -> None:
@@ -282,12 +284,20 @@
         return step
 
     def _give_up(
-        self, call: Call, step: NextStep, result: AttemptResult, last: WireAnswer | None
+        self,
+        call: Call,
+        step: NextStep,
+        result: AttemptResult,
+        last: WireAnswer | None,
+        tried: set[str],
     ) -> CallerReply:
         if last is not None:
             return self._pass_on(last)  # the server's own failure, unchanged
         if step is NextStep.REFUSE:
-            raise RefusedError(results.SERVER_REFUSED, result.value, RETRY_AFTER_BUSY_S)
+            hopeless = self._choice.hopeless(call, tried)
+            after_s = hopeless.after_s if hopeless else 0.0
+            after_s = max(after_s, RETRY_AFTER_BUSY_S)
+            raise RefusedError(results.SERVER_REFUSED, result.value, after_s)
         if result is AttemptResult.TIMED_OUT:
             raise RefusedError(results.DEADLINE_IN_FLIGHT, result.value)
         raise RefusedError(results.ANSWER_LOST, result.value)
@@ -308,7 +318,11 @@
         self, call: Call, tried: set[str], history: AttemptHistory
     ) -> tuple[Upstream, AttemptResult, WireAnswer | None]:
         """Send the request to one server, in a slot of all nodes or else one of this node."""
-        upstream = self._await_upstream(call, tried, history) if call.partitioned else None
+        upstream = None
+        if call.partitioned:
+            upstream = self._await_upstream(call, tried, history)
+        else:
+            self._refuse_hopeless(call, tried, history)
         with ExitStack() as held:
             slot = self._shared_slot(call, history, upstream, held)
             given = self._choice.of_slot(call, slot.server_id) if slot else None
@@ -352,6 +366,7 @@
             holder.record if holder else None,
             attempts[-1].server_id if attempts else "",
             call.route.regions,
+            () if holder else self._choice.barred(),
         )
         try:
             slot = held.enter_context(self._shared_slots.hold(wish))
@@ -415,9 +430,12 @@
             return AttemptResult.NOT_CONNECTED, None
         sent_ms = elapsed_ms()
         left_ms = call.deadline_ms - sent_ms
-        if left_ms <= 0:
+        # The waits for a slot and for the connection are over: what a server has asked for
+        # meanwhile holds, and nothing waits between this look and the send.
+        withheld = self._choice.bar(call, record.server_id) is not None
+        if left_ms <= 0 or withheld:
             upstream.give_back(connection)
-            return AttemptResult.NOT_CONNECTED, None
+            return AttemptResult.WITHHELD if withheld else AttemptResult.NOT_CONNECTED, None
         payload = self._dialect.encode_request(call.request, record.server_id, left_ms)
         call.trace.sent = True
         self._count_send(record.server_id)
@@ -433,6 +451,9 @@
         notice = self._dialect.notice(call.facts, record.server_id, answer)
         if notice != NOTHING:
             self._directory.take_notice(record.server_id, notice)
+        if notice.rest_ms:
+            upstream.asked_for_rest()
+            self._choice.note_rest(record.server_id)
         if result is AttemptResult.LOST:
             connection.abort()
             return result, None
@@ -462,9 +483,17 @@
                 upstream = self._choice.cheapest(call, tried)
             if upstream is not None:
                 return upstream
-            if self._choice.nobody_may(call):
-                raise self._out_of_time(call, history, results.NO_OWNER, RETRY_AFTER_NO_SERVER_S)
+            self._refuse_hopeless(call, tried, history)
             left_ms = self._choice.wait_until_ms(call) - elapsed_ms()
             if left_ms <= 0:
                 raise self._out_of_time(call, history, results.NO_OWNER)
             self._directory.changed.wait(left_ms / 1000)
+
+    def _refuse_hopeless(self, call: Call, tried: set[str], history: AttemptHistory) -> None:
+        """Refuse a request at once where it is known that no server may be sent it.
+
+        :raises RefusedError: with the time after which one may be.
+        """
+        hopeless = self._choice.hopeless(call, tried)
+        if hopeless is not None:
+            raise self._out_of_time(call, history, hopeless.result, hopeless.after_s)
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -33,6 +33,7 @@
     StoreMap,
 )
 from ploverhatch.sharding.reading import Reading
+from ploverhatch.sharding.resting import RestReports
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
     ObjectStore,
@@ -76,6 +77,7 @@
         self._controls: dict[str, ServerControl] = {}
         self._loads: dict[str, KeyLoad] = {}
         self._answer_times = AnswerTimes()
+        self._rests = RestReports()
         self._readings: dict[str, Reading] = {}
         self._unreadable: dict[str, int] = {}  # maps that can't be read, by revision
         self._tasks: set[gevent.Greenlet] = set()
@@ -161,6 +163,7 @@
             self._loads.setdefault(service, KeyLoad()).add(now_ms, keys)
         for server_id, times_ms in report.answer_ms.items():
             self._answer_times.add(server_id, times_ms, now_ms)
+        self._rests.add(report.resting, now_ms)
 
     # ---- rounds -------------------------------------------------------------------------
 
@@ -184,6 +187,7 @@
     def _forget_gone(self) -> None:
         known = self._core.forget_gone(self._directory.servers.records, elapsed_ms())
         self._answer_times.keep_only(known)
+        self._rests.expire(elapsed_ms())
         for server_id in self._controls.keys() - known:
             self._controls.pop(server_id).close()
 
@@ -197,7 +201,10 @@
         servers = self._directory.servers
         cold = {item.server_id for item in records if servers.is_cold(item.server_id, now_ms)}
         cold_per_s = self._directory.cold_per_s(service)
-        return ServiceView(records, known.rates, known.work_ms, cold, cold_per_s, known.silent)
+        shedding = self._rests.shedding(self._answer_times.answered_ms, now_ms)
+        return ServiceView(
+            records, known.rates, known.work_ms, cold, cold_per_s, known.silent, shedding
+        )
 
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -34,12 +34,19 @@
 
 
 class LoadReport(msgspec.Struct, array_like=True, tag=1):
-    """Keys of the requests since the last report, and the answer times they saw."""
+    """Keys of the requests since the last report, and the answer times they saw.
+
+    ``leaving`` holds the servers that said that they leave, and how long ago, where their
+    records don't say so; ``resting`` those that asked this node for a rest, and what is left
+    of it; both in milliseconds.
+    """
 
     keys: dict[str, list[int]]
     answer_ms: dict[str, list[int]]  # by server
     stamp_ms: float = 0.0  # when it was sent, on its sender's clock
     strength: float = 0.0  # of the sender's machine if it is ready to lead, else 0
+    leaving: dict[str, float] = {}
+    resting: dict[str, float] = {}
 
 
 SlotMessage = SlotAsk | SlotWord | SlotReturn
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -128,6 +128,7 @@
             self._slots,
             settings.evacuate_ms,
             self._quarantine,
+            settings.drain_ms,
         )
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
@@ -388,7 +389,13 @@
             for service, found in sampled.items()
         }
         times = self._pool.take_answer_times(self._partitioned)
-        return LoadReport(keys, times, strength=self._elector.offered_strength)
+        return LoadReport(
+            keys,
+            times,
+            strength=self._elector.offered_strength,
+            leaving=self.directory.leaving_ages_ms(),
+            resting=self.directory.servers.standings.resting(elapsed_ms()),
+        )
 
     @property
     def _partitioned(self) -> frozenset[str]:
@@ -398,6 +405,7 @@
         return frozenset(service.name for service in services if service.partitioned)
 
     def _take_load(self, report: LoadReport) -> None:
+        self.directory.hear_leaving(report.leaving, "another-node")
         if self._leader is not None:
             self._leader.take_report(report)
         if self._elector.should_hand_over(report.strength):
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -100,6 +100,7 @@
         )
         for service, tokens in beacon.granted.items():
             self._directory.note_granted(service, tokens)
+        self._directory.hear_leaving(beacon.leaving, "the-leader")
         self._note_keymaps()
         behind = [
             task
@@ -228,7 +229,8 @@
         self._directory.note_keymaps(elapsed_ms())
         beacon = publisher.beacon(term, views, elapsed_ms(), self._elector.address)
         granted = {name: sorted(tokens) for name, tokens in self._directory.granted.items()}
-        self._send(msgspec.structs.replace(beacon, granted=granted))
+        leaving = self._directory.leaving_ages_ms()
+        self._send(msgspec.structs.replace(beacon, granted=granted, leaving=leaving))
 
     def _claimed(self, kind: str) -> FeedView:
         """Return what this node may claim of a kind while it leads.
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -69,7 +69,7 @@
     With a slot within ``useful_ms`` its answer is in time; within ``wait_ms`` it is
     of use at least. ``holder`` is the server that must run it, ``None`` where any of
     the service may; ``avoid`` one that failed the request before. ``regions`` are those
-    whose servers may run it; empty for all.
+    whose servers may run it; empty for all. ``barred`` are servers that this node may not use.
     """
 
     service: str
@@ -80,6 +80,7 @@
     holder: ServerRecord | None = None
     avoid: str = ""
     regions: frozenset[str] = frozenset()
+    barred: tuple[str, ...] = ()
 
     def after(self, spent_ms: float) -> "SlotWish":
         """Return what is left of the wish after a time."""
@@ -258,6 +259,7 @@
             wish.hold_ms,
             wish.avoid,
             name.regions,
+            wish.barred,
         )
 
     def _passed(self) -> set[str]:
@@ -331,6 +333,7 @@
             ask.hold_ms,
             ask.avoid,
             ask.zone,
+            frozenset(ask.barred),
         )
         self._answer(kept.group.ask(wish, now_ms))
 
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -32,6 +32,7 @@
         self.answer_time = AnswerTime()
         self.failing_until_ms = 0.0
         self.limit = float(max(2, record.slots))
+        self._recovering = False  # from a rest: requests come one by one at first
         self._most = float(record.slots * 2)
         self._queue = SlotQueue(lambda: self.limit, record.slots, elapsed_ms)
         self._used_ms = elapsed_ms()
@@ -56,6 +57,19 @@
         """Hold a slot that all nodes share, which was given to a request of this node."""
         return self._queue.hold_given()
 
+    @property
+    def recovering(self) -> bool:
+        """Whether it has not yet answered as many requests since a rest as it has slots for."""
+        return self._recovering
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a slot that all nodes share may be used; not all at once after a rest.
+
+        Else each node would send whatever waits there in the moment at which the rest ends.
+        """
+        return not self._recovering or self.in_flight < max(1, int(self.limit))
+
     # ---- what was learned -----------------------------------------------------------
 
     def answered(self, took_ms: float, objective_ms: float) -> None:
@@ -67,6 +81,8 @@
             self.limit = max(LEAST_LIMIT, self.limit - QUEUED_STEP)
         else:
             self.limit = min(self._most, self.limit + 1.0 / max(self.limit, 1.0))
+        if self.limit >= self.record.slots:
+            self._recovering = False
         self.failing_until_ms = 0.0
         self._used_ms = elapsed_ms()
 
@@ -84,6 +100,11 @@
         """The server refused for want of room, or did not answer in time."""
         self.limit = max(LEAST_LIMIT, self.limit / 2)
 
+    def asked_for_rest(self) -> None:
+        """The server turned a request away and wants none for a while."""
+        self.limit = LEAST_LIMIT
+        self._recovering = True
+
     def failed(self) -> None:
         """No connection, or a broken one."""
         self.failing_until_ms = elapsed_ms() + FAILING_MS
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -51,7 +51,8 @@
     was held up, or is read after a pause of the process, is known to be old.
     ``address`` is where the leader takes reports, for a node that cannot read
     the lease. ``granted`` holds, by service, the fencing tokens of moving ranges
-    whose new holders have them, before a map in the store says so.
+    whose new holders have them, before a map in the store says so. ``leaving`` holds the
+    servers that said in answers that they leave, and how many milliseconds ago.
     """
 
     lease_revision: int
@@ -60,6 +61,7 @@
     sent_ms: float = float("-inf")
     address: str = ""
     granted: dict[str, list[int]] = {}
+    leaving: dict[str, float] = {}
 
 
 class SnapshotItem(msgspec.Struct, array_like=True, frozen=True):
--- a/ploverhatch/routing/attempt_outcome.py
+++ b/ploverhatch/routing/attempt_outcome.py
@@ -10,6 +10,7 @@
     ANSWERED = "answered"  # a whole answer that counts as run
     SERVER_ERROR = "server-error"  # a whole answer with status 5xx that counts as run
     NOT_CONNECTED = "not-connected"  # no byte left
+    WITHHELD = "withheld"  # no byte left: the server asked for that while a slot was waited for
     DECLINED = "declined"  # the server said that it did not run it
     NOT_HOLDER = "not-holder"  # not run: the key is not the server's
     WRONG_INSTANCE = "wrong-instance"  # not run: the address is another server's
@@ -20,13 +21,14 @@
 NOT_RUN = frozenset(
     {
         AttemptResult.NOT_CONNECTED,
+        AttemptResult.WITHHELD,
         AttemptResult.DECLINED,
         AttemptResult.NOT_HOLDER,
         AttemptResult.WRONG_INSTANCE,
     }
 )
 # An attempt that never arrived costs no server anything.
-FREE = frozenset({AttemptResult.NOT_CONNECTED})
+FREE = frozenset({AttemptResult.NOT_CONNECTED, AttemptResult.WITHHELD})
 
 
 class NextStep(Enum):
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -279,6 +279,10 @@
         reachable = [record for record in records if not self._avoided(record.server_id, now_ms)]
         if len(reachable) * 2 < len(records):
             return []  # it is rather this node that is cut off
+        resting = [record for record in reachable if record.server_id in view.shedding]
+        # Where most of them rest, the others would not bear their keys.
+        if len(resting) * 2 <= len(reachable):
+            reachable = [record for record in reachable if record not in resting]
         return [
             planner.Candidate(
                 Holder(record.server_id, record.host, record.port),
--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -151,6 +151,10 @@
             name: readings[name][1] * ratio if name in readings else usual_ms for name in server_ids
         }
 
+    def answered_ms(self, server_id: str) -> float:
+        """Return when answers of a server were reported last."""
+        return self._answered_ms.get(server_id, -math.inf)
+
     def keep_only(self, server_ids: Collection[str]) -> None:
         """Forget servers that are gone."""
         for server_id in [known for known in self._times if known not in server_ids]:
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -43,6 +43,7 @@
     cold: Collection[str] = ()  # servers that sustain ``cold_per_s`` requests a second
     cold_per_s: float = 0.0  # 0: no bound
     silent: Collection[str] = ()  # servers whose keys are busy, and that answer nobody
+    shedding: Collection[str] = ()  # servers that ask for rest, and answer nobody
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
-from ploverhatch.state.standing import Standings
+from ploverhatch.state.standing import LEAVING_MS, NOTHING, ServerNotice, Standings
 
 VANISH_GRACE_MS = 3000.0
 STORE_FAILURE_MEMORY_MS = 4000.0
@@ -32,6 +32,7 @@
     draining: bool
     warmup_ms: float = 0.0  # how much longer it was cold when it wrote the record
     evacuated: bool = False  # its zone is being evacuated
+    says_it_leaves: bool = False  # in its answers, whatever its record says
     region: str = ""  # that its zone lies in
 
     def lies_in(self, regions: Collection[str]) -> bool:
@@ -41,7 +42,7 @@
     @property
     def leaving(self) -> bool:
         """Whether it gets no new requests."""
-        return self.draining or self.evacuated
+        return self.draining or self.evacuated or self.says_it_leaves
 
 
 @dataclass
@@ -84,12 +85,34 @@
         self._show(record, now_ms)
 
     def _show(self, record: ServerRecord, now_ms: float) -> None:
+        said = self.standings.leaves(record.server_id)
+        record = replace(record, says_it_leaves=said)
         self.records[record.server_id] = record
         if record.leaving:
             self.leaving_since.setdefault(record.server_id, now_ms)
         else:
             self.leaving_since.pop(record.server_id, None)
 
+    def take_notice(self, server_id: str, notice: ServerNotice, now_ms: float) -> ServerNotice:
+        """Take what an answer of a server says of it; return what of it is new."""
+        record = self.records.get(server_id)
+        if record is None:
+            return NOTHING
+        news = self.standings.note(server_id, notice, now_ms)
+        if news.leaving:
+            self._show(record, now_ms)
+        return news
+
+    def hear_leaving(self, server_id: str, since_ms: float, now_ms: float) -> bool:
+        """Another node tells that a server said it leaves; true if that is new."""
+        record = self.records.get(server_id)
+        if record is None or now_ms - since_ms > LEAVING_MS:
+            return False
+        news = self.standings.note_leaving(server_id, since_ms)
+        if news:
+            self._show(record, now_ms)
+        return news
+
     def note_cold(self, server_id: str, until_ms: float) -> None:
         """A server is cold until a time, or for longer if that was known."""
         known_ms = self.cold_until_ms.get(server_id, -1e12)
@@ -136,7 +159,10 @@
         return len(same) > 1 and gone * 2 > len(same)
 
     def expire(self, now_ms: float) -> bool:
-        """Drop vanished records whose grace is over; true if any was."""
+        """Drop vanished records whose grace is over, and old words; true if any was."""
+        stayed = self.standings.expire(now_ms)
+        for server_id in stayed:
+            self._show(self.records[server_id], now_ms)
         overdue = [
             server_id
             for server_id, since_ms in self.vanished.items()
@@ -144,7 +170,7 @@
         ]
         for server_id in overdue:
             self._drop(server_id)
-        return bool(overdue)
+        return bool(overdue or stayed)
 
     def _drop(self, server_id: str) -> None:
         self.records.pop(server_id, None)
