Explain ends by the times at shared ends too: a cause may have waited in a queue

Change: over the ends that both share, if two or more, the times are compared as well. Ruled out: a short hold for both, since nobody whose request ends no server is to be held.

--- a/ploverhatch/quarantine/ledger.py
+++ b/ploverhatch/quarantine/ledger.py
@@ -21,6 +21,7 @@
 CLEARLY_LONGER = 3.0  # times: a request that ends servers does so soon, others are there by chance
 # Work of so long is under way at many an end that others bring about, each of them once.
 LONG_WORK_MS = 500.0
+LEAST_SHARED = 2  # ends: what two contents show at a single one is chance
 UNCLEAR_HOLD_MS = 3000.0  # after three ends; four times as long after each further one
 
 
@@ -79,7 +80,7 @@
             if content == request.content or not other.comes_back:
                 continue
             theirs = {end.server_id for end in other.standing}
-            sooner = other.mean_ms * CLEARLY_LONGER <= record.mean_ms
+            sooner = _came_sooner(other, record)
             if sooner or (servers < theirs and other.holds_somebody):
                 explained |= theirs
             unclear = unclear or (servers == theirs and other.holds_somebody)
@@ -173,6 +174,22 @@
         return len(one_after_the_other(record.standing)), record.newest_ms
 
 
+def _came_sooner(other: CrashRecord, record: CrashRecord) -> bool:
+    """Whether another content had been under way for a far shorter time, on average.
+
+    Over all ends of each, or over those that they share: one that ends servers waits in a
+    queue at times, and one that is there by chance had just come at some of its other ends.
+    """
+    if other.mean_ms * CLEARLY_LONGER <= record.mean_ms:
+        return True
+    theirs = {end.server_id: end.took_ms for end in other.standing}
+    shared = [(theirs[e.server_id], e.took_ms) for e in record.standing if e.server_id in theirs]
+    if len(shared) < LEAST_SHARED:
+        return False
+    others_ms, own_ms = (sum(times) for times in zip(*shared, strict=True))
+    return others_ms * CLEARLY_LONGER <= own_ms
+
+
 def _summary(item: tuple[bytes, CrashRecord]) -> int:
     """Return a number for what is known of a content, but for its times, which differ."""
     content, record = item
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -144,6 +144,20 @@
     assert ledger.hold(Fingerprint(b"long", CALLER)) is None
 
 
+def test_nor_where_one_that_waited_in_a_queue_ended_most_of_its_servers():
+    """Found by the soak, seed 946: times as they were there, in milliseconds."""
+    ledger = CrashLedger()
+    for number, cause_ms, long_ms in ((6, 77.0, 52.0), (7, 31.0, 323.0)):
+        at_ms = 1000.0 + 2900.0 * (number - 6)
+        ledger.note_end(CONTENT, end(number, at_ms, took_ms=cause_ms))
+        ledger.note_end(b"long", end(number, at_ms, took_ms=long_ms))
+    ledger.note_end(CONTENT, end(8, 5000.0, took_ms=357.0))
+    ledger.note_end(b"long", end(10, 6800.0, took_ms=401.0))
+    ledger.note_end(b"another", end(10, 6800.0, took_ms=33.0))
+    assert ledger.hold(REQUEST)
+    assert ledger.hold(Fingerprint(b"long", CALLER)) is None
+
+
 def test_one_that_ends_its_servers_late_is_held_whatever_came_beside_it():
     """After three ends nobody can tell; three sends more are allowed for that."""
     ledger = CrashLedger()
