Show that a server that is back under its id is taken for the life before

Cause: shown, not mended. Stand-ins tell when they were born, and can start again under their ids, at another address or the same one.

--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -26,6 +26,7 @@
 SUSPENDED_PROGRAM = "tests.standin.suspended_gateway"  # of every other node
 GRACE_S = 6.0  # from SIGTERM until the platform kills a process
 POLL_S = 0.02
+FIRST_BORN_MS = 1_764_700_000_000
 BACK_S = 2.5  # from the crash of an upstream until it is back, under a new id
 RECORD_S = 3.9  # from a crash until the store drops the record: three heartbeats
 STOPPED_LINE = re.compile(r"\[gateway\] Stopped\. busy=(\d+)")
@@ -119,9 +120,10 @@
 class JudgedUpstream(Upstream):
     """An upstream whose keys are followed by the simulation's key server."""
 
-    def __init__(self, server_id, journal):
-        self.keys = SimKeyServer(RealTime(), journal, server_id, 0, drift=1.0)
-        super().__init__(server_id, sharded=True)
+    def __init__(self, server_id, journal, **changes):
+        life = changes.get("life", server_id)
+        self.keys = SimKeyServer(RealTime(), journal, life, 0, drift=1.0)
+        super().__init__(server_id, sharded=True, **changes)
 
     def _grant(self, call):
         outcome = self.keys.grant(
@@ -331,24 +333,39 @@
             for number in range(gateways)
         ]
 
-    def start_upstream(self, service):
+    def start_upstream(self, service, name="", port=0):
+        """Start an upstream, or one again under the name that it had."""
         self.lives += 1
-        name = f"life-{self.lives}"
-        upstream = JudgedUpstream(name, self.journal) if service == KEYED else Upstream(name)
+        name = name or f"life-{self.lives}"
+        life = name if name not in self.upstreams else f"{name}-{self.lives}"
+        changes = {"born": FIRST_BORN_MS + self.lives, "port": port, "life": life}
+        if service == KEYED:
+            upstream = JudgedUpstream(name, self.journal, **changes)
+        else:
+            upstream = Upstream(name, **changes)
         upstream.service = service
         upstream.behaviour.work_s = 0.01
         upstream.crashed = self._upstream_crashed
-        self.upstreams[name] = upstream
+        self.upstreams[life] = upstream
         self.store.put("servers", name, *upstream.record(service))
         return upstream
 
+    def rebirth(self, upstream, after_s, elsewhere=True):
+        """Crash an upstream and start it again under its name; return its next life."""
+        upstream.crash()
+        gevent.sleep(after_s)
+        port = 0 if elsewhere else upstream.address.port
+        return self.start_upstream(upstream.service, upstream.server_id, port)
+
     def _upstream_crashed(self, upstream):
         """Have an upstream that a request ended come back, as its platform does."""
         gevent.spawn_later(BACK_S, self.start_upstream, upstream.service)
         gevent.spawn_later(RECORD_S, self.drop_record, upstream)
 
     def drop_record(self, upstream):
-        if ("servers", upstream.server_id) in self.store.objects:
+        """Remove the record of a life, unless a later one has replaced it."""
+        item = self.store.objects.get(("servers", upstream.server_id))
+        if item is not None and item["spec"].get("born") == upstream.born:
             self.store.remove("servers", upstream.server_id)
 
     def ran(self):
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -46,7 +46,7 @@
 
 @dataclass
 class Upstream:
-    """One life of an upstream."""
+    """One life of an upstream; several may have the same id, one after the other."""
 
     server_id: str
     sharded: bool = False
@@ -61,11 +61,15 @@
     turned_away: list = field(default_factory=list)  # (request, elapsed s, rest asked for)
     passed_on: list = field(default_factory=list)  # the same, of answers that say it leaves
     ended_s: float | None = None  # of a crash, elapsed
+    born: int = 0  # Unix milliseconds of its start; 0: it does not tell
+    port: int = 0  # to listen at; 0: any that is free
+    life: str = ""  # what tells it from other lives of the same id
     crashed: Callable = lambda upstream: None  # told of a crash by a request
 
     def __post_init__(self):
+        self.life = self.life or self.server_id
         self._slots = BoundedSemaphore(self.slots)
-        self._server = CallerServer(HostPort("127.0.0.1", 0), self.handle, ClientLimits)
+        self._server = CallerServer(HostPort("127.0.0.1", self.port), self.handle, ClientLimits)
         self._server.start()
         self.address = HostPort("127.0.0.1", self._server.port)
 
@@ -83,10 +87,12 @@
                 connection._socket.shutdown(SHUT_RDWR)
 
     def record(self, service, state="ready", zone="z1"):
+        born = {"born": self.born} if self.born else {}
         return (
             {
                 "address": f"{self.address.host}:{self.address.port}",
                 "info": {"service": service, "version": "v1", "zone": zone, "slots": self.slots},
+                **born,
             },
             {"state": state, "call_seq": 1, "cold_remaining_ms": 0},
         )
@@ -155,7 +161,7 @@
             base.append((b"Response-Seal", b"seal"))
         if behaviour.leaving:
             self.passed_on.append((request, elapsed_ms() / 1000))
-        return CallerReply(behaviour.status, base, b"answer of " + self.server_id.encode())
+        return CallerReply(behaviour.status, base, b"answer of " + self.life.encode())
 
     def _refusal(self, request, headers):
         """Return status and fields of an answer to a request that is turned away, or nothing."""
