Keep what concerns a server by its life, named by its id and the time of its start

Cause: an id named a server for all its lives, so addresses, leases, holders and words of one life were taken for those of the next. Class: identity by a name that is used again. Change: the product names a life by id and start; only the platform's adapter turns that into the id on the wire. A record of another life takes the place of the one before and starts from nothing; the leader moves its keys at higher tokens, at once where the next life is elsewhere, and after a release where it is back at the address. A renewal waits 1.6 s where the server broke the connection of its control calls, since another life may answer there, with the same id. Ruled out: taking the greater start for the truth in general, since clocks step; it only shortens a wait. Maps of an earlier version name no lives: these release or lapse as before.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -59,7 +59,9 @@
     def put_server(self, record: ServerRecord) -> None:
         """Take a server's record."""
         known = self.servers.records.get(record.server_id)
-        self.servers.put(record, elapsed_ms())
+        before = self.servers.put(record, elapsed_ms())
+        if before:
+            LOG.warning("Server has started again.", server=record.server_id, before=before)
         if known is None or known.draining != record.draining:
             LOG.info(
                 "Server heard of.",
@@ -69,10 +71,10 @@
             )
         self.changed.raise_()
 
-    def remove_server(self, server_id: str) -> None:
-        """A server's record is gone."""
-        self.servers.remove(server_id, elapsed_ms())
-        LOG.info("Server record gone.", server=server_id)
+    def remove_server(self, name: str) -> None:
+        """The record of a server is gone, by its registered name."""
+        self.servers.remove(name, elapsed_ms())
+        LOG.info("Server record gone.", server=name)
         self.changed.raise_()
 
     def take_notice(self, server_id: str, notice: ServerNotice) -> None:
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -282,8 +282,11 @@
 
     def _send_grant(self, action: SendGrant) -> None:
         name = action.range_id
+        control = self._control(action.holder)
 
         def may_send() -> bool:
+            if action.renewal and control.may_be_reborn:
+                return False
             right = self._elector.has_authority and self._core.may_send(
                 action.holder, name, action.renewal
             )
@@ -292,7 +295,7 @@
             return right
 
         call = GrantCall(name.first, name.last, name.token, self._hold_ms, action.handover)
-        outcome = self._control(action.holder).grant(call, may_send)
+        outcome = control.grant(call, may_send)
         if outcome is CallOutcome.DONE and not action.renewal:
             self._tell_granted(name.service, name.token)
         if outcome not in {CallOutcome.DONE, CallOutcome.NOT_SENT}:
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -142,7 +142,7 @@
         Returns when that is known, so that a request that is held by it is sent nowhere
         else. The look goes on when the caller leaves meanwhile.
         """
-        if upstream.record.draining:
+        if upstream.record.draining or upstream.record.says_it_leaves:
             return  # its end was announced
         gevent.spawn(self._look, call, upstream, sent_ms, elapsed_ms()).join(LOOK_S)
 
--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -1,9 +1,11 @@
 """Control calls to one server: grants and releases of keys."""
 
+import math
 from collections.abc import Callable
 
 import gevent
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway.dialect import (
     Dialect,
     GrantCall,
@@ -24,6 +26,11 @@
 CONNECT_TIMEOUT_S = 0.3
 GRANT_TIMEOUT_S = 0.6
 RELEASE_TIMEOUT_S = 2.0
+# A connection that the server broke may mean that it has started again, and a renewal would
+# give the next life what was granted to the one before, at a token that does not rise. Its
+# entry tells the next life by then: servers write it each 1.3 s, and it is read in 0.3 s.
+# Where nothing tells, a renewal that waits so long still comes within the lease.
+CONFIRM_MS = 1600.0
 
 
 class _NoAnswerError(ConnectionError):
@@ -47,6 +54,12 @@
         self._host = f"{holder.host}:{holder.port}"
         self._dialect = dialect
         self._kept: HttpConnection | None = None
+        self._broken_ms = -math.inf
+
+    @property
+    def may_be_reborn(self) -> bool:
+        """Whether the server broke a connection lately, so that another life may answer."""
+        return elapsed_ms() - self._broken_ms < CONFIRM_MS
 
     def grant(self, call: GrantCall, may_send: Callable[[], bool]) -> CallOutcome:
         """Grant or renew keys."""
@@ -87,6 +100,7 @@
         except gevent.Timeout as error:
             raise _NoAnswerError("no answer in time") from error
         except AnswerCutError as error:
+            self._broken_ms = elapsed_ms()
             raise _NoAnswerError(str(error)) from error
         if connection.reusable:
             self._keep(connection)
@@ -100,10 +114,13 @@
             if connection.is_quiet():
                 return connection
             connection.close()
+            self._broken_ms = elapsed_ms()
         connection = HttpConnection(self._address)
         try:
             connection.open(CONNECT_TIMEOUT_S)
         except NotConnectedError as error:
+            if error.refused:
+                self._broken_ms = elapsed_ms()
             raise _NoAnswerError(str(error)) from error
         return connection
 
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -39,6 +39,11 @@
         self._idle: list[HttpConnection] = []
         self._recent_ms: deque[int] = deque(maxlen=MAX_TIMES)
 
+    @property
+    def address(self) -> HostPort:
+        """Where it takes requests."""
+        return HostPort(self.record.host, self.record.port)
+
     # ---- admission ------------------------------------------------------------------
 
     @property
@@ -140,7 +145,7 @@
             if now_s - connection.idle_since_s < limit_s and connection.is_quiet():
                 return connection
             connection.close()
-        connection = HttpConnection(HostPort(self.record.host, self.record.port))
+        connection = HttpConnection(self.address)
         connection.open(timeout_s)
         return connection
 
@@ -150,7 +155,7 @@
         A dead port refuses it. A full server, a lost answer, a reset or a cut link
         don't; a connection that is made is kept for the next request.
         """
-        connection = HttpConnection(HostPort(self.record.host, self.record.port))
+        connection = HttpConnection(self.address)
         try:
             connection.open(timeout_s)
         except NotConnectedError as error:
@@ -186,6 +191,9 @@
             self._upstreams.pop(server_id).close()
         for server_id, record in records.items():
             known = self._upstreams.get(server_id)
+            if known is not None and known.address != (record.host, record.port):
+                known.close()  # it listens elsewhere now: nothing learned or open is of use
+                known = None
             if known is None:
                 self._upstreams[server_id] = Upstream(record, record.zone == self._zone)
             else:
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -17,6 +17,7 @@
 from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
 from ploverhatch.platform import names
 from ploverhatch.routing.attempt_outcome import AttemptResult
+from ploverhatch.state.lives import registered_name
 from ploverhatch.state.standing import NOTHING, ServerNotice
 from ploverhatch.transport.http_connection import WireAnswer
 
@@ -71,7 +72,7 @@
             name + b": " + value for name, value in request.headers if name.lower() not in dropped
         ]
         rows.append(b"Request-Deadline-Ms: %d" % max(1, int(remaining_ms)))
-        rows.append(b"Expect-Instance: " + server_id.encode())
+        rows.append(b"Expect-Instance: " + _instance(server_id))
         if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
             rows.append(b"Content-Length: %d" % len(request.body))
         return b"\r\n".join(rows) + b"\r\n\r\n" + request.body
@@ -97,7 +98,7 @@
 
     def _judge_misdirected(self, server_id: str, answer: WireAnswer) -> AttemptResult:
         instance = answer.get(names.INSTANCE)
-        if instance is not None and instance != server_id.encode():
+        if instance is not None and instance != _instance(server_id):
             return AttemptResult.WRONG_INSTANCE
         return AttemptResult.NOT_HOLDER
 
@@ -107,7 +108,7 @@
         if answered_id is not None and answered_id != facts.request_id:
             return NOTHING
         instance = answer.get(names.INSTANCE)
-        if instance is not None and instance != server_id.encode():
+        if instance is not None and instance != _instance(server_id):
             return NOTHING
         leaving = answer.get(names.LEAVING)
         rest_s = 0.0
@@ -178,12 +179,17 @@
         return (answer.get(names.HANDOVER) or b"").decode("latin-1")
 
 
+def _instance(server_id: str) -> bytes:
+    """Return the id by which the platform knows a life's server."""
+    return registered_name(server_id).encode()
+
+
 def _post(path: bytes, server_id: str, host: str, document: object) -> bytes:
     data = msgspec.json.encode(document)
     rows = [
         b"POST %s HTTP/1.1" % path,
         b"Host: %s" % host.encode(),
-        b"Expect-Instance: %s" % server_id.encode(),
+        b"Expect-Instance: %s" % _instance(server_id),
         b"Content-Type: application/json",
         b"Content-Length: %d" % len(data),
     ]
--- a/ploverhatch/sharding/holders.py
+++ b/ploverhatch/sharding/holders.py
@@ -44,6 +44,7 @@
     renew_at_ms: float = 0.0
     to_renew: list[RangeId] = field(default_factory=list)
     renewing: bool = False
+    is_over: bool = False  # the server runs elsewhere by now, as another life
     release_at_ms: float = 0.0  # of a holder that does not answer: when one is sent again
 
     def may_release(self, now_ms: float) -> bool:
@@ -68,6 +69,11 @@
         """The server has ended: it holds nothing."""
         self.held_until_ms = 0.0
 
+    def life_over(self) -> None:
+        """A later life of the server is known at another address: nothing reaches this one."""
+        self.is_over = True
+        self.ended()
+
     def answered(self) -> None:
         """The server answered a call."""
         self.failing_since_ms = None
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -9,7 +9,7 @@
 says that they are settled, and requests go there.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -38,6 +38,7 @@
     range_id,
 )
 from ploverhatch.sharding.transfer import Transfer
+from ploverhatch.state.lives import is_later_life, registered_name
 from ploverhatch.state.servers import ServerRecord
 
 PLAN_EVERY_MS = 400.0
@@ -276,6 +277,7 @@
         if ids != state.server_ids:
             state.server_ids = ids
             state.servers_since_ms = now_ms
+            self._note_lives(view.records)
         reachable = [record for record in records if not self._avoided(record.server_id, now_ms)]
         if len(reachable) * 2 < len(records):
             return []  # it is rather this node that is cut off
@@ -292,6 +294,23 @@
             for record in reachable
         ]
 
+    def _note_lives(self, records: Sequence[ServerRecord]) -> None:
+        """Wait no more for lives that are over, since their servers run elsewhere by now.
+
+        One that is back at its address is asked to release what the life before held, as
+        any holder is: a late grant to that one could still reach it.
+        """
+        latest = {registered_name(record.server_id): record for record in records}
+        for lease in self._leases.values():
+            holder = lease.holder
+            record = latest.get(registered_name(holder.server_id))
+            if record is None or lease.is_over:
+                continue
+            elsewhere = (record.host, record.port) != (holder.host, holder.port)
+            if elsewhere and is_later_life(record.server_id, holder.server_id):
+                lease.life_over()
+                self._end_transfers_from(holder)
+
     def _avoided(self, server_id: str, now_ms: float) -> bool:
         lease = self._leases.get(server_id)
         return lease is not None and lease.avoided(now_ms)
@@ -331,7 +350,7 @@
     def _due_renewals(self, now_ms: float) -> list[Action]:
         actions: list[Action] = []
         for lease in self._leases.values():
-            if lease.renewing or now_ms < lease.renew_at_ms:
+            if lease.renewing or lease.is_over or now_ms < lease.renew_at_ms:
                 continue
             lease.to_renew = self._settled_ranges(lease.holder.server_id)
             if lease.to_renew:
@@ -426,10 +445,13 @@
 
     def _note_ended(self, lease: HolderLease) -> list[Action]:
         lease.ended()
+        self._end_transfers_from(lease.holder)
+        return [ForgetServer(lease.holder.server_id)]
+
+    def _end_transfers_from(self, holder: Holder) -> None:
         for state in self._services.values():
             for transfer in state.transfers.values():
-                transfer.holder_ended(lease.holder.server_id)
-        return [ForgetServer(lease.holder.server_id)]
+                transfer.holder_ended(holder.server_id)
 
     # ---- the map in the store -------------------------------------------------------------
 
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -44,7 +44,11 @@
 
         :param now_ms: the map that says that the range moves is in the store by then.
         """
-        waiting = {holder.server_id: holder for holder in item.previous}
+        waiting = {
+            holder.server_id: holder
+            for holder in item.previous
+            if not (holder.server_id in leases and leases[holder.server_id].is_over)
+        }
         unused_ms = view.unused_from_ms(now_ms)
         lapses = {
             server_id: max(leases[server_id].held_until_ms, unused_ms)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field, replace
 
+from ploverhatch.state.lives import registered_name
 from ploverhatch.state.standing import LEAVING_MS, NOTHING, ServerNotice, Standings
 
 VANISH_GRACE_MS = 3000.0
@@ -21,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRecord:
-    """One life of a server, as it registered itself."""
+    """One life of a server, as it registered itself; ``server_id`` names the life."""
 
     server_id: str
     service: str
@@ -56,6 +57,7 @@
     cold_until_ms: dict[str, float] = field(default_factory=dict)  # of servers that were cold
     evacuated: frozenset[str] = frozenset()  # zones
     standings: Standings = field(default_factory=Standings)
+    _life_of: dict[str, str] = field(default_factory=dict)  # by registered name
     store_failed_ms: float = -1e12
 
     def is_cold(self, server_id: str, now_ms: float) -> bool:
@@ -70,19 +72,28 @@
         """The store did not answer: records may vanish without reason."""
         self.store_failed_ms = now_ms
 
-    def put(self, record: ServerRecord, now_ms: float) -> None:
+    def put(self, record: ServerRecord, now_ms: float) -> str:
         """Take a record that was added or changed.
 
+        The record of another life of the same server shows that the one before is over.
         It was written a while ago, so a server is cold for a little less than is
         assumed here. The same record again, in a listing, tells nothing new of that.
+
+        :returns: the life that is over; empty where there is none.
         """
         region = self.regions.get(record.zone, "")
         record = replace(record, evacuated=record.zone in self.evacuated, region=region)
+        name = registered_name(record.server_id)
+        before = self._life_of.get(name, record.server_id)
+        if before != record.server_id:
+            self._drop(before)
+        self._life_of[name] = record.server_id
         known = self.records.get(record.server_id)
         if record.warmup_ms > 0 and (known is None or known.warmup_ms != record.warmup_ms):
             self.note_cold(record.server_id, now_ms + record.warmup_ms)
         self.vanished.pop(record.server_id, None)
         self._show(record, now_ms)
+        return before if before != record.server_id else ""
 
     def _show(self, record: ServerRecord, now_ms: float) -> None:
         said = self.standings.leaves(record.server_id)
@@ -130,14 +141,15 @@
         back = before - self.evacuated
         return [record for record in self.records.values() if record.zone in back]
 
-    def remove(self, server_id: str, now_ms: float) -> None:
-        """Take note that a record is gone."""
-        self._remove_all({server_id}, now_ms)
+    def remove(self, name: str, now_ms: float) -> None:
+        """Take note that the record of a server is gone, by its registered name."""
+        self._remove_all({self._life_of.get(name, name)}, now_ms)
 
     def replace_all(self, records: list[ServerRecord], now_ms: float) -> None:
         """Take a whole listing."""
-        listed = {record.server_id for record in records}
-        self._remove_all(self.records.keys() - listed, now_ms)
+        listed = {registered_name(record.server_id) for record in records}
+        gone = {known for known in self.records if registered_name(known) not in listed}
+        self._remove_all(gone, now_ms)
         for record in records:
             self.put(record, now_ms)
 
@@ -174,6 +186,9 @@
 
     def _drop(self, server_id: str) -> None:
         self.records.pop(server_id, None)
+        name = registered_name(server_id)
+        if self._life_of.get(name) == server_id:
+            del self._life_of[name]
         self.vanished.pop(server_id, None)
         self.leaving_since.pop(server_id, None)
         self.cold_until_ms.pop(server_id, None)
--- /dev/null
+++ b/tests/unit/test_lives.py
@@ -0,0 +1,133 @@
+"""Lives of servers: what concerns one of them concerns no other."""
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ploverhatch.gateway.dialect import ReleaseCall
+from ploverhatch.platform.dialect import PlatformDialect
+from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
+from ploverhatch.sharding.leader_core import LeaderCore
+from ploverhatch.sharding.messages import SendGrant, SendRelease, ServiceView, StoreMap
+from ploverhatch.state.lives import born_ms, is_later_life, life_id, registered_name
+from ploverhatch.state.servers import ServerRecord, ServerSet
+from ploverhatch.state.standing import ServerNotice
+
+SERVICE = "svc"
+BORN = 1_764_700_000_000
+
+
+@given(st.text(), st.integers(min_value=1, max_value=10**15))
+def test_a_name_tells_server_and_start(name, born):
+    assert registered_name(life_id(name, born)) == name
+    assert born_ms(life_id(name, born)) == born
+
+
+def test_a_server_that_does_not_tell_its_start_is_one_life():
+    assert life_id("i-1", 0) == "i-1"
+    assert registered_name("i-1") == "i-1"
+    assert registered_name("i~x") == "i~x"
+    assert born_ms("i-1") == 0
+
+
+def test_only_a_later_start_of_the_same_server_proves_that_a_life_is_over():
+    first, second = life_id("i-1", BORN), life_id("i-1", BORN + 5)
+    assert is_later_life(second, first)
+    assert not is_later_life(first, second)
+    assert not is_later_life(first, first)
+    assert not is_later_life(life_id("i-2", BORN + 5), first)
+    assert not is_later_life(second, "i-1")
+    assert not is_later_life("i-1", first)
+
+
+def record(born, port=9000, name="i-1", **changes):
+    values = ServerRecord(life_id(name, born), SERVICE, "10.0.0.1", port, "z1", 2, False)
+    return replace(values, **changes)
+
+
+def test_the_record_of_another_life_takes_the_place_of_the_one_before():
+    servers = ServerSet()
+    assert servers.put(record(BORN), 0.0) == ""
+    servers.take_notice(life_id("i-1", BORN), ServerNotice(True, 9000.0), 10.0)
+    servers.note_cold(life_id("i-1", BORN), 5000.0)
+    assert servers.put(record(BORN + 5), 100.0) == life_id("i-1", BORN)
+    assert list(servers.records) == [life_id("i-1", BORN + 5)]
+    (present,) = servers.records.values()
+    assert not present.leaving
+    assert servers.standings.resting(100.0) == {}
+    assert not servers.is_cold(present.server_id, 100.0)
+    servers.remove("i-1", 200.0)
+    assert servers.records == {}
+
+
+def test_a_listing_takes_lives_as_they_are():
+    servers = ServerSet()
+    servers.replace_all([record(BORN), record(BORN, 9001, "i-2")], 0.0)
+    servers.note_store_failure(0.0)
+    servers.replace_all([record(BORN + 5), record(BORN, 9001, "i-2")], 100.0)
+    assert set(servers.records) == {life_id("i-1", BORN + 5), life_id("i-2", BORN)}
+    assert servers.vanished == {}
+
+
+def test_calls_name_the_server_and_not_its_life():
+    dialect = PlatformDialect()
+    call = dialect.encode_release(ReleaseCall(1, 2, 3), life_id("i-1", BORN), "10.0.0.1:80")
+    assert b"\r\nExpect-Instance: i-1\r\n" in call
+
+
+# ---- the leader ----------------------------------------------------------------------------
+
+
+def holder(born, port=9000, name="i-1"):
+    return Holder(life_id(name, born), "10.0.0.1", port)
+
+
+def core_of(first, second):
+    pieces = [Move(0, 32767, first), Move(32768, 65535, second)]
+    keymap = settle(first_assignment(KeyMap(SERVICE), pieces), lambda item: True)
+    core = LeaderCore()
+    core.inherit(replace(keymap, revision=1), 0.0)
+    return core
+
+
+def moved(core, *records):
+    """Have the leader see records; return the calls after its map is stored."""
+    views = {SERVICE: ServiceView(records)}
+    actions = core.tick(1000.0, views, True)
+    (stored,) = [action for action in actions if isinstance(action, StoreMap)]
+    core.map_stored(stored.keymap, 2, 1000.0)
+    return core.tick(1050.0, views, True)
+
+
+def of_kind(actions, kind):
+    return [action for action in actions if isinstance(action, kind) and _of_moves(action)]
+
+
+def _of_moves(action):
+    return isinstance(action, SendRelease) or not action.renewal
+
+
+def test_keys_of_a_life_that_is_over_are_granted_again_at_once_and_higher():
+    core = core_of(holder(BORN), holder(BORN, 9001, "i-2"))
+    actions = moved(core, record(BORN + 5, 9007), record(BORN, 9001, "i-2"))
+    grants = of_kind(actions, SendGrant)
+    assert grants and {call.range_id.token for call in grants} != {1}
+    assert holder(BORN) not in {call.holder for call in grants}
+    assert of_kind(actions, SendRelease) == []
+
+
+def test_one_that_is_back_at_its_address_releases_first():
+    """A late grant to the life before could reach it."""
+    core = core_of(holder(BORN), holder(BORN, 9001, "i-2"))
+    actions = moved(core, record(BORN + 5), record(BORN, 9001, "i-2"))
+    assert of_kind(actions, SendGrant) == []
+    assert {call.holder for call in of_kind(actions, SendRelease)} == {holder(BORN)}
+
+
+def test_a_life_without_a_time_may_be_the_same_and_releases_first():
+    """A map of an earlier version names servers, not lives."""
+    core = core_of(Holder("i-1", "10.0.0.1", 9000), holder(BORN, 9001, "i-2"))
+    actions = moved(core, record(BORN, 9007), record(BORN, 9001, "i-2"))
+    assert of_kind(actions, SendGrant) == []
+    assert [call.holder.server_id for call in of_kind(actions, SendRelease)] == ["i-1"]
