--- a/tests/probe/test_gateway_soak.py
+++ b/tests/probe/test_gateway_soak.py
@@ -37,3 +37,16 @@
         assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
     finally:
         result.site.close()
+
+
+def test_soak_of_servers_that_leave_rest_and_start_again():
+    result = soak(15.0, seed=3501, gateways=4, sound_store=True, wishes=True)
+    try:
+        assert result.found == []
+        assert result.verdict.leaving >= 1
+        assert result.verdict.rests >= 4
+        seen = result.faults.seen
+        assert seen["upstream_reborn"] >= 1 and seen["odd_entry"] >= 1
+        assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
+    finally:
+        result.site.close()
--- /dev/null
+++ b/tests/unit/test_wishes.py
@@ -0,0 +1,78 @@
+"""What the verdict says of servers that leave or want rest, of records laid down here."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from tests.standin.wishes import DRAIN_S, MOST_IN_REST, broken_rests, late_to_leaving, rests
+
+SERVER = "life-1"
+
+
+def life(node="node-0", start_s=0.0, faults=()):
+    return SimpleNamespace(node=node, start_s=start_s, faults=list(faults))
+
+
+def request(name):
+    return SimpleNamespace(headers=[(b"Request-Id", name.encode())], received_ms=0.0)
+
+
+class Records:
+    """One upstream, and the requests that reached it."""
+
+    def __init__(self, of=None):
+        self.of = of or life()
+        self.sent = {}
+        self.upstream = SimpleNamespace(arrived=[], passed_on=[], turned_away=[])
+        self.site = SimpleNamespace(upstreams={SERVER: self.upstream})
+
+    def send(self, at_s, of=None):
+        name = f"r{len(self.sent)}"
+        self.sent[name] = SimpleNamespace(name=name, life=of or self.of, sent_s=at_s)
+        arrived = request(name)
+        arrived.received_ms = at_s * 1000
+        self.upstream.arrived.append(arrived)
+        return arrived
+
+    def turn_away(self, at_s, rest_s):
+        self.upstream.turned_away.append((self.send(at_s), at_s, rest_s))
+
+    def pass_on(self, at_s):
+        self.upstream.passed_on.append((self.send(at_s), at_s))
+
+
+def test_a_request_that_comes_late_to_one_that_leaves_is_found():
+    records = Records()
+    records.pass_on(10.0)
+    records.send(10.0 + DRAIN_S)
+    assert late_to_leaving(records.site, records.sent) == []
+    records.send(10.1 + DRAIN_S)
+    assert len(late_to_leaving(records.site, records.sent)) == 1
+
+
+def test_what_another_node_passed_on_binds_nobody():
+    records = Records()
+    records.pass_on(10.0)
+    records.send(20.0, life("node-1"))
+    assert late_to_leaving(records.site, records.sent) == []
+
+
+@pytest.mark.parametrize("excused", [life(start_s=11.0), life(faults=[(12.0, 13.0)])])
+def test_a_start_or_a_freeze_since_then_excuses(excused):
+    records = Records(excused)
+    records.pass_on(10.0)
+    records.send(20.0)
+    assert late_to_leaving(records.site, records.sent) == []
+
+
+def test_more_than_two_requests_in_a_rest_are_found():
+    records = Records()
+    records.turn_away(10.0, 3.0)
+    for number in range(MOST_IN_REST):
+        records.send(11.0 + number / 10)
+    records.send(10.2)  # on its way already
+    records.send(13.2)  # after it
+    assert [count for count, _ in rests(records.site, records.sent)] == [MOST_IN_REST]
+    assert broken_rests(records.site, records.sent) == []
+    records.send(12.5)
+    assert len(broken_rests(records.site, records.sent)) == 1
