Hear from control calls too that a server leaves or wants rest

Cause: a server says so in all its answers, and one that no caller asks answers grants only; its keys stayed until the store told. Change: answers to control calls are read for it as answers to requests are. Measured: the new test passes (a holder without requests gives its keys up); the tests of gateway, forwarder, adapter, lives and standings pass.

--- a/ploverhatch/gateway/dialect.py
+++ b/ploverhatch/gateway/dialect.py
@@ -60,8 +60,11 @@
         """Tell what a server's whole answer proves."""
 
     @abstractmethod
-    def notice(self, facts: RequestFacts, server_id: str, answer: WireAnswer) -> ServerNotice:
-        """Read what a server's whole answer says of the server itself."""
+    def notice(self, request_id: bytes, server_id: str, answer: WireAnswer) -> ServerNotice:
+        """Read what a server's whole answer says of the server itself.
+
+        :param request_id: of the request; empty for a control call.
+        """
 
     @abstractmethod
     def reply_headers(self, answer: WireAnswer) -> HeaderList:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -448,7 +448,7 @@
             self._quarantine.lost(call, upstream, sent_ms)
             return AttemptResult.LOST, None
         result = self._dialect.judge(call.facts, record.server_id, answer)
-        notice = self._dialect.notice(call.facts, record.server_id, answer)
+        notice = self._dialect.notice(call.facts.request_id, record.server_id, answer)
         if notice != NOTHING:
             self._directory.take_notice(record.server_id, notice)
         if notice.rest_ms:
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -276,7 +276,7 @@
     def _control(self, holder: Holder) -> ServerControl:
         control = self._controls.get(holder.server_id)
         if control is None:
-            control = ServerControl(holder, self._dialect)
+            control = ServerControl(holder, self._dialect, self._directory.take_notice)
             self._controls[holder.server_id] = control
         return control
 
--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -15,6 +15,7 @@
 )
 from ploverhatch.sharding.keymap import Holder
 from ploverhatch.sharding.messages import CallOutcome
+from ploverhatch.state.standing import NOTHING, ServerNotice
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     HostPort,
@@ -45,14 +46,18 @@
     """Calls to one server; one kept connection, others as needed.
 
     ``may_send`` is asked when a connection is there and the call would leave:
-    what it says still holds then, since nothing waits in between.
+    what it says still holds then, since nothing waits in between. ``heard`` is told what
+    answers say of the server.
     """
 
-    def __init__(self, holder: Holder, dialect: Dialect) -> None:
+    def __init__(
+        self, holder: Holder, dialect: Dialect, heard: Callable[[str, ServerNotice], None]
+    ) -> None:
         self._server_id = holder.server_id
         self._address = HostPort(holder.host, holder.port)
         self._host = f"{holder.host}:{holder.port}"
         self._dialect = dialect
+        self._heard = heard
         self._kept: HttpConnection | None = None
         self._broken_ms = -math.inf
 
@@ -106,6 +111,9 @@
             self._keep(connection)
         else:
             connection.close()
+        notice = self._dialect.notice(b"", self._server_id, answer)
+        if notice != NOTHING:
+            self._heard(self._server_id, notice)
         return answer
 
     def _take(self) -> HttpConnection:
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -103,9 +103,9 @@
         return AttemptResult.NOT_HOLDER
 
     @override
-    def notice(self, facts: RequestFacts, server_id: str, answer: WireAnswer) -> ServerNotice:
+    def notice(self, request_id: bytes, server_id: str, answer: WireAnswer) -> ServerNotice:
         answered_id = answer.get(names.REQUEST_ID)
-        if answered_id is not None and answered_id != facts.request_id:
+        if answered_id is not None and answered_id != request_id:
             return NOTHING
         instance = answer.get(names.INSTANCE)
         if instance is not None and instance != _instance(server_id):
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -180,6 +180,13 @@
     assert handed["fence"] > max(call["fence"] for call in site.upstreams["u1"].grants)
 
 
+def test_a_holder_that_nobody_asks_says_that_it_leaves_in_its_control_answers(site):
+    (gateway,) = start_site(site)
+    site.upstreams["u1"].behaviour.leaving = True
+    until(lambda: not site.upstreams["u1"].held)
+    assert [ask(gateway, b"/k/a", key)[0] for key in (1, 30_000, 65_535)] == [200] * 3
+
+
 def test_the_keys_of_a_silent_server_move_after_its_lease(site):
     (gateway,) = start_site(site)
     site.upstreams["u1"].close()
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -4,7 +4,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ploverhatch.gateway.messages import RequestFacts
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.sharding.resting import REPORT_MS, SHEDDING_MS, WORTH_MS, RestReports
 from ploverhatch.state.servers import ServerRecord, ServerSet
@@ -37,7 +36,6 @@
 
 # ---- how an answer is read -----------------------------------------------------------------
 
-FACTS = RequestFacts(b"h", b"r1", 100.0, None)
 OWN = (b"Request-Id", b"r1")
 READINGS = [
     (200, [OWN, (b"Server-Leaving", b"1")], LEAVES),
@@ -67,13 +65,13 @@
 
 @pytest.mark.parametrize(("status", "headers", "notice"), READINGS)
 def test_what_an_answer_says_of_its_server(status, headers, notice):
-    assert PlatformDialect().notice(FACTS, "me", WireAnswer(status, headers)) == notice
+    assert PlatformDialect().notice(b"r1", "me", WireAnswer(status, headers)) == notice
 
 
 @given(st.binary(max_size=30), st.binary(max_size=30))
 def test_no_bytes_break_the_reading(leaving, after):
     headers = [OWN, (b"Server-Leaving", leaving), (b"Retry-After", after)]
-    notice = PlatformDialect().notice(FACTS, "me", WireAnswer(503, headers))
+    notice = PlatformDialect().notice(b"r1", "me", WireAnswer(503, headers))
     assert 0.0 <= notice.rest_ms < float("inf")
 
 
