--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -18,6 +18,7 @@
 from ploverhatch.routing.route_table import Route, RouteTable, Service, ServiceShare
 from ploverhatch.sharding.keymap import LAST_KEY, Holder, KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord
+from ploverhatch.state.standing import ServerNotice
 from tests.standin.upstream import RawUpstream, Upstream
 
 PLAIN, KEYED = "plain", "keyed"
@@ -621,3 +622,111 @@
     assert bench.ask(b"/once/", b"POST").status == 200
     assert slots.wishes[0].regions == {"home"}
     assert (len(abroad.ran), len(home.ran)) == (0, 1)
+
+
+# ---- servers that leave or want rest ------------------------------------------------------
+
+REST = ServerNotice(rest_ms=3000.0)
+LEAVES = ServerNotice(leaving=True)
+
+
+class WordsMeanwhile(GivenSlots):
+    """Gives slots; while a request waits for one, its server says something of itself."""
+
+    def __init__(self, bench, notice, *servers):
+        super().__init__(*servers)
+        self.bench = bench
+        self.notice = notice
+
+    @contextmanager
+    def hold(self, wish):
+        with super().hold(wish) as slot:
+            self.bench.directory.take_notice("u1", self.notice)
+            yield slot
+
+
+@pytest.mark.parametrize("notice", [REST, LEAVES])
+def test_what_a_server_says_while_its_slot_is_waited_for_holds(bench, notice):
+    first, second = Upstream("u1"), Upstream("u2")
+    for upstream in (first, second):
+        bench.add(upstream)
+    share(bench, WordsMeanwhile(bench, notice, "u1"))
+    assert bench.ask(b"/once/", b"POST").body == b"answer of u2"
+    assert first.arrived == []
+
+
+@pytest.mark.parametrize("notice", [REST, LEAVES])
+def test_what_a_server_says_while_a_connection_is_made_holds(bench, notice, monkeypatch):
+    first, second = Upstream("u1"), Upstream("u2")
+    for upstream in (first, second):
+        bench.add(upstream)
+    used = bench.pool.get("u1")
+    open_connection = used.connection
+
+    def open_and_hear(timeout_s):
+        bench.directory.take_notice("u1", notice)
+        return open_connection(timeout_s)
+
+    monkeypatch.setattr(used, "connection", open_and_hear)
+    share(bench, GivenSlots("u1", "u2"))
+    assert bench.ask(b"/once/", b"POST").body == b"answer of u2"
+    assert first.arrived == []
+
+
+def test_a_repeat_does_not_go_to_a_holder_that_asked_for_rest(bench):
+    holder = Upstream("u1", sharded=True)
+    holder._grant({"from": 0, "target_version": LAST_KEY, "fence": 1, "hold_ms": 9000})
+    bench.own_keys(bench.add(holder, service=KEYED))
+    holder.behaviour.rest_s = 3.0
+    started = elapsed_ms()
+    replies = [bench.ask(b"/key/", headers=((b"Shard-Key", b"5"),)) for _ in range(3)]
+    assert elapsed_ms() - started < 150.0
+    assert len(holder.turned_away) == 1
+    assert {reply.status for reply in replies} == {503}
+    assert field(replies[1], b"ploverhatch-result") == [b"2112"]
+    told_s = [float(field(reply, b"retry-after")[0]) for reply in replies]
+    assert all(2.8 < after_s <= 3.2 for after_s in told_s)
+
+
+def test_a_single_attempt_that_is_turned_away_is_told_the_rest(bench):
+    once = route("one", PLAIN, repeatable=False, max_attempts=1)
+    services = {PLAIN: Service(PLAIN, False, 100)}
+    bench.directory.take_table(RouteTable(2, {b"h.example": (once,)}, services))
+    upstream = Upstream("u1")
+    upstream.behaviour.rest_s = 1.5
+    bench.add(upstream)
+    reply = bench.ask(b"/one/", b"POST")
+    assert field(reply, b"ploverhatch-result") == [b"2104"]
+    assert 1.4 < float(field(reply, b"retry-after")[0]) <= 1.7
+
+
+def test_the_dispatcher_is_told_what_this_node_may_not_use(bench):
+    for upstream in (Upstream("u1"), Upstream("u2")):
+        bench.add(upstream)
+    slots = share(bench, GivenSlots("u1", "u2", "u2"))
+    bench.ask(b"/once/", b"POST")
+    bench.pool.get("u1").asked_for_rest()
+    bench.directory.take_notice("u1", REST)
+    bench.forwarder._choice.note_rest("u1")
+    bench.ask(b"/once/", b"POST")
+    assert [wish.barred for wish in slots.wishes] == [(), ("u1",)]
+
+
+def test_a_holder_that_said_it_leaves_long_ago_is_given_up_at_once(bench):
+    holder = Upstream("u1", sharded=True)
+    bench.own_keys(bench.add(holder, service=KEYED))
+    now_ms = elapsed_ms()
+    assert bench.directory.servers.hear_leaving("u1", now_ms - 1300.0, now_ms)
+    reply = bench.ask(b"/key/", headers=((b"Shard-Key", b"5"),))
+    assert elapsed_ms() - now_ms < 50.0
+    assert (reply.status, holder.arrived) == (503, [])
+
+
+def test_where_all_leave_a_request_without_a_key_is_refused_at_once(bench):
+    upstream = Upstream("u1")
+    bench.add(upstream)
+    bench.directory.take_notice("u1", LEAVES)
+    started = elapsed_ms()
+    assert bench.ask(b"/read/").status == 503
+    assert elapsed_ms() - started < 50.0
+    assert upstream.arrived == []
