Decide what may be sent to a server without clocks and sockets

Cause: the decision stood in the task that asks it, so only sockets tested it. Change: routing/sending.py holds it, pure; a state machine plays words, entries, lives and waits in any order against a plain model (150 schedules of 30 steps).

--- a/ploverhatch/gateway/server_choice.py
+++ b/ploverhatch/gateway/server_choice.py
@@ -9,7 +9,6 @@
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
-from enum import Enum
 
 from ploverhatch.common import results
 from ploverhatch.common.clock import elapsed_ms
@@ -17,32 +16,16 @@
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
-from ploverhatch.routing import balancer
+from ploverhatch.routing import balancer, sending
+from ploverhatch.routing.sending import Bar, HolderTimes
 from ploverhatch.state.servers import ServerRecord
 
-DRAINING_HOLDER_MS = 700.0  # how long a draining server still gets its keys' requests
-# Of the time until a server that says that it leaves gets nothing from the node that heard
-# it: how long its keys' requests still go there. The rest is for those already on their way.
-LEAVING_HOLDER_PART = 0.6
-# Of the time until an evacuated zone gets nothing: how long its servers still get their
-# keys' requests while these wait for a new holder. Another part goes by until this node
-# hears of the evacuation, and a request that was sent may take a while to arrive.
-EVACUATED_HOLDER_PART = 0.3
 JITTER = 0.15
 DEFAULT_ANSWER_MS = 100.0
 REST_SPREAD_MS = 200.0  # callers that are told of one rest come back spread over so long
 RETRY_AFTER_NO_SERVER_S = 0.5
 
 
-class Bar(Enum):
-    """Why a request may not be sent to a server now."""
-
-    GONE = "gone"  # it has no record
-    REGION = "region"  # the route is not served there
-    LEAVES = "leaves"
-    RESTS = "rests"  # it asked this node for a rest
-
-
 @dataclass(frozen=True, slots=True)
 class Hopeless:
     """No server may be sent a request, and no short wait changes that."""
@@ -63,8 +46,7 @@
     ) -> None:
         self._directory = directory
         self._pool = pool
-        self._evacuated_holder_ms = evacuate_ms * EVACUATED_HOLDER_PART
-        self._leaving_holder_ms = drain_ms * LEAVING_HOLDER_PART
+        self._times = HolderTimes.of(drain_ms, evacuate_ms)
         self._rested: set[str] = set()  # servers that asked for a rest and have not recovered
 
     def bar(self, call: Call, server_id: str) -> Bar | None:
@@ -72,17 +54,14 @@
 
         First tries and repeats, with and without a key or a shared slot, all ask here.
         """
-        servers = self._directory.servers
-        record = servers.records.get(server_id)
-        if record is None:
-            return Bar.GONE  # it has ended, though the pool may not know yet
-        if not record.lies_in(call.route.regions):
-            return Bar.REGION
-        if servers.standings.rest_left_ms(server_id, elapsed_ms()) > 0:
-            return Bar.RESTS
-        if record.leaving and (not call.partitioned or self._left_long_ago(record)):
-            return Bar.LEAVES
-        return None
+        return sending.bar(
+            self._directory.servers,
+            server_id,
+            call.partitioned,
+            call.route.regions,
+            self._times,
+            elapsed_ms(),
+        )
 
     def holder(self, call: Call) -> Upstream | None:
         """Return the server that holds a request's key and may be sent it now."""
@@ -209,18 +188,6 @@
             return call.move_by_ms
         return call.offer_by_ms
 
-    def _left_long_ago(self, record: ServerRecord) -> bool:
-        """Whether a server is leaving for so long that its keys' requests go there no more."""
-        servers, now_ms = self._directory.servers, elapsed_ms()
-        said_ms = servers.standings.leaving_ms.get(record.server_id)
-        if said_ms is not None and now_ms - said_ms > self._leaving_holder_ms:
-            return True
-        since_ms = servers.leaving_since.get(record.server_id)
-        if since_ms is None or not (record.draining or record.evacuated):
-            return False
-        limit_ms = DRAINING_HOLDER_MS if record.draining else self._evacuated_holder_ms
-        return now_ms - since_ms > limit_ms
-
     def _usable(self, record: ServerRecord, call: Call, tried: set[str]) -> bool:
         if record.server_id in tried or self.bar(call, record.server_id):
             return False
