Say in the log whose word a request was refused by, and how old it is

Cause: a refusal told the service only, so that a log could not show which server's rest or leaving it follows from, nor what was left of it. Change: the detail of 2112 and 2101 names server, age or rest left, and how many rest. Measured: the tests of forwarder and logs pass; no decision changed.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -391,17 +391,23 @@
             raise self._out_of_time(call, history, results.QUEUE_TIMEOUT) from error
 
     def _out_of_time(
-        self, call: Call, history: AttemptHistory, result: Result, after_s: float = 0.0
+        self,
+        call: Call,
+        history: AttemptHistory,
+        result: Result,
+        after_s: float = 0.0,
+        detail: str = "",
     ) -> RefusedError:
         """Return the refusal of a request that found no server in time.
 
         :param after_s: when a slot can be expected, where that is known.
+        :param detail: for the log; the service where nothing else is given.
         """
         if history.may_have_run:
-            return RefusedError(results.ANSWER_LOST, result.name)
+            return RefusedError(results.ANSWER_LOST, ",".join(filter(None, (result.name, detail))))
         busy = result in {results.QUEUE_TIMEOUT, results.QUEUE_FULL}
         retry_after_s = RETRY_AFTER_BUSY_S if busy else RETRY_AFTER_MOVE_S
-        return RefusedError(result, call.service, max(retry_after_s, after_s))
+        return RefusedError(result, detail or call.service, max(retry_after_s, after_s))
 
     def _attempt_noted(
         self, call: Call, upstream: Upstream
@@ -496,4 +502,6 @@
         """
         hopeless = self._choice.hopeless(call, tried)
         if hopeless is not None:
-            raise self._out_of_time(call, history, hopeless.result, hopeless.after_s)
+            raise self._out_of_time(
+                call, history, hopeless.result, hopeless.after_s, hopeless.detail
+            )
--- a/ploverhatch/gateway/server_choice.py
+++ b/ploverhatch/gateway/server_choice.py
@@ -32,6 +32,7 @@
 
     result: Result
     after_s: float  # when its caller may come back
+    detail: str  # for the log: which server's word it follows from, and how old it is
 
 
 class ServerChoice:
@@ -147,7 +148,7 @@
         ):
             return None
         if records and all(self._shut(record, call) for record in records):
-            return Hopeless(results.NO_OWNER, RETRY_AFTER_NO_SERVER_S)
+            return Hopeless(results.NO_OWNER, RETRY_AFTER_NO_SERVER_S, call.service)
         if call.partitioned:
             server_id = self._holder_id(call)
             return self._hopeless_at(call, [server_id]) if server_id is not None else None
@@ -160,19 +161,25 @@
         if not bars or not all(bars.values()):
             return None
         if resting:
-            return Hopeless(results.SERVERS_REST, self._rest_over_s(resting))
-        standings = self._directory.servers.standings
-        if all(bar is Bar.LEAVES for bar in bars.values()) and (
-            not call.partitioned or any(standings.leaves(server_id) for server_id in bars)
-        ):
-            return Hopeless(results.NO_OWNER, RETRY_AFTER_NO_SERVER_S)
-        return None
+            return self._until_rest_is_over(resting)
+        if not all(bar is Bar.LEAVES for bar in bars.values()):
+            return None
+        said_ms = self._directory.servers.standings.leaving_ms
+        said = {name: elapsed_ms() - said_ms[name] for name in bars if name in said_ms}
+        if call.partitioned and not said:
+            return None
+        words = ",".join(f"{name}:left-{age_ms:.0f}-ms-ago" for name, age_ms in said.items())
+        return Hopeless(results.NO_OWNER, RETRY_AFTER_NO_SERVER_S, words or call.service)
 
-    def _rest_over_s(self, server_ids: Collection[str]) -> float:
+    def _until_rest_is_over(self, server_ids: Collection[str]) -> Hopeless:
         """Return when the first of some rests is over; callers come back spread from then on."""
         standings, now_ms = self._directory.servers.standings, elapsed_ms()
-        left_ms = min(standings.rest_left_ms(server_id, now_ms) for server_id in server_ids)
-        return (left_ms + random.uniform(0.0, REST_SPREAD_MS)) / 1000
+        left_ms, server_id = min(
+            (standings.rest_left_ms(name, now_ms), name) for name in server_ids
+        )
+        after_s = (left_ms + random.uniform(0.0, REST_SPREAD_MS)) / 1000
+        detail = f"{server_id}:rests-{left_ms:.0f}-ms,{len(server_ids)}-rest"
+        return Hopeless(results.SERVERS_REST, after_s, detail)
 
     def _shut(self, record: ServerRecord, call: Call) -> bool:
         """Whether operators want nothing sent to a server."""
