Let renewals through between breaks of a server that keeps no connections

Cause: found by reading the change: a server that rests connections for less than the time between renewals breaks each one, so its renewals would have waited for ever and its leases lapsed.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -207,6 +207,7 @@
         if any(other.asker == wish.asker for other in self._waiting):
             return [*answers, Queued(wish.asker)]
         ahead = sum(other.priority <= wish.priority for other in self._waiting)
+        # One that waits for servers that it may not use yet keeps nobody from the others.
         rivals = [other for other in self._waiting[:ahead] if not other.barred]
         server_id = None if rivals else self._choose(wish, now_ms)
         if server_id is not None:
--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -105,7 +105,7 @@
         except gevent.Timeout as error:
             raise _NoAnswerError("no answer in time") from error
         except AnswerCutError as error:
-            self._broken_ms = elapsed_ms()
+            self._note_broken()
             raise _NoAnswerError(str(error)) from error
         if connection.reusable:
             self._keep(connection)
@@ -122,7 +122,7 @@
             if connection.is_quiet():
                 return connection
             connection.close()
-            self._broken_ms = elapsed_ms()
+            self._note_broken()
         connection = HttpConnection(self._address)
         try:
             connection.open(CONNECT_TIMEOUT_S)
@@ -132,6 +132,16 @@
             raise _NoAnswerError(str(error)) from error
         return connection
 
+    def _note_broken(self) -> None:
+        """The server broke a connection: it may have ended, or just rests its connections.
+
+        Where it does so again and again, as one that keeps none at rest for long, renewals
+        are let through in between, within the lease.
+        """
+        now_ms = elapsed_ms()
+        if now_ms - self._broken_ms > 2 * CONFIRM_MS:
+            self._broken_ms = now_ms
+
     def _keep(self, connection: HttpConnection) -> None:
         self.close()
         self._kept = connection
