Take a connection that ends when its server said it would for no break

Cause: found by reading: a server that keeps connections at rest for less than the time between renewals would have had all its keys granted anew each time. Change: an end at the stated idle time is none. A next life within that moment is not noticed there; open for such servers only. Measured: the new test and those of lives pass.

--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.dialect import (
     Dialect,
@@ -28,6 +29,7 @@
 CONNECT_TIMEOUT_S = 0.3
 GRANT_TIMEOUT_S = 0.6
 RELEASE_TIMEOUT_S = 2.0
+IDLE_MARGIN_S = 0.5  # by which a server may end a connection at rest before the time it stated
 
 
 class _NoAnswerError(ConnectionError):
@@ -133,9 +135,13 @@
         return broken
 
     def _has_broken(self) -> bool:
-        if self._kept is not None and not self._kept.is_quiet():
+        kept = self._kept
+        if kept is not None and not kept.is_quiet():
+            idle_s = elapsed_ms() / 1000 - kept.idle_since_s
+            # A server that keeps connections at rest for so long only has said so.
+            announced = 0 < kept.idle_limit_s <= idle_s + IDLE_MARGIN_S
+            self._broken = self._broken or not announced
             self.close()
-            self._broken = True
         return self._broken
 
     def _connect_again(self) -> None:
@@ -153,6 +159,7 @@
 
     def _keep(self, connection: HttpConnection) -> None:
         self.close()
+        connection.idle_since_s = elapsed_ms() / 1000
         self._kept = connection
 
     def close(self) -> None:
--- a/tests/functional/test_server_control.py
+++ b/tests/functional/test_server_control.py
@@ -13,6 +13,7 @@
 DONE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 LEAVING = b"HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
 CLOSING = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+RESTS_SHORTLY = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"
 CALL = GrantCall(0, 9, 1, 4000.0)
 
 
@@ -50,6 +51,17 @@
     assert grant(control, renewal=True) is CallOutcome.DONE
 
 
+def test_an_end_that_the_server_has_stated_is_none():
+    """Else one that keeps no connection at rest between renewals would be granted all anew."""
+    upstream = RawUpstream(RESTS_SHORTLY, close=True)
+    control = control_of(upstream)
+    grant(control)
+    gevent.sleep(0.6)
+    upstream.answers += [DONE] * 2
+    assert grant(control, renewal=True) is CallOutcome.DONE
+    assert not control.take_break()
+
+
 def test_an_answer_that_is_cut_and_a_dead_port_are_ends_too():
     upstream = RawUpstream(None)
     control = control_of(upstream)
