--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -23,6 +23,9 @@
 
 KEYED, PLAIN = "keyed", "plain"
 PROGRAM = "ploverhatch.cli.platform_gateway"
+# A folder with another landing of the project: its gateways run beside today's stand-ins.
+CODE_VARIABLE = "PLOVERHATCH_TEST_CODE"
+CODE = os.environ.get(CODE_VARIABLE)
 SUSPENDED_PROGRAM = "tests.standin.suspended_gateway"  # of every other node
 GRACE_S = 6.0  # from SIGTERM until the platform kills a process
 POLL_S = 0.02
@@ -269,8 +272,9 @@
         size = self.log.stat().st_size
         with self.log.open("ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", self.program],
+                [sys.executable, "-m", PROGRAM if CODE else self.program],
                 env=environment,
+                cwd=CODE,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
