Tell which code wrote a log, and of each request under a stop whether its answer was taken

Cause: a log named no landing, ordinary requests write no line, and nothing told whether an answer left and was acknowledged. So the incident's hypotheses (given up at the end, cut as gone, written and lost) look alike. Change: "Started." has code=, git's id of the package folder. After SIGTERM each answer is told when its connection ends: "Answers taken." with up to 40 names a line (4,000 a stop), "Answer not taken." with the bytes that were not acknowledged (SIOCOUTQ), "Request without answer." with the cause wherever a connection breaks under a request or the process ends; "Request not read." for requests that were in but not looked at. explain-request reads them. Ruled out: a line for each answer (some 400 in a stop, of a buffer of 2,000); hashlib for the id (3.7 MB a process). No decision is changed.

--- a/ploverhatch/cli/explain_request.py
+++ b/ploverhatch/cli/explain_request.py
@@ -2,7 +2,7 @@
 
 import re
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import click
@@ -12,6 +12,7 @@
 FIELD = re.compile(r"(\w+)=(\S+)")
 BELIEF_PARTS = ("[leader]", "[elector]", "[directory]", "[feed]")
 WINDOW_LINES = 12
+TAKEN = re.compile(r"\[callers\] Answers taken\. requests=(\S+)")
 
 
 @dataclass(frozen=True)
@@ -36,16 +37,56 @@
     told = []
     for line in lines:
         if line.fields.get("request") == request_id:
-            told += _story(line)
+            tell = next((tell for mark, tell in STORIES.items() if mark in line.text), _story)
+            told += [line.text, *tell(line)]
             told += ["what the nodes believed around then:"]
             told += [f"  {other.text}" for other in _beliefs(line, lines)]
+        elif (status := _taken_status(request_id, line.text)) is not None:
+            told += [line.text.partition(" requests=")[0]]
+            told += [f"  answer: {status}, taken by the caller while the process was stopping"]
     return told
 
 
+def _taken_status(request_id: str, text: str) -> str | None:
+    """Return the status of a request that a line on many taken answers names."""
+    found = TAKEN.search(text)
+    statuses = dict(entry.rsplit(":", 1) for entry in found[1].split("|")) if found else {}
+    return statuses.get(request_id)
+
+
+Story = Callable[[LogLine], list[str]]
+STORIES: dict[str, Story] = {}  # by what a line holds
+
+
+def story(mark: str) -> Callable[[Story], Story]:
+    """Register how a kind of line is told."""
+
+    def register(tell: Story) -> Story:
+        STORIES[mark] = tell
+        return tell
+
+    return register
+
+
+@story("[callers] Answer not taken.")
+def _untaken(line: LogLine) -> list[str]:
+    fields = line.fields
+    return [
+        f"  answer: {fields.get('status')}, written whole; {fields.get('unacknowledged')} of "
+        f"{fields.get('size')} bytes weren't acknowledged when the connection was closed"
+    ]
+
+
+@story("[callers] Request without answer.")
+def _unanswered(line: LogLine) -> list[str]:
+    cause = line.text.partition(" cause=")[2].rpartition(" took_ms=")[0]
+    return [f"  no whole answer left, after {line.fields.get('took_ms')} ms: {cause}"]
+
+
 def _story(line: LogLine) -> list[str]:
     fields = line.fields
     result = RESULTS.get(int(fields.get("result", "0")))
-    rows = [line.text, f"  answer: {fields.get('status')} after {fields.get('took_ms')} ms"]
+    rows = [f"  answer: {fields.get('status')} after {fields.get('took_ms')} ms"]
     if result is not None:
         rows.append(
             f"  result {result.code} {result.name}: {result.title} ({result.outcome.value})"
--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -16,6 +16,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.answer_record import SentAnswer, unacknowledged_bytes
 from ploverhatch.gateway.messages import (
     CallerGoneError,
     CallerReply,
@@ -76,12 +77,18 @@
         self._ready: deque[_Incoming] = deque()
         self._incoming: _Incoming | None = None
         self._parser = HttpRequestParser(self)
-        self.busy = False
+        self._request: CallerRequest | None = None  # that is being served or answered
+        self._answers: list[SentAnswer] = []  # since the process was told to stop
         self._closing = False
         self._lingering = False
         self._served = 0
         self._used_ms = elapsed_ms()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being served or answered."""
+        return self._request is not None
+
     # ---- parser callbacks -----------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -148,14 +155,38 @@
             self._server.rejected(error.status)
             self._send(CallerReply(error.status), b"", close=True)
             self._linger()
-        except (OSError, CallerGoneError, DeadlineOverError, ProcessEndsError, gevent.Timeout):
-            pass
+        except CallerGoneError:
+            pass  # told with the request
+        except (OSError, DeadlineOverError, ProcessEndsError, gevent.Timeout) as error:
+            self._tell_broken(error)
         finally:
+            self.tell_answers()
             if self._closing:
                 self._note_crossing()
             with suppress(OSError):
                 self._socket.close()
 
+    def _tell_broken(self, error: BaseException) -> None:
+        """Tell whose answer the end of the connection cost; resting ones may end as they like."""
+        if self._request is not None:
+            self.tell_unanswered(repr(error))
+        elif self._incoming is not None or self._ready:
+            LOG.info("Request not read.", whole=len(self._ready), cause=repr(error))
+
+    def tell_unanswered(self, cause: str) -> None:
+        """Tell that the request which is being served, if there is one, gets no whole answer."""
+        if self._request is not None:
+            name, took_ms = self._request.name, elapsed_ms() - self._request.received_ms
+            LOG.warning(
+                "Request without answer.", request=name, cause=cause, took_ms=round(took_ms)
+            )
+
+    def tell_answers(self) -> None:
+        """Tell whether the answers of a process that stops were taken."""
+        answers, self._answers = self._answers, []
+        if answers:
+            self._server.answers.note(answers, unacknowledged_bytes(self._socket))
+
     def _serve_one(self, incoming: _Incoming) -> bool:
         request = CallerRequest(
             method=incoming.method,
@@ -167,25 +198,23 @@
         )
         self._served += 1
         self._server.note_taken(first=self._served == 1)
-        self.busy = True
+        self._request = request
         try:
             with _DepartureWatch(self._socket):
                 reply = self._server.handler(request)
             close = not incoming.keep_alive or self._server.draining
             self._deliver(reply, incoming.method, close)
+            self._request = None
         finally:
-            self.busy = False
             self._used_ms = elapsed_ms()
         if close:
             self._linger()
         return not close
 
     def _deliver(self, reply: CallerReply, method: bytes, close: bool) -> None:
-        try:
-            self._send(reply, method, close)
-        except OSError as error:
-            LOG.info("Answer not delivered.", status=reply.status, cause=repr(error))
-            raise
+        size = self._send(reply, method, close)
+        if self._server.draining and self._request is not None:
+            self._answers.append(SentAnswer(self._request.name, reply.status, size))
 
     def _next_request(self) -> _Incoming | None:
         """Return the next whole request; ``None`` when the connection is over."""
@@ -231,7 +260,8 @@
                 return  # answer what was whole; the next read fails again
             raise RequestRejectedError(400) from error
 
-    def _send(self, reply: CallerReply, method: bytes, close: bool) -> None:
+    def _send(self, reply: CallerReply, method: bytes, close: bool) -> int:
+        """Write an answer; return its bytes."""
         rows = [b"HTTP/1.1 %d %s" % (reply.status, _reason(reply.status))]
         rows += [name + b": " + value for name, value in reply.headers]
         if reply.status not in {204, 304}:
@@ -243,7 +273,9 @@
             rows.append(b"Keep-Alive: timeout=%d" % rest_s)
         head = b"\r\n".join(rows) + b"\r\n\r\n"
         self._socket.settimeout(WRITE_TIMEOUT_S)
-        self._socket.sendall(head if method == b"HEAD" else head + reply.body)
+        payload = head if method == b"HEAD" else head + reply.body
+        self._socket.sendall(payload)
+        return len(payload)
 
     def _rest_s(self) -> int:
         """Return how long the caller may rest on the connection, in whole seconds."""
--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -14,6 +14,7 @@
 from gevent.server import StreamServer
 
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.answer_record import AnswerRecord
 from ploverhatch.gateway.caller_connection import CallerConnection
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
 from ploverhatch.routing.route_table import ClientLimits
@@ -63,6 +64,7 @@
         self.rejected = rejected
         self.draining = False
         self.stop_counts = StopCounts()
+        self.answers = AnswerRecord()
         self._connections: set[CallerConnection] = set()
         self._server = StreamServer(tuple(address), self._accepted, backlog=BACKLOG)
 
@@ -105,6 +107,13 @@
         """Number of requests being served."""
         return sum(connection.busy for connection in self._connections)
 
+    def tell_open(self) -> None:
+        """Tell what became of the requests whose connections the end of the process closes."""
+        for connection in list(self._connections):
+            connection.tell_answers()
+            connection.tell_unanswered("process-ends")
+        self.answers.flush()
+
     def note_taken(self, first: bool) -> None:
         """Count a request, if it came after a planned stop began.
 
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -125,7 +125,7 @@
         under_way = self._under_way[request] = _UnderWay(gevent.getcurrent())
         try:
             facts = self._dialect.facts(request)
-            trace.request_id = facts.request_id.decode("latin-1") or "-"
+            request.name = trace.request_id = facts.request_id.decode("latin-1") or "-"
             call = self._match(request, facts, trace)
             under_way.deadline_ms = call.deadline_ms
             try:
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.code_id import code_id
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway import keymap_codec
 from ploverhatch.gateway.caller_server import CallerServer
@@ -172,7 +173,7 @@
         self._tasks = [
             gevent.spawn(run_forever, name, job, failed) for name, job, failed in self._jobs()
         ]
-        LOG.info("Started.", node=self._settings.node, zone=self._settings.zone)
+        LOG.info("Started.", node=self._settings.node, zone=self._settings.zone, code=code_id())
         self._stopped.wait()
 
     def _jobs(self) -> list[tuple[str, Callable[[], None], Callable[[], None] | None]]:
--- a/ploverhatch/gateway/stop_sequence.py
+++ b/ploverhatch/gateway/stop_sequence.py
@@ -71,7 +71,8 @@
             gevent.sleep(POLL_S)
 
     def _tell(self, given_up: int) -> None:
-        counts = self._callers.stop_counts
+        self._callers.tell_open()
+        counts, answers = self._callers.stop_counts, self._callers.answers
         LOG.info(
             "Stopped.",
             busy=self._callers.busy,
@@ -83,4 +84,6 @@
             later=counts.later,
             closed=counts.closed,
             crossed=counts.crossed,
+            taken=answers.taken,
+            untaken=answers.untaken,
         )
--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -2,15 +2,28 @@
 
 import logging
 import os
+import shutil
+import socket
+import subprocess
 from contextlib import suppress
+from pathlib import Path
 
 import gevent
 import pytest
 from click.testing import CliRunner
 
+import ploverhatch
 from ploverhatch.cli.explain_request import explain, read_lines
 from ploverhatch.cli.main import main
+from ploverhatch.common.code_id import code_id
 from ploverhatch.common.log_output import BufferedOutput
+from ploverhatch.gateway.answer_record import (
+    MOST_NAMES,
+    NAMES_IN_LINE,
+    AnswerRecord,
+    SentAnswer,
+    unacknowledged_bytes,
+)
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
 from ploverhatch.routing.attempt_outcome import AttemptResult
@@ -164,3 +177,91 @@
     (line,) = [row.getMessage() for row in caplog.records]
     assert line.startswith("[request] Request without answer. request=r1 status=0 result=0")
     assert "detail=caller-gone took_ms=12" in line
+
+
+def fake_answers(*sizes):
+    return [SentAnswer(f"r{number}", 200, size) for number, size in enumerate(sizes)]
+
+
+def test_answers_of_a_stop_are_told_many_to_a_line(caplog):
+    answers = AnswerRecord()
+    with caplog.at_level(logging.INFO, "absl"):
+        for answer in fake_answers(*[10] * (NAMES_IN_LINE + 1)):
+            answers.note([answer], 0)
+        answers.flush()
+    assert [line.count(":200") for line in caplog.messages] == [NAMES_IN_LINE, 1]
+    assert answers.taken == NAMES_IN_LINE + 1
+
+
+def test_no_more_names_are_told_than_a_bound(caplog):
+    answers = AnswerRecord()
+    with caplog.at_level(logging.INFO, "absl"):
+        answers.note(fake_answers(*[10] * (MOST_NAMES + 100)), 0)
+        answers.flush()
+    assert sum(line.count(":200") for line in caplog.messages) == MOST_NAMES
+    assert answers.taken == MOST_NAMES + 100
+
+
+@pytest.mark.parametrize(
+    ("unacknowledged", "untaken"), [(0, 0), (None, 0), (1, 1), (10, 1), (11, 2), (99, 3)]
+)
+def test_the_last_answers_of_a_connection_are_those_that_miss_bytes(
+    caplog, unacknowledged, untaken
+):
+    answers = AnswerRecord()
+    with caplog.at_level(logging.INFO, "absl"):
+        answers.note(fake_answers(30, 20, 10), unacknowledged)
+    assert (answers.taken, answers.untaken) == (3 - untaken, untaken)
+    names = [read_lines([line])[0].fields["request"] for line in caplog.messages]
+    assert names == ["r2", "r1", "r0"][:untaken]
+
+
+def test_bytes_that_nobody_reads_are_unacknowledged():
+    """The caller's window is full, so that the rest stays with us."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    caller = socket.create_connection(listener.getsockname())
+    sock, _ = listener.accept()
+    with listener, caller, sock:
+        assert unacknowledged_bytes(sock) == 0
+        sock.setblocking(False)
+        with suppress(BlockingIOError):
+            while True:
+                sock.send(b"x" * 65536)
+        assert unacknowledged_bytes(sock) > 0
+    assert unacknowledged_bytes(sock) is None
+
+
+STOP_LOG = """\
+10:00:00.000 n1 I [gateway] Stopping. busy=2 connections=3
+10:00:00.100 n1 I [callers] Answers taken. requests=r1:200|r2:503
+10:00:00.200 n1 W [callers] Answer not taken. request=r3 status=200 unacknowledged=7 size=90
+10:00:00.300 n1 W [callers] Request without answer. request=r4 cause=process-ends took_ms=41
+"""
+STORIES = {
+    "r1": "answer: 200, taken by the caller",
+    "r2": "answer: 503, taken by the caller",
+    "r3": "200, written whole; 7 of 90 bytes weren't acknowledged",
+    "r4": "no whole answer left, after 41 ms: process-ends",
+}
+
+
+@pytest.mark.parametrize("name", STORIES)
+def test_explain_tells_what_a_stop_made_of_a_request(name):
+    assert STORIES[name] in "\n".join(explain(name, read_lines(STOP_LOG.splitlines())))
+
+
+def test_the_code_id_is_gits_id_of_the_package(tmp_path):
+    """So that ``git rev-parse LANDING:ploverhatch`` tells which landing wrote a log."""
+    package = Path(ploverhatch.__file__).parent
+    ignored = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(package, tmp_path / "ploverhatch", ignore=ignored)
+
+    def git(*words):
+        done = subprocess.run(
+            ["git", *words], cwd=tmp_path, check=True, capture_output=True, text=True
+        )
+        return done.stdout.strip()
+
+    git("init", "--quiet")
+    git("add", "ploverhatch")
+    assert git("write-tree", "--prefix=ploverhatch/").startswith(code_id())
