Look by a connection of its own whether a back end has ended (node program)

Seen: beside load four back ends were killed under one request, and the node found two to have ended; its repeats were sent on. Cause: the end was read from how the call that cancels the request failed. That call may go over a kept control connection, which breaks with the process, a moment after the request's own: "closed", not "refused". Change: after a failed cancel the back end's port is asked by a connection of its own, as gateways do. Why it holds: a dead port refuses a new connection whatever kept ones do. The contract test fails before, each time.

--- a/ploverhatch/backend/http_backend.py
+++ b/ploverhatch/backend/http_backend.py
@@ -23,6 +23,7 @@
     HttpClient,
     NotSentError,
 )
+from ploverhatch.transport.http_connection import HostPort, HttpConnection, NotConnectedError
 
 CONTROL_CONNECTIONS = 2
 HEADER_GROUP = "Slice-Group"
@@ -66,6 +67,7 @@
     """One back end; control calls have connections of their own."""
 
     def __init__(self, host: str, port: int, connections: int) -> None:
+        self._address = HostPort(host, port)
         self._requests = HttpClient(host, port, connections)
         self._control = HttpClient(host, port, CONTROL_CONNECTIONS)
 
@@ -110,6 +112,18 @@
         reply = self._control_call("/control/cancel", {"request_id": request_id}, timeout_s)
         return bool(reply["never_ran"])
 
+    @override
+    def has_ended(self, timeout_s: float) -> bool:
+        # On a connection of its own: a kept one breaks with its process too, some moments
+        # after others, and tells no more than that.
+        connection = HttpConnection(self._address)
+        try:
+            connection.open(timeout_s)
+        except NotConnectedError as error:
+            return error.refused
+        connection.close()
+        return False
+
     def _control_call(self, path: str, document: dict[str, Any], timeout_s: float) -> Any:
         headers = {"Content-Type": "application/json"}
         payload = json.dumps(document).encode()
--- a/ploverhatch/backend/interface.py
+++ b/ploverhatch/backend/interface.py
@@ -106,6 +106,10 @@
     def cancel(self, request_id: str, timeout_s: float) -> bool:
         """Cancel a request; true only if it surely never ran nor will."""
 
+    @abstractmethod
+    def has_ended(self, timeout_s: float) -> bool:
+        """Tell whether the process at the address is gone, as far as a look shows."""
+
     @abstractmethod
     def close(self) -> None:
         """Close idle connections."""
--- a/ploverhatch/node/router.py
+++ b/ploverhatch/node/router.py
@@ -438,9 +438,11 @@
         """Ask the server whether the request can still be kept from running."""
         try:
             cancelled = upstream.client.cancel(request.request_id, CANCEL_TIMEOUT_S)
-        except (ConnectionError, ValueError, KeyError) as cause:
+        except (ConnectionError, ValueError, KeyError):
             cancelled = False
-            if isinstance(cause.__cause__, ConnectionRefusedError):  # its port is dead
+            # How the call failed doesn't tell: it may have gone over a kept connection that
+            # broke with the process, a moment after the request's.
+            if upstream.client.has_ended(CANCEL_TIMEOUT_S):
                 self._crashes.ended(call.guarded, upstream.spec.name, sent_ms)
         if cancelled:
             return AttemptEnd.CANCELLED
--- a/tests/functional/test_backend_contract.py
+++ b/tests/functional/test_backend_contract.py
@@ -1,7 +1,10 @@
 """Contract of the back end adapter against the emulator."""
 
+from types import SimpleNamespace
+
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from ploverhatch.backend.http_backend import HttpBackend
 from ploverhatch.backend.interface import (
@@ -12,7 +15,11 @@
 )
 from ploverhatch.common.keyspace import MAX_HASH, SliceRange
 from ploverhatch.emulator.backend import BackendBehaviour, BackendEmulator, clock_ms
+from ploverhatch.node.metrics import NodeMetrics
+from ploverhatch.node.router import Router
+from ploverhatch.node.view import StateView
 from ploverhatch.ownership.messages import Grant, SyncRequest
+from ploverhatch.settings.model import LimitsSection
 
 TOKEN = (3 << 48) | 9
 WHOLE = SliceRange("g", 0, MAX_HASH)
@@ -106,3 +113,47 @@
     server.behaviour.service_ms = 1
     replies = [client.send(request(f"n{n}", headers=(("echo", f"n{n}"),))) for n in range(5)]
     assert [f'"n{n}"'.encode() in reply.body for n, reply in enumerate(replies)] == [True] * 5
+
+
+class DyingServer:
+    """Answers one control call; its port is dead then, and the connection breaks at the next."""
+
+    PROBE = b'{"healthy": true, "load": 0, "clock_ms": 1}'
+
+    def __init__(self):
+        self._listener = StreamServer(("127.0.0.1", 0), self._serve)
+        self._listener.start()
+        self.port = self._listener.server_port
+
+    def _serve(self, sock, _address):
+        sock.recv(65536)
+        self._listener.close()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.PROBE)
+        sock.sendall(head + self.PROBE)
+        sock.recv(65536)
+
+
+def test_a_server_whose_control_connection_breaks_last_is_seen_to_have_ended():
+    """Seen beside load: four back ends were killed under a request, two were found to have ended.
+
+    Whether a server ended was read from how the call that cancels its request failed. That
+    call may go over a kept connection, which breaks with the process, a moment after the
+    request's own: closed, not refused. Proof: in two failed runs with the causes written, each
+    end that was missed had that one. So a connection of its own looks at the port.
+    """
+    backend = HttpBackend("127.0.0.1", DyingServer().port, 1)
+    assert backend.probe(1.0).healthy
+    router = Router(StateView("n"), None, LimitsSection(), None, NodeMetrics().router)
+    ended = []
+    router._crashes = SimpleNamespace(ended=lambda request, server, sent_ms: ended.append(server))
+    upstream = SimpleNamespace(client=backend, spec=SimpleNamespace(name="s1"))
+    error = BackendAnswerLostError("connection closed", timed_out=False)
+    router._after_loss(SimpleNamespace(guarded=None), upstream, request(), error, 0.0)
+    assert ended == ["s1"]
+    backend.close()
+
+
+def test_a_server_that_listens_has_not_ended(server, client):
+    assert not client.has_ended(1.0)
+    server.close()
+    assert client.has_ended(1.0)
