Ask a caller that ends its sending side whether it left, and answer it if not

Cause: the end of a caller's bytes was taken for its leaving. On the wire a closed connection and one whose caller reads on look alike. HTTP/1.0 callers, who know no interim answers, are served to the end. Why it holds: what proves a departure now is the reset, not the end of bytes. Ruled out: serving on without asking (work that can be repeated must end within 0.5 s of a close); keep-alive probes (a closed socket acknowledges them until it times out).

--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -17,6 +17,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.answer_record import SentAnswer, unacknowledged_bytes
+from ploverhatch.gateway.departure import CONTINUE, DepartureWatch
 from ploverhatch.gateway.messages import (
     CallerGoneError,
     CallerReply,
@@ -36,9 +37,10 @@
 LINGER_S = 1.0
 REST_PART = 0.8  # of the idle time: what callers send until then still comes in time
 CROSSING_S = 0.05  # from our close until all that crossed it has come: a round trip to callers
-READ_EVENT = 1  # libev's number for "readable"
 _PEEK = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
 
+HTTP_1_0 = "1.0"
+
 REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
 
 
@@ -63,6 +65,7 @@
     method: bytes = b""
     headers_done: bool = False
     keep_alive: bool = False
+    takes_interim: bool = False  # answers before the final one: since HTTP/1.1
     expects_continue: bool = False
 
 
@@ -127,6 +130,7 @@
         incoming.headers_done = True
         incoming.method = self._parser.get_method()
         incoming.keep_alive = self._parser.should_keep_alive()
+        incoming.takes_interim = self._parser.get_http_version() != HTTP_1_0
 
     def on_body(self, body: bytes) -> None:
         """A part of the body came."""
@@ -200,7 +204,7 @@
         self._server.note_taken(first=self._served == 1)
         self._request = request
         try:
-            with _DepartureWatch(self._socket):
+            with DepartureWatch(self._socket, incoming.takes_interim):
                 reply = self._server.handler(request)
             close = not incoming.keep_alive or self._server.draining
             self._deliver(reply, incoming.method, close)
@@ -242,7 +246,7 @@
         if incoming.headers_done:
             if incoming.expects_continue:
                 incoming.expects_continue = False
-                self._socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._socket.sendall(CONTINUE)
             return limits.idle_timeout_ms / 1000
         left_ms = incoming.received_ms + limits.header_timeout_ms - elapsed_ms()
         return max(left_ms / 1000, 0.001)
@@ -328,36 +332,5 @@
             return False
 
 
-class _DepartureWatch:
-    """Raises :class:`CallerGoneError` into the task when the caller closes.
-
-    The callback runs in the hub while the task waits, and throws into it at
-    once, as ``gevent.Timeout`` does; after ``__exit__`` none can arrive.
-    """
-
-    def __init__(self, sock: Any) -> None:
-        self._socket = sock
-        self._task = gevent.getcurrent()
-        self._watcher = gevent.get_hub().loop.io(sock.fileno(), READ_EVENT)
-
-    def __enter__(self) -> None:
-        self._watcher.start(self._readable)
-
-    def __exit__(self, *_: object) -> None:
-        self._watcher.stop()
-        self._watcher.close()
-
-    def _readable(self) -> None:
-        try:
-            gone = not self._socket._sock.recv(1, _PEEK)
-        except BlockingIOError:
-            return
-        except OSError:
-            gone = True
-        self._watcher.stop()
-        if gone:
-            self._task.throw(CallerGoneError())
-
-
 def _reason(status: int) -> bytes:
     return REASONS.get(status, b"Unknown")
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from ploverhatch.gateway.caller_server import CallerServer
+from ploverhatch.gateway.departure import is_reset
 from ploverhatch.gateway.messages import CallerGoneError, CallerReply
 from ploverhatch.routing.route_table import ClientLimits
 from ploverhatch.transport.http_connection import HostPort
@@ -143,6 +144,62 @@
     assert server.open_connections == 0
 
 
+HALF_CLOSED = {
+    "1.1": (b"GET / HTTP/1.1\r\n\r\n", [b"HTTP/1.1 100 Continue", b"HTTP/1.1 200 OK"]),
+    "1.0": (b"GET / HTTP/1.0\r\n\r\n", [b"HTTP/1.1 200 OK"]),
+}
+
+
+@pytest.mark.parametrize("version", HALF_CLOSED)
+def test_a_caller_that_ended_its_sending_side_gets_its_answer(server, application, version):
+    """Callers of HTTP/1.0 know no interim answers, so they aren't asked whether they left."""
+    data, heads = HALF_CLOSED[version]
+    application.wait_s = 0.3
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(data)
+    sock.shutdown(stdlib_socket.SHUT_WR)
+    answer = read(sock)
+    assert [line for line in answer.split(b"\r\n") if line.startswith(b"HTTP/")] == heads
+    assert application.gone == 0
+
+
+def test_a_caller_that_ended_its_sending_side_and_leaves_is_noticed(server, application):
+    application.wait_s = 5.0
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    sock.shutdown(stdlib_socket.SHUT_WR)
+    gevent.sleep(0.1)
+    assert application.gone == 0
+    sock.close()
+    gevent.sleep(0.1)
+    assert application.gone == 1
+
+
+def test_requests_before_the_end_of_a_callers_bytes_are_all_answered(server, application):
+    application.wait_s = 0.05
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+    sock.shutdown(stdlib_socket.SHUT_WR)
+    answer = read(sock)
+    assert answer.index(b"X-Target: /1") < answer.index(b"X-Target: /2")
+
+
+def test_a_reset_is_told_from_the_end_of_bytes():
+    listener = stdlib_socket.create_server(("127.0.0.1", 0))
+    caller = stdlib_socket.create_connection(listener.getsockname())
+    sock, _ = listener.accept()
+    with listener, sock:
+        caller.shutdown(stdlib_socket.SHUT_WR)
+        gevent.sleep(0.01)
+        assert not is_reset(sock)
+        sock.send(b"x")
+        gevent.sleep(0.01)
+        assert not is_reset(sock)
+        caller.close()
+        gevent.sleep(0.01)
+        assert is_reset(sock)
+
+
 def test_bytes_of_a_next_request_are_not_a_departure(server, application):
     application.wait_s = 0.15
     sock = socket.create_connection(("127.0.0.1", server.port))
