Raise what ends a request only where it is still served

Callers saw: an answer that was leaving when its process ended the requests under way, or noticed a suspension, was cut in the middle (3.9 of 8.4 MB in the test), without a line. Cause: the error was thrown into the connection's task by a callback of a later turn of the loop. A task that had gone on meanwhile was struck at its answer, or at the next request of the connection. Change: each request under way is an object of its own that is closed when it is over; the callback asks it last thing before it throws, from the hub, so that nothing runs in between. Each is ended once. Why it holds: the look and the throw are one step.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -4,10 +4,8 @@
 (pure); this module waits, sends and keeps the time limits.
 """
 
-import math
 import random
 from contextlib import ExitStack
-from dataclasses import dataclass
 
 import gevent
 
@@ -32,6 +30,7 @@
 from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
 from ploverhatch.gateway.shared_slots import SharedSlot, SharedSlots, SlotWish, TurnedAwayError
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
+from ploverhatch.gateway.under_way import RequestsUnderWay
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing.attempt_outcome import (
     AttemptHistory,
@@ -80,14 +79,6 @@
     return quarantine
 
 
-@dataclass(slots=True)
-class _UnderWay:
-    """A request that is being served."""
-
-    task: gevent.Greenlet
-    deadline_ms: float = math.inf  # once it is known
-
-
 class Forwarder:
     """Serves callers' requests of one node."""
 
@@ -109,7 +100,7 @@
         self._budget = budget
         self._splitter = ShareSplitter()
         self.planned_stop: PlannedStop | None = None  # once the process was told to stop
-        self._under_way: dict[CallerRequest, _UnderWay] = {}
+        self._under_way = RequestsUnderWay()
         self.sampled_keys: dict[str, list[int]] = {}
         self._quarantine = quarantine or _alone()
         self.metrics = GatewayMetrics()
@@ -122,16 +113,16 @@
         trace = RequestTrace()
         detail = ""
         result = results.OK
-        under_way = self._under_way[request] = _UnderWay(gevent.getcurrent())
         try:
             facts = self._dialect.facts(request)
             request.name = trace.request_id = facts.request_id.decode("latin-1") or "-"
             call = self._match(request, facts, trace)
-            under_way.deadline_ms = call.deadline_ms
-            try:
-                reply = self._run(call)
-            finally:
-                self._quarantine.over(call)
+            with self._under_way.serve() as under_way:
+                under_way.deadline_ms = call.deadline_ms
+                try:
+                    reply = self._run(call)
+                finally:
+                    self._quarantine.over(call)
         except MalformedRequestError as error:
             result, detail = results.BAD_REQUEST, str(error).replace(" ", "-")
             reply = self._refuse(RefusedError(result), facts)
@@ -152,8 +143,6 @@
         except ProcessEndsError:
             result = results.DEADLINE_IN_FLIGHT if trace.sent else results.NODE_DRAINING
             reply = self._refuse(RefusedError(result), facts)
-        finally:
-            del self._under_way[request]
         took_ms = elapsed_ms() - request.received_ms
         self.metrics.ended(result.code, took_ms)
         trace.finish(reply.status, result.code, detail, took_ms)
@@ -166,17 +155,11 @@
 
         :returns: how many they are.
         """
-        ended = list(self._under_way.values())
-        for under_way in ended:
-            gevent.kill(under_way.task, ProcessEndsError())
-        return len(ended)
+        return self._under_way.end_all(ProcessEndsError)
 
     def end_overdue(self) -> None:
         """Have the requests answered whose time has passed, though their timers stood still."""
-        now_ms = elapsed_ms()
-        for under_way in list(self._under_way.values()):
-            if under_way.deadline_ms <= now_ms:
-                gevent.kill(under_way.task, DeadlineOverError())
+        self._under_way.end_overdue(elapsed_ms(), DeadlineOverError)
 
     def _refuse(self, refusal: RefusedError, facts: RequestFacts | None) -> CallerReply:
         result = refusal.result
--- a/tests/functional/test_answers_around_a_stop.py
+++ b/tests/functional/test_answers_around_a_stop.py
@@ -184,7 +184,7 @@
 
 
 def end_overdue(forwarder):
-    for under_way in forwarder._under_way.values():
+    for under_way in forwarder._under_way._requests:
         under_way.deadline_ms = elapsed_ms()
     forwarder.end_overdue()
 
