Answer a request that crosses a close at rest: not taken, 408

Callers saw: a request that crossed the close of a resting connection by a process that stops found the connection reset, and nothing told that it had not run. Cause: the connection was closed on both sides at once, which resets whatever comes later. Change: the process says 408 with Connection: close, ends its sending side only, and reads on for a round trip (50 ms); where something came it lingers, so that no reset destroys the answer. What came is not looked at. Why it holds: 408 is HTTP's word for it (the request may be sent again), and nothing that is read after it is served. Callers at rest drop a connection on which unasked bytes come.

--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -37,6 +37,7 @@
 LINGER_S = 1.0
 REST_PART = 0.8  # of the idle time: what callers send until then still comes in time
 CROSSING_S = 0.05  # from our close until all that crossed it has come: a round trip to callers
+_CLOSED_AT_REST = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 _PEEK = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
 
 HTTP_1_0 = "1.0"
@@ -165,8 +166,6 @@
             self._tell_broken(error)
         finally:
             self.tell_answers()
-            if self._closing:
-                self._note_crossing()
             with suppress(OSError):
                 self._socket.close()
 
@@ -241,9 +240,10 @@
                 if self._incoming is None:
                     return None  # idle for as long as is allowed
                 raise RequestRejectedError(408) from error
-            # A request that crosses our close is left unread and unanswered:
-            # its caller knows that it was never taken.
-            if not data or self._closing:
+            if self._closing:
+                self._leave_untaken(bool(data))
+                return None
+            if not data:
                 return None
             self._feed(data)
         return self._ready.popleft()
@@ -319,21 +319,23 @@
         self._closing = True
         self._server.stop_counts.closed += 1
         with suppress(OSError):
-            self._socket.shutdown(stdlib_socket.SHUT_RDWR)
+            # A request that crosses the close finds this as its answer: not run, and it may
+            # be sent again (RFC 9110, 15.5.9). Callers at rest drop a connection that speaks.
+            self._socket._sock.send(_CLOSED_AT_REST, stdlib_socket.MSG_DONTWAIT)
+            self._socket.shutdown(stdlib_socket.SHUT_WR)
+        gevent.spawn_later(CROSSING_S, self._end_closing)
 
-    def _note_crossing(self) -> None:
-        """Note a request that was on its way when the connection was closed at rest.
+    def _end_closing(self) -> None:
+        """End a close at rest that nothing has crossed."""
+        if not self._lingering:
+            with suppress(OSError):
+                self._socket.shutdown(stdlib_socket.SHUT_RDWR)
 
-        It stays unread, so that its caller knows that it was never taken.
-        """
-        gevent.sleep(CROSSING_S)
-        try:
-            came = bool(self._socket._sock.recv(1, _PEEK))
-        except BlockingIOError:
-            came = False
-        except OSError:  # what comes after our close may be answered by a reset at once
-            came = True
-        self._server.stop_counts.crossed += came
+    def _leave_untaken(self, came: bool) -> None:
+        """Leave what crossed the close unread by us, and let its caller read why."""
+        if came:
+            self._server.stop_counts.crossed += 1
+            self._linger()
 
     def _has_unread(self) -> bool:
         try:
