Answer what outlasts the drain of a node (node program)

Callers saw: a request that was still served when the drain's limit came found its connection closed, without an answer or a line. Cause: the drain told whether all had ended, and the node closed the rest. The same as in gateways before they answered what outlasts a stop. Change: requests under way are ended as in gateways (common/under_way), and answered 504, 3002, outcome unknown; "Stopped." tells given_up and answered. Why it holds: each is ended where it waits, and the node waits up to 0.3 s for the answers to leave. Measured: the new test fails before (no answer) and passes after.

--- a/ploverhatch/gateway/under_way.py
+++ b/ploverhatch/common/under_way.py
@@ -7,6 +7,10 @@
 import gevent
 
 
+class ProcessEndsError(BaseException):
+    """The process ends before the request does; raised into the task that serves it."""
+
+
 class RequestUnderWay:
     """One request that is being served."""
 
--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -16,6 +16,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.under_way import ProcessEndsError
 from ploverhatch.gateway.answer_record import SentAnswer, unacknowledged_bytes
 from ploverhatch.gateway.departure import CONTINUE, DepartureWatch
 from ploverhatch.gateway.messages import (
@@ -24,7 +25,6 @@
     CallerRequest,
     DeadlineOverError,
     HeaderList,
-    ProcessEndsError,
 )
 
 if TYPE_CHECKING:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.results import RefusedError, Result
+from ploverhatch.common.under_way import ProcessEndsError, RequestsUnderWay
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
@@ -21,7 +22,6 @@
     CallerReply,
     CallerRequest,
     DeadlineOverError,
-    ProcessEndsError,
     RequestFacts,
 )
 from ploverhatch.gateway.metrics import GatewayMetrics
@@ -30,7 +30,6 @@
 from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
 from ploverhatch.gateway.shared_slots import SharedSlot, SharedSlots, SlotWish, TurnedAwayError
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
-from ploverhatch.gateway.under_way import RequestsUnderWay
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing.attempt_outcome import (
     AttemptHistory,
--- a/ploverhatch/gateway/messages.py
+++ b/ploverhatch/gateway/messages.py
@@ -49,7 +49,3 @@
 
 class DeadlineOverError(BaseException):
     """The request's time passed while the machine was suspended; raised into its task."""
-
-
-class ProcessEndsError(BaseException):
-    """The process ends before the request does; raised into the task that serves it."""
--- a/ploverhatch/node/process.py
+++ b/ploverhatch/node/process.py
@@ -43,6 +43,7 @@
 FEED_HEARTBEAT_S = 0.4
 HAND_OVER_S = 3.0
 SETTLE_LIMIT_S = 3.0
+LAST_ANSWERS_S = 0.3  # for the answers of requests that outlast the drain to leave
 ADMIN_LIMIT_S = 3.0  # for operators' requests that are under way at the end
 CONSENSUS_MESSAGES = (
     wire.VoteRequest,
@@ -175,11 +176,15 @@
         self._hand_over()
         timing = self.settings.timing
         clean = self.http.drain(timing.drain_limit_ms / 1000, timing.drain_linger_ms / 1000)
+        # What outlasts the drain is answered all the same: whether it ran is unknown, and its
+        # caller would have to guess even that from a connection that is cut.
+        given_up = self.router.end_under_way()
+        answered = self.http.await_answers(LAST_ANSWERS_S)
         settled = self.router.finish_settling(SETTLE_LIMIT_S)
         # Last: operators see until then how the stop goes.
         clean = self.admin_http.drain(ADMIN_LIMIT_S, 0.0) and clean
         self.stop()
-        LOG.info("Stopped.", clean=clean, settled=settled)
+        LOG.info("Stopped.", clean=clean, settled=settled, given_up=given_up, answered=answered)
         return clean
 
     def _hand_over(self) -> None:
--- a/ploverhatch/node/router.py
+++ b/ploverhatch/node/router.py
@@ -31,6 +31,7 @@
     problem_reply,
 )
 from ploverhatch.common.results import RefusedError, Result
+from ploverhatch.common.under_way import ProcessEndsError, RequestsUnderWay
 from ploverhatch.node.crash_guard import CrashGuard, GuardedRequest
 from ploverhatch.node.metrics import RouterMetrics
 from ploverhatch.node.records_client import RecordsClient, RecordsUnavailableError
@@ -128,6 +129,7 @@
         self._budget = RetryBudget(limits.retry_budget_percent)
         self._crashes = CrashGuard()
         self._settling: set[gevent.Greenlet] = set()
+        self._under_way = RequestsUnderWay()
         self.meter = LoadMeter(elapsed_ms())
 
     # ---- entry ------------------------------------------------------------------
@@ -139,10 +141,14 @@
         try:
             call = self._read_call(environ, started_ms)
             group = call.route.group
-            reply, result = self._run(call)
+            with self._under_way.serve():
+                reply, result = self._run(call)
         except RefusedError as error:
             result = error.result
             reply = self._refusal(error)
+        except ProcessEndsError:
+            result = results.DEADLINE_IN_FLIGHT
+            reply = problem_reply(result, "the node stops")
         except BodyTooLargeError:
             result = results.BODY_TOO_LARGE
             reply = problem_reply(result)
@@ -281,6 +287,13 @@
         self._settling.add(task)
         task.link(self._settling.discard)
 
+    def end_under_way(self) -> int:
+        """Have the requests under way answered now, since the process ends.
+
+        :returns: how many they are.
+        """
+        return self._under_way.end_all(ProcessEndsError)
+
     def finish_settling(self, limit_s: float) -> bool:
         """Wait until background commits have ended, before a planned stop."""
         gevent.joinall(list(self._settling), timeout=limit_s)
--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -188,6 +188,13 @@
         self._close_not_served()
         return not self.busy
 
+    def await_answers(self, limit_s: float) -> bool:
+        """Wait until no request is being served; false where some are when the time is over."""
+        with gevent.Timeout(limit_s, False):
+            while self.busy:
+                gevent.sleep(0.01)
+        return not self.busy
+
     def _accept_waiting(self) -> None:
         """Accept what the kernel has set up: closing the listener would reset it."""
         with contextlib.suppress(OSError):
--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from contextlib import suppress
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -190,6 +191,42 @@
         platform.close()
 
 
+def test_a_request_that_outlasts_the_drain_of_a_node_is_answered(tmp_path):
+    """A request that was still served when the drain's limit came was cut without an answer.
+
+    The drain told whether all had ended, and the node then closed what had not; gateways
+    answer such requests. Proof: the caller of a request that works on gets nothing.
+    """
+    platform = PlatformEmulator((LOOPBACK, 0))
+    overrides = {
+        "node.name": "n1",
+        "node.zone": "z1",
+        "node.host": LOOPBACK,
+        "node.port": 0,
+        "node.http_port": 0,
+        "node.admin_port": 0,
+        "platform.url": platform.url,
+        "admin.tokens_file": str(tmp_path / "tokens"),
+        "timing.drain_linger_ms": 0,
+        "timing.drain_limit_ms": 300,
+    }
+    (tmp_path / "tokens").write_text("operate secret-token-of-this-test\n")
+    node = Node(load_settings(None, overrides))
+    node.router._read_call = lambda environ, now_ms: SimpleNamespace(
+        route=SimpleNamespace(group="g")
+    )
+    node.router._run = lambda call: gevent.sleep(30.0)
+    node.start()
+    caller = socket.create_connection((LOOPBACK, node.http.port), timeout=5.0)
+    caller.sendall(request(b"/0"))
+    until(lambda: node.http.busy)
+    try:
+        node.drain()
+        assert status(caller) == 504
+    finally:
+        platform.close()
+
+
 # ---- the leader's lease -------------------------------------------------------------------
 
 
--- a/tests/unit/test_under_way.py
+++ b/tests/unit/test_under_way.py
@@ -3,8 +3,8 @@
 import gevent
 from gevent.event import Event
 
-from ploverhatch.gateway.messages import DeadlineOverError, ProcessEndsError
-from ploverhatch.gateway.under_way import RequestsUnderWay
+from ploverhatch.common.under_way import ProcessEndsError, RequestsUnderWay
+from ploverhatch.gateway.messages import DeadlineOverError
 
 
 class Task:
