Answer whole requests before the one behind them is rejected

Callers saw (found by reading every place that ends a connection without an answer): of requests that are sent at once, a second one that can't be read had the first dropped, and its caller took the rejection for its answer. Cause: what can't be read was rejected when it was found, in the turn of the whole requests that had come with it. Change: it is rejected in its turn. Beside it: a rejection that can't be written ended its task with a traceback, and other faults of ours ended a connection without a line; both have one now.

--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -81,6 +81,7 @@
         self._ready: deque[_Incoming] = deque()
         self._incoming: _Incoming | None = None
         self._parser = HttpRequestParser(self)
+        self._rejected: RequestRejectedError | None = None  # nothing after it can be read
         self._request: CallerRequest | None = None  # that is being served or answered
         self._answers: list[SentAnswer] = []  # since the process was told to stop
         self._closing = False
@@ -152,23 +153,29 @@
     def serve(self) -> None:
         """Serve requests until the connection closes."""
         try:
-            while True:
-                incoming = self._next_request()
-                if incoming is None or not self._serve_one(incoming):
-                    return
-        except RequestRejectedError as error:
-            self._server.rejected(error.status)
-            self._send(CallerReply(error.status), b"", close=True)
-            self._linger()
+            self._serve_all()
         except CallerGoneError:
             pass  # told with the request
         except (OSError, DeadlineOverError, ProcessEndsError, gevent.Timeout) as error:
             self._tell_broken(error)
+        except Exception as error:  # a fault of ours: the connection ends, the process goes on
+            LOG.error("Connection failed.", cause=repr(error))
+            self._tell_broken(error)
         finally:
             self.tell_answers()
             with suppress(OSError):
                 self._socket.close()
 
+    def _serve_all(self) -> None:
+        try:
+            while (incoming := self._next_request()) is not None:
+                if not self._serve_one(incoming):
+                    return
+        except RequestRejectedError as error:
+            self._server.rejected(error.status)
+            self._send(CallerReply(error.status), b"", close=True)
+            self._linger()
+
     def _tell_broken(self, error: BaseException) -> None:
         """Tell whose answer the end of the connection cost; resting ones may end as they like."""
         if self._request is not None:
@@ -222,7 +229,8 @@
         """
         if not self._server.draining:
             return False
-        return self._server.ending or not (self._ready or self._incoming or self._has_unread())
+        more = self._ready or self._incoming or self._rejected or self._has_unread()
+        return self._server.ending or not more
 
     def _deliver(self, reply: CallerReply, method: bytes, close: bool) -> None:
         size = self._send(reply, method, close)
@@ -230,8 +238,13 @@
             self._answers.append(SentAnswer(self._request.name, reply.status, size))
 
     def _next_request(self) -> _Incoming | None:
-        """Return the next whole request; ``None`` when the connection is over."""
+        """Return the next whole request; ``None`` when the connection is over.
+
+        :raises RequestRejectedError: when what comes next can't be read.
+        """
         while not self._ready:
+            if self._rejected is not None:
+                raise self._rejected
             limit_s = self._read_limit_s()
             self._socket.settimeout(limit_s)
             try:
@@ -262,17 +275,17 @@
         return max(left_ms / 1000, 0.001)
 
     def _feed(self, data: bytes) -> None:
+        """Parse bytes; what can't be read is rejected in its turn, after what was whole."""
         try:
             self._parser.feed_data(data)
-        except HttpParserUpgrade as error:
-            raise RequestRejectedError(400) from error
+        except HttpParserUpgrade:
+            self._ready.pop()  # the request that asks for it, which is whole
+            self._rejected = RequestRejectedError(400)
         except HttpParserError as error:
             cause = error.__context__
-            if isinstance(cause, RequestRejectedError):
-                raise cause from error
-            if self._ready:
-                return  # answer what was whole; the next read fails again
-            raise RequestRejectedError(400) from error
+            if not isinstance(cause, RequestRejectedError):
+                cause = RequestRejectedError(400)
+            self._rejected = cause
 
     def _send(self, reply: CallerReply, method: bytes, close: bool) -> int:
         """Write an answer; return its bytes."""
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -1,5 +1,6 @@
 """The callers' server: framing, limits, departures and planned stops."""
 
+import re
 import socket as stdlib_socket
 from dataclasses import replace
 
@@ -115,6 +116,29 @@
     assert application.requests == []
 
 
+FOLLOWING = {
+    **REJECTED,
+    "an upgrade": (b"GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", b"400"),
+}
+
+
+@pytest.mark.parametrize("name", FOLLOWING)
+@pytest.mark.parametrize("draining", [False, True])
+def test_a_request_is_answered_before_the_one_behind_it_is_rejected(
+    server, application, name, draining
+):
+    """It was dropped, and its caller took the rejection for its answer.
+
+    Seen by reading for what ends a connection without an answer. Cause: what can't be read
+    was rejected when it was found, in the turn of the whole requests that came with it.
+    """
+    data, status = FOLLOWING[name]
+    server.draining = draining
+    answer = talk(server, b"POST /1 HTTP/1.1\r\nContent-Length: 1\r\n\r\na" + data)
+    assert re.findall(rb"HTTP/1\.1 (\d+)", answer) == [b"200", status]
+    assert [request.target for request in application.requests] == [b"/1"]
+
+
 def test_expect_continue(server):
     sock = socket.create_connection(("127.0.0.1", server.port))
     sock.sendall(b"POST / HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
