Tell what the last requests showed before a process ends

Seen by asking what a process owes besides answers when it ends: slots held elsewhere, leases, moves and log lines have tests; words on servers that ended under requests had none. Cause: what a node sees is told together after 20 ms, and a process that stops ended meanwhile, so that its word went to nobody. Change: what waits is told last thing. Measured: the new test fails before (the word still waits), passes after.

--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -236,6 +236,8 @@
         stop = StopSequence(plan, self._callers, self._forwarder, self._slots, self._leave)
         try:
             stop.run()
+            # What the last requests showed is known to this node alone until it is told.
+            self._quarantine.tell_now()
         finally:  # a fault in between must not keep the process
             self._stopped.set()
 
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -175,6 +175,11 @@
             gevent.spawn_later(TELL_S, self._tell_untold)
         self._untold.add(content)
 
+    def tell_now(self) -> None:
+        """Tell what waits to be told together, since the process ends."""
+        if self._untold:
+            self._tell_untold()
+
     def _tell_untold(self) -> None:
         contents, self._untold = self._untold, set()
         told = self._told(contents)
--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -18,6 +18,7 @@
 import pytest
 from gevent import socket
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.problem import json_reply
 from ploverhatch.emulator.platform import PlatformEmulator
 from ploverhatch.gateway import keymap_codec
@@ -25,6 +26,7 @@
 from ploverhatch.gateway.shared_slots import TurnedAwayError
 from ploverhatch.node.process import Node
 from ploverhatch.platform.store import PlatformStore
+from ploverhatch.quarantine.record import ServerEnd
 from ploverhatch.routing.planned_stop import READINESS_MISSES_MS
 from ploverhatch.settings.loader import load_settings
 from ploverhatch.store import kinds
@@ -434,3 +436,28 @@
     lines = text.decode().splitlines()
     assert lines[-1].endswith("Stopped.")
     assert len(lines) == 1501
+
+
+# ---- words to other nodes -----------------------------------------------------------------
+
+
+def test_what_the_last_requests_showed_is_told_before_a_process_ends(site):
+    """A server's end that was seen 20 ms before its witness ended was told to nobody.
+
+    What is seen is told together after that time, and the process ended meanwhile. Proof: an
+    end that is noted in the last moment of a stop.
+    """
+    first, second = start_site(site, gateways=2)
+    quarantine, tell_open = first._quarantine, first._callers.tell_open
+
+    def note_an_end():
+        now_ms = elapsed_ms()
+        end = ServerEnd("u9", b"caller", "n", now_ms - 10.0, now_ms)
+        quarantine._ledger.note_end(b"a content 16 b.", end)
+        quarantine._changed_here(b"a content 16 b.")
+        tell_open()
+
+    first._callers.tell_open = note_an_end
+    first.drain()
+    assert quarantine._untold == set()  # the process may end now
+    until(lambda: second._quarantine.known == 1)
