Soak callers that end their sending side or send two at once; read what stops leave behind

Cause: the soak's clients had two habits, and it judged only requests that reached a server. Whether a stop ended busy or was killed after its grace time was printed, and read by nobody; so were requests that reached none. Change: four habits, bodies; a stop that ends busy, a process that outlasts its grace time, and a request that reached no server and got no answer break the promise now, where no fault is near. Counted only: new connections that meet the end of listening.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,9 +4,10 @@
     python -m tests.soak --planned --seeds 100:150 --jobs 2
 
 Clients send requests that may run once at most, each with an id of its own, on
-new and on kept connections. Faults come at random: processes killed and frozen,
-the store away, slow, losing answers and its history, upstreams ending, leaving
-and joining, requests that end the upstreams that run them and come again, and
+new and on kept connections, two at once, or end their sending side and read on.
+Faults come at random: processes killed and frozen, the store away, slow, losing
+answers and its history, upstreams ending, leaving and joining, requests that end
+the upstreams that run them and come again, and
 machines that stand still, every other one with its steady clock; and planned
 work: stops in overlapping series, each with a kill after the grace time and a new
 start, SIGTERM again, SIGHUP, configurations. With ``--planned`` there is planned
@@ -155,7 +156,8 @@
         f"gateways {len(result.site.gateways)}, requests {result.load.count}, "
         f"answers {dict(sorted(statuses.items()))}, refused {result.load.refused}; "
         f"under stops {verdict.judged} judged, {verdict.lost} lost, {verdict.exempt} exempt, "
-        f"{verdict.excused} excused; unanswered that reached no upstream {verdict.reached_none}; "
+        f"{verdict.excused} excused; unanswered that reached no upstream {verdict.reached_none} "
+        f"(met the end of listening {verdict.met_end_of_listening}), untaken {verdict.untaken}; "
         f"stops {verdict.stops}, busy {verdict.busy_stops} (requests {verdict.busy_requests}), "
         f"killed after grace {verdict.killed_after_grace}; "
         f"requests that end servers {verdict.killers}: ends {verdict.killer_ends}, "
--- a/tests/standin/clients.py
+++ b/tests/standin/clients.py
@@ -45,7 +45,11 @@
     PAIRS = "pairs"  # two requests at once, the second before the first one's answer
 
 
-HABITS = [Habit.ONCE, Habit.KEEPS]  # of the clients of a soak, in turn
+# Of the clients of a soak, in turn.
+HABITS = [
+    Habit.ONCE, Habit.KEEPS, Habit.ONCE, Habit.KEEPS,
+    Habit.ENDS_SENDING, Habit.KEEPS, Habit.ONCE, Habit.PAIRS,
+]  # fmt: skip
 KEEPING = {Habit.KEEPS, Habit.PAIRS}
 
 
--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -33,6 +33,7 @@
 BACK_S = 2.5  # from the crash of an upstream until it is back, under a new id
 RECORD_S = 3.9  # from a crash until the store drops the record: three heartbeats
 STOPPED_LINE = re.compile(r"\[gateway\] Stopped\. busy=(\d+)")
+UNTAKEN = re.compile(r"\[gateway\] Stopped\. .*untaken=(\d+)")
 STARTED_LINE = b"[gateway] Started."
 
 
@@ -290,6 +291,10 @@
         """Return how many requests were under way at the end of each process that was stopped."""
         return [int(count) for count in STOPPED_LINE.findall(self.log.read_text(errors="replace"))]
 
+    def untaken_at_stops(self):
+        """Return how many answers of processes that were stopped weren't acknowledged."""
+        return sum(int(n) for n in UNTAKEN.findall(self.log.read_text(errors="replace")))
+
     def last_words(self, life):
         """Return the last line that a process wrote."""
         start = life.log_start
--- a/tests/standin/verdict.py
+++ b/tests/standin/verdict.py
@@ -33,6 +33,10 @@
     excused: int = 0  # unanswered with a fault near
     lost: int = 0  # unanswered against the promise
     reached_none: int = 0  # unanswered without a trace at any upstream
+    # Of these: of connections that were new to a process that stops. The end of listening
+    # resets those whose handshake is under way, which no process can know of.
+    met_end_of_listening: int = 0
+    untaken: int = 0  # answers of stopping processes that weren't acknowledged
     stops: int = 0  # log lines of processes that stopped in order
     busy_stops: int = 0  # of these: with requests under way
     busy_requests: int = 0
@@ -120,11 +124,35 @@
             continue
         servers = arrivals[sent.name]
         if not servers:
-            verdict.reached_none += sent.end is not End.ANSWERED
+            _judge_untaken(sent, verdict)
         elif sent.life.stop_s is not None and sent.end_s >= sent.life.stop_s:
             _judge_one(sent, work[sent.name], _faults(site, sent, servers), verdict)
 
 
+def _judge_untaken(sent, verdict):
+    """Judge a request that reached no upstream: it is to be answered all the same."""
+    if sent.end is End.ANSWERED:
+        return
+    verdict.reached_none += 1
+    if _near(sent, sent.life.faults):
+        return
+    if sent.end is End.CLOSED and not sent.kept and sent.life.stop_s is not None:
+        verdict.met_end_of_listening += 1
+        return
+    since_s = sent.life.stop_s or sent.life.start_s
+    verdict.found.append(
+        f"{sent.name} was {sent.end.value} without an answer, and reached no upstream: "
+        f"{sent.life.node}, {sent.habit.value}, {'kept' if sent.kept else 'new'} connection, "
+        f"sent {sent.sent_s - since_s:+.2f} s, ended {sent.end_s - since_s:+.2f} s from "
+        f"{'SIGTERM' if sent.life.stop_s else 'its start'}"
+    )
+
+
+def _near(sent, faults):
+    first_s = sent.sent_s - FAULT_MARGIN_S
+    return any(start <= sent.end_s and end >= first_s for start, end in faults)
+
+
 def _faults(site, sent, servers):
     """Return the spans of all faults that may have touched a request.
 
@@ -137,8 +165,7 @@
 
 
 def _judge_one(sent, work, faults, verdict):
-    first_s = sent.sent_s - FAULT_MARGIN_S
-    excused = any(start <= sent.end_s and end >= first_s for start, end in faults)
+    excused = _near(sent, faults)
     if not excused:
         verdict.judged += 1
     if sent.end is End.ANSWERED:
@@ -217,10 +244,16 @@
 
 
 def _count_stops(site, verdict):
-    busy = [count for gateway in site.gateways for count in gateway.busy_at_stops()]
-    verdict.stops = len(busy)
-    verdict.busy_stops = sum(count > 0 for count in busy)
-    verdict.busy_requests = sum(busy)
-    verdict.killed_after_grace = sum(
-        life.killed_after_grace for gateway in site.gateways for life in gateway.lives
-    )
+    for gateway in site.gateways:
+        busy = gateway.busy_at_stops()
+        verdict.stops += len(busy)
+        verdict.busy_stops += sum(count > 0 for count in busy)
+        verdict.busy_requests += sum(busy)
+        verdict.untaken += gateway.untaken_at_stops()
+        sound = not any(life.faults for life in gateway.lives)
+        late = [life for life in gateway.lives if life.killed_after_grace]
+        verdict.killed_after_grace += len(late)
+        if sound and any(busy):
+            verdict.found.append(f"{gateway.name} ended with requests under way: {busy}")
+        if sound and late:
+            verdict.found.append(f"{gateway.name} outlasted its grace time {len(late)} times")
--- a/tests/unit/test_soak_verdict.py
+++ b/tests/unit/test_soak_verdict.py
@@ -21,7 +21,11 @@
     """Return the verdict on one request; ``work`` is its start and end after SIGTERM."""
     spans = [] if work is None else [(sent.name, "life-1", STOP_S + work[0], STOP_S + work[1])]
     gateway = SimpleNamespace(
-        lives=[sent.life], busy_at_stops=lambda: list(busy), last_words=lambda life: "a word"
+        name="node-0",
+        lives=[sent.life],
+        busy_at_stops=lambda: list(busy),
+        untaken_at_stops=lambda: 4,
+        last_words=lambda life: "a word",
     )
     upstream = SimpleNamespace(ended_s=crash_s, arrived=[], passed_on=[], turned_away=[])
     site = SimpleNamespace(
@@ -37,9 +41,9 @@
     return judge_soak(site, SimpleNamespace(requests=[sent], answers=answers))
 
 
-def request(sent_s, end_s, end=End.CLOSED, of=None, keyed=True):
+def request(sent_s, end_s, end=End.CLOSED, of=None, keyed=True, kept=False):
     """Return a request; times are after SIGTERM."""
-    return Sent("r1", of or life(), False, 100, STOP_S + sent_s, keyed, STOP_S + end_s, end)
+    return Sent("r1", of or life(), kept, 100, STOP_S + sent_s, keyed, STOP_S + end_s, end)
 
 
 @pytest.mark.parametrize("end", [End.CLOSED, End.SILENT])
@@ -61,9 +65,24 @@
     assert (verdict.judged, verdict.lost, verdict.found) == (1, 0, [])
 
 
-def test_request_that_reached_no_upstream_is_only_counted():
+def test_a_new_connection_that_meets_the_end_of_listening_is_only_counted():
     verdict = judged(request(4.5, 5.4), arrived=False)
     assert (verdict.judged, verdict.reached_none, verdict.found) == (0, 1, [])
+    assert verdict.met_end_of_listening == 1
+
+
+@pytest.mark.parametrize(
+    ("kept", "end", "stop_s"),
+    [(True, End.CLOSED, STOP_S), (False, End.SILENT, STOP_S), (False, End.CLOSED, None)],
+)
+def test_other_requests_that_reached_no_upstream_are_to_be_answered_too(kept, end, stop_s):
+    own = life(stop_s, code=None)
+    verdict = judged(request(4.5, 5.4, end, kept=kept, of=own), arrived=False)
+    assert (verdict.reached_none, len(verdict.found)) == (1, 1)
+    assert "reached no upstream" in verdict.found[0]
+    fault = [(STOP_S + 4.0, STOP_S + 5.0)]
+    near = request(4.5, 5.4, end, kept=kept, of=life(stop_s, None, fault))
+    assert judged(near, arrived=False).found == []
 
 
 def test_request_that_ended_before_the_stop_is_not_judged():
@@ -120,3 +139,16 @@
 def test_stops_are_counted():
     verdict = judged(request(1.0, 2.0, End.ANSWERED), busy=[0, 3, 2])
     assert (verdict.stops, verdict.busy_stops, verdict.busy_requests) == (3, 2, 5)
+    assert verdict.untaken == 4
+
+
+def test_a_stop_that_ends_busy_or_late_breaks_the_promise():
+    one = request(1.0, 2.0, End.ANSWERED)
+    assert judged(one, busy=[0]).found == []
+    assert judged(one, busy=[0, 3]).found == ["node-0 ended with requests under way: [0, 3]"]
+    late = life()
+    late.killed_after_grace = True
+    found = judged(request(1.0, 2.0, End.ANSWERED, of=late)).found
+    assert found == ["node-0 outlasted its grace time 1 times"]
+    late.faults.append((STOP_S, STOP_S + 1.0))
+    assert judged(request(1.0, 2.0, End.ANSWERED, of=late), busy=[3]).found == []
