Explain stops from logs, so that a stop that ends busy fails a check

Change: ploverhatch explain-stops reads the logs of nodes and fails where a stop ended busy, cut a request at its end, or was killed before.

--- a/ploverhatch/cli/main.py
+++ b/ploverhatch/cli/main.py
@@ -11,6 +11,7 @@
 from ploverhatch.cli.experiment_keys import experiment_keys
 from ploverhatch.cli.experiment_slots import experiment_slots
 from ploverhatch.cli.explain_request import explain_request
+from ploverhatch.cli.explain_stops import explain_stops
 from ploverhatch.cli.gateway import gateway
 from ploverhatch.cli.load import load
 from ploverhatch.cli.node import node
@@ -44,6 +45,7 @@
     experiment_slots,
     bench,
     explain_request,
+    explain_stops,
 )
 
 for command in COMMANDS:
--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -265,3 +265,28 @@
     git("init", "--quiet")
     git("add", "ploverhatch")
     assert git("write-tree", "--prefix=ploverhatch/").startswith(code_id())
+
+
+STOPS = {
+    "clean": (["Stopping. busy=1", "Stopped. busy=0 untaken=0", "Started. code=a"], 0),
+    "busy": (["Stopping. busy=1", "Stopped. busy=2 untaken=0"], 1),
+    "killed": (["Stopping. busy=1", "Started. code=a"], 1),
+    "not over yet": (["Stopping. busy=1"], 0),
+    "started only": (["Started. code=a", "Started. code=a"], 0),
+}
+
+
+@pytest.mark.parametrize("name", STOPS)
+def test_explain_stops_fails_where_one_left_requests_behind(tmp_path, name):
+    sentences, code = STOPS[name]
+    path = tmp_path / "log"
+    path.write_text("".join(f"10:00:00.000 n1 I [gateway] {row}\n" for row in sentences))
+    assert CliRunner().invoke(main, ["explain-stops", str(path)]).exit_code == code
+
+
+def test_explain_stops_names_what_the_end_of_a_process_cut(tmp_path):
+    path = tmp_path / "log"
+    path.write_text(STOP_LOG)
+    told = CliRunner().invoke(main, ["explain-stops", str(path)])
+    assert told.exit_code == 1
+    assert "1 requests cut at the end" in told.output
