Test that slots of requests that outlast their process come back

Of what a process owes besides answers when it ends, slots that its requests hold at other nodes had no test. It fails where they aren't given back as a request is ended, and passes on the code as it is.

--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -16,10 +16,11 @@
 
 import gevent
 import pytest
-from gevent import socket
+from gevent import GreenletExit, socket
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.problem import json_reply
+from ploverhatch.common.under_way import RequestsUnderWay
 from ploverhatch.emulator.platform import PlatformEmulator
 from ploverhatch.gateway import keymap_codec
 from ploverhatch.gateway.elector import Elector
@@ -409,6 +410,28 @@
     return "went on"
 
 
+def test_slots_of_requests_that_outlast_their_process_come_back():
+    """Their leases would keep them from others for as long as the requests had."""
+    cluster = Cluster([record(0)], zones=("a", "a", "a"))
+    keeper = keeper_of(cluster, HOLDER)
+    asker = next(node for node in cluster.nodes if node is not keeper)
+    requests = RequestsUnderWay()
+
+    def serve():
+        with requests.serve():
+            hold(asker, 300.0, 30.0)
+
+    task = gevent.spawn(serve)
+    gevent.sleep(0.1)
+    assert keeper.slots.in_use == 1
+    assert requests.end_all(GreenletExit) == 1
+    gevent.sleep(0.05)
+    assert task.ready()
+    assert keeper.slots.in_use == 0
+    for node in cluster.nodes:
+        node.stop()
+
+
 # ---- log lines ----------------------------------------------------------------------------
 
 LOGGING = """
