--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -154,15 +154,10 @@
 # ---- the node's administration API --------------------------------------------------------
 
 
-def test_a_change_under_way_is_answered_before_a_node_stops(tmp_path):
-    """A change by an operator was cut by a planned stop, without an answer.
-
-    The administration server listened until the end and was then aborted; only the
-    callers' server was drained. Proof: the change reached the store, the answer was lost.
-    """
-    tokens = tmp_path / "tokens"
+def make_node(folder, platform, **timing):
+    """Return a node without a cell, whose operator has a token."""
+    tokens = folder / "tokens"
     tokens.write_text("operate secret-token-of-this-test\n")
-    platform = PlatformEmulator((LOOPBACK, 0))
     overrides = {
         "node.name": "n1",
         "node.zone": "z1",
@@ -173,8 +168,19 @@
         "platform.url": platform.url,
         "admin.tokens_file": str(tokens),
         "timing.drain_linger_ms": 0,
+        **{f"timing.{name}": value for name, value in timing.items()},
     }
-    node = Node(load_settings(None, overrides))
+    return Node(load_settings(None, overrides))
+
+
+def test_a_change_under_way_is_answered_before_a_node_stops(tmp_path):
+    """A change by an operator was cut by a planned stop, without an answer.
+
+    The administration server listened until the end and was then aborted; only the
+    callers' server was drained. Proof: the change reached the store, the answer was lost.
+    """
+    platform = PlatformEmulator((LOOPBACK, 0))
+    node = make_node(tmp_path, platform)
     node.start()
     platform.faults.delay_ms = 400
     body = b'{"keys": {}}'
@@ -201,20 +207,7 @@
     answer such requests. Proof: the caller of a request that works on gets nothing.
     """
     platform = PlatformEmulator((LOOPBACK, 0))
-    overrides = {
-        "node.name": "n1",
-        "node.zone": "z1",
-        "node.host": LOOPBACK,
-        "node.port": 0,
-        "node.http_port": 0,
-        "node.admin_port": 0,
-        "platform.url": platform.url,
-        "admin.tokens_file": str(tmp_path / "tokens"),
-        "timing.drain_linger_ms": 0,
-        "timing.drain_limit_ms": 300,
-    }
-    (tmp_path / "tokens").write_text("operate secret-token-of-this-test\n")
-    node = Node(load_settings(None, overrides))
+    node = make_node(tmp_path, platform, drain_limit_ms=300)
     node.router._read_call = lambda environ, now_ms: SimpleNamespace(
         route=SimpleNamespace(group="g")
     )
