Tell who knew of a server's end under a request, and who sent a copy on

Callers: nothing changes. Of copies that end servers logs told each end, but not when the other gateways knew of it, nor which copies were sent though their gateway knew: 'under way already' and 'sent on' could not be told apart.

Two lines: `Heard of an end under a request.` (first end of a content, its age) and `Sent under suspicion.` (a copy sent although ends stand unanswered).

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -427,6 +427,7 @@
         payload = self._dialect.encode_request(call.request, record.server_id, left_ms)
         call.trace.sent = True
         self._count_send(record.server_id)
+        self._quarantine.sending(call, record.server_id)
         try:
             with gevent.Timeout(left_ms / 1000):
                 answer = connection.exchange(call.request.method, payload)
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -166,6 +166,21 @@
 
     # ---- between nodes ------------------------------------------------------------------
 
+    def sending(self, call: Call, server_id: str) -> None:
+        """Tell of a request that is sent though servers are known to have ended under it."""
+        record = self._ledger.get(call.fingerprint.content) if self._knows(call) else None
+        if record is not None and record.unanswered:
+            LOG.info(
+                "Sent under suspicion.",
+                request=call.trace.request_id,
+                content=call.fingerprint,
+                server=server_id,
+                ends=len(record.unanswered),
+            )
+
+    def _knows(self, call: Call) -> bool:
+        return self._ledger.may_know(call.hint)
+
     def _changed_here(self, content: bytes) -> None:
         self._log_hold(content)
         self._tell_soon(content)
@@ -216,7 +231,7 @@
         """Take what another node knows."""
         now_ms = elapsed_ms()
         for record in told.records:
-            if not self._ledger.merge(record.content, messages.decode(record, now_ms)):
+            if not self._merge(record, now_ms):
                 continue
             self._log_hold(record.content)
             # Nodes hear of new ones seconds later; these report to the leader by then.
@@ -225,6 +240,23 @@
         if told.whole:
             self.settle()
 
+    def _merge(self, told: ToldRecord, now_ms: float) -> bool:
+        """Take one record; return whether it told something new."""
+        before = self._ledger.get(told.content)
+        if not self._ledger.merge(told.content, messages.decode(told, now_ms)):
+            return False
+        after = self._ledger.get(told.content)
+        if after is not None and after.unanswered and not (before and before.unanswered):
+            last = after.unanswered[-1]
+            LOG.info(
+                "Heard of an end under a request.",
+                content=shown(told.content),
+                server=last.server_id,
+                witness=last.witness,
+                ended_ms_ago=round(now_ms - last.ended_ms),
+            )
+        return True
+
     def take_ask(self, ask: CrashesAsk, peer: Address) -> None:
         """Tell all that is known to a node that knows something else."""
         same = self._ledger.is_empty or ask.summary == self._ledger.summary
--- a/ploverhatch/quarantine/record.py
+++ b/ploverhatch/quarantine/record.py
@@ -87,6 +87,11 @@
             end for end in self.ends if end.ended_ms > self.answered_ms.get(end.caller, -math.inf)
         )
 
+    @property
+    def unanswered(self) -> tuple[ServerEnd, ...]:
+        """Ends since which nobody was answered, whoever asked."""
+        return tuple(end for end in self.standing if end.ended_ms > self.last_answer_ms)
+
     @property
     def expires_ms(self) -> float:
         """When all of it may be forgotten."""
@@ -129,7 +134,7 @@
     def hold(self, caller: bytes) -> Hold | None:
         """Return the hold of a caller's request, which may be over; ``None``: there is none."""
         own = one_after_the_other(end for end in self.standing if end.caller == caller)
-        unanswered = [end for end in self.standing if end.ended_ms > self.last_answer_ms]
+        unanswered = self.unanswered
         several = len({end.caller for end in unanswered}) > 1
         of_all = one_after_the_other(unanswered) if several else ()
         over_own = len(own) - _needed(caller in self.answered_ms)
@@ -139,7 +144,7 @@
         over, ends = max((over_own, own), (over_all, of_all), key=lambda found: found[0])
         return Hold(ends[-1].ended_ms + hold_ms(over), ends, over)
 
-    def _hold_of_copies(self, unanswered: list[ServerEnd]) -> Hold | None:
+    def _hold_of_copies(self, unanswered: tuple[ServerEnd, ...]) -> Hold | None:
         """Return the hold that follows from copies of several callers at few servers."""
         if self.last_answer_ms > -math.inf:
             return None
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -232,6 +232,24 @@
         assert len(other.sent) == passed_on
 
 
+def test_logs_tell_who_knew_of_an_end_and_who_sent_a_copy_on(bench, caplog):
+    """Without them nothing tells copies that were under way from those sent on later."""
+    caplog.set_level("INFO", "absl")
+    bench.end_servers(1)
+    gevent.sleep(0.05)
+    other = QuarantineBench()
+    other.quarantine.take_told(bench.sent[-1][0], PEER)
+    other.quarantine.take_told(bench.sent[-1][0], PEER)
+    (heard,) = [text for text in caplog.messages if "Heard of an end under a request." in text]
+    assert "server=u1 witness=node-1 ended_ms_ago=" in heard
+    assert not any("Sent under suspicion." in text for text in caplog.messages)
+    other.add_life()
+    assert other.ask(b"/once/a").status == 200
+    assert other.ask(b"/once/a").status == 200  # it was answered: no suspicion is left
+    (sent,) = [text for text in caplog.messages if "Sent under suspicion." in text]
+    assert "request=r1 content=" in sent and "server=u1 ends=1" in sent
+
+
 def test_an_answer_that_shows_it_harmless_is_told_too(bench):
     bench.end_servers(2)
     bench.add_life()
