Read a page of the store whatever one of its objects is nested like

Callers got nothing from a service whose servers had been replaced, and nothing at all from a gateway that started, while one entry of another writer was nested 3,000 levels deep: every listing and report was refused as a whole.

Such a page is now read by ijson, which doesn't recurse; what lies deeper than 200 levels makes its object one without content, as other odd ones are.

Ruled out: a higher recursion limit (a megabyte of brackets ends the process), and a scanner of our own. Left, listed: a NaN on the same page as a nested object.

--- a/ploverhatch/admin/api.py
+++ b/ploverhatch/admin/api.py
@@ -48,7 +48,7 @@
             return problem_reply(results.FORBIDDEN)
         try:
             return self._change(path, method, environ)
-        except json.JSONDecodeError as error:
+        except (json.JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
             return problem_reply(results.BAD_REQUEST, str(error))
 
     def _handle_public(self, path: str) -> HttpReply | None:
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -184,7 +184,7 @@
             try:
                 data, peer = self._socket.recvfrom(MAX_DATAGRAM)
                 message = self._decode(data, peer)
-            except (OSError, ValueError) as error:
+            except (OSError, ValueError, RecursionError) as error:  # the last: nested deeply
                 LOG.warning("Datagram not read.", cause=error)
                 continue
             peer_taker = self._peer_takers.get(type(message))
--- a/ploverhatch/gateway/peer_objects.py
+++ b/ploverhatch/gateway/peer_objects.py
@@ -89,7 +89,13 @@
                 answer = connection.exchange(b"GET", payload)
             if answer.status == 200:
                 return msgspec.msgpack.decode(answer.body, type=Snapshot)
-        except (NotConnectedError, AnswerCutError, gevent.Timeout, ValueError) as error:
+        except (
+            NotConnectedError,
+            AnswerCutError,
+            gevent.Timeout,
+            ValueError,
+            RecursionError,
+        ) as error:
             LOG.info("Leader did not tell.", kind=kind, cause=error)
         finally:
             connection.close()
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -216,9 +216,10 @@
 def _key(value: bytes | None) -> int | None:
     if value is None:
         return None
-    if not value.isdigit() or int(value) >= KEY_LIMIT:
+    # Python reads no whole number of more than 4,300 digits; a float of any length is read.
+    if not value.isdigit() or float(value) >= KEY_LIMIT:
         raise MalformedRequestError("key is not a number below 65536")
-    return int(value)
+    return int(float(value))
 
 
 def _named_by_connection(headers: HeaderList) -> frozenset[bytes]:
--- a/ploverhatch/platform/pages.py
+++ b/ploverhatch/platform/pages.py
@@ -4,8 +4,11 @@
 has no content, so that it is taken for what it is and the others on the page hold.
 """
 
+import io
 import json
+import math
 from dataclasses import dataclass
+from decimal import Decimal
 from typing import Any, TypeVar
 
 import msgspec
@@ -18,6 +21,10 @@
 T = TypeVar("T")
 # What a parser raises on bytes of any kind; nesting beyond its depth is the last one.
 UNREADABLE = (ValueError, OverflowError, RecursionError)
+# An object that is nested more deeply has no content. Parsers that recurse go to some 900
+# levels, fewer where their caller's stack is deep, and then refuse all that they were given.
+MOST_LEVELS = 200
+SPARE_LEVELS = 100  # other nodes read it from deeper in their stacks than this one
 
 
 class _Metadata(msgspec.Struct):
@@ -112,14 +119,31 @@
     """
     try:
         item = msgspec.json.decode(data, type=_Object)
-        msgspec.msgpack.encode((item.spec, item.status))
+        msgspec.msgpack.encode(_deeper((item.spec, item.status), SPARE_LEVELS))
     except UNREADABLE as error:
-        named = msgspec.json.decode(data, type=_Named).metadata
+        named = _named(bytes(data))
         LOG.error("Object not understood.", name=named.name, cause=error)
         return VersionedObject(named.name, named.revision, None)
     return VersionedObject(item.metadata.name, item.metadata.revision, item.spec, item.status)
 
 
+def _deeper(value: object, levels: int) -> object:
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+def _named(data: bytes) -> _Metadata:
+    """Return the name of an object whose content is of no use.
+
+    :raises ValueError: when it has none.
+    """
+    try:
+        return msgspec.json.decode(data, type=_Named).metadata
+    except RecursionError:
+        return msgspec.convert(_shallow(data), _Named).metadata
+
+
 def _decode(body: bytes, form: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=form)
@@ -134,9 +158,13 @@
 def _mended(body: bytes) -> bytes:
     """Return a body that strict parsers refuse as a whole, without what they refuse.
 
-    Text that is no text, and numbers that are none, make an object's content unreadable.
+    Text that is no text, numbers that are none and deep nesting make an object's content
+    unreadable.
     """
-    document = json.loads(body.decode("utf-8", "surrogateescape"), strict=False)
+    try:
+        document = json.loads(body.decode("utf-8", "surrogateescape"), strict=False)
+    except RecursionError:
+        document = _shallow(body)
     for event in document.get("events", ()):
         event["object"] = _clean(event["object"])
     if "items" in document:
@@ -147,7 +175,35 @@
 def _clean(item: dict[str, object]) -> dict[str, object]:
     try:
         json.dumps(item, ensure_ascii=False, allow_nan=False).encode()
-    except ValueError as error:
+    except UNREADABLE as error:
         LOG.error("Object not understood.", name=item["metadata"], cause=error)
         return {"metadata": item["metadata"]}
     return item
+
+
+def _shallow(body: bytes) -> Any:
+    """Read a body of any nesting; in place of what lies deeper there is no number.
+
+    The parser doesn't recurse. It is loaded where it is needed only: memory is priced.
+
+    :raises ValueError: when it isn't JSON.
+    """
+    import ijson  # noqa: PLC0415
+
+    builder, level = ijson.ObjectBuilder(), 0
+    text = body.decode("utf-8", "replace").encode()
+    try:
+        for event, value in ijson.basic_parse(io.BytesIO(text)):
+            level -= event in _ENDS
+            if level < MOST_LEVELS:
+                builder.event(event, float(value) if isinstance(value, Decimal) else value)
+            elif level == MOST_LEVELS and event in _STARTS:
+                builder.event("number", math.nan)
+            level += event in _STARTS
+    except ijson.JSONError as error:
+        raise ValueError(str(error)) from error
+    return builder.value
+
+
+_STARTS = frozenset({"start_map", "start_array"})
+_ENDS = frozenset({"end_map", "end_array"})
--- a/ploverhatch/platform/settings.py
+++ b/ploverhatch/platform/settings.py
@@ -88,7 +88,7 @@
     try:
         file = msgspec.toml.decode(text, type=_SettingsFile)
         return _translate(file)
-    except (ValueError, msgspec.DecodeError) as error:
+    except (ValueError, RecursionError, msgspec.DecodeError) as error:
         raise SettingsFileError(str(error)) from error
 
 
--- a/ploverhatch/store/http_store.py
+++ b/ploverhatch/store/http_store.py
@@ -50,11 +50,11 @@
     @override
     def get(self, kind: str, name: str) -> StoredObject | None:
         answer = self._read(_path(kind, name), accept=(200, 404))
-        return None if answer.status == 404 else _stored(answer.json())
+        return None if answer.status == 404 else _stored(_document(answer))
 
     @override
     def list(self) -> ObjectList:
-        return _object_list(self._read("/v1/objects").json())
+        return _object_list(_document(self._read("/v1/objects")))
 
     @override
     def put(
@@ -76,11 +76,11 @@
         answer = self._read(target, accept=(200, 410), extra_s=wait_s)
         if answer.status == 410:
             raise HistoryCompactedError
-        return _object_list(answer.json())
+        return _object_list(_document(answer))
 
     @override
     def machines(self) -> tuple[Machine, ...]:
-        rows = self._read("/v1/machines").json()["machines"]
+        rows = _document(self._read("/v1/machines"))["machines"]
         return tuple(
             Machine(row["name"], row["host"], int(row["port"]), row["state"] == "leaving")
             for row in rows
@@ -121,6 +121,17 @@
     return f"/v1/objects/{quote(kind, safe='')}/{quote(name, safe='')}"
 
 
+def _document(answer: HttpAnswer) -> dict[str, Any]:
+    """Parse an answer to a reading call.
+
+    :raises StoreUnavailableError: when it is no JSON, or nested too deeply for its parser.
+    """
+    try:
+        return dict(answer.json())
+    except (ValueError, TypeError, RecursionError) as error:
+        raise StoreUnavailableError(f"not understood: {error}") from error
+
+
 def _object_list(document: dict[str, Any]) -> ObjectList:
     items = tuple(_stored(item) for item in document["items"])
     return ObjectList(int(document["revision"]), items)
--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -3,6 +3,7 @@
 import random
 
 import gevent
+import msgspec
 import pytest
 from gevent import socket
 from msgspec.structs import replace
@@ -132,3 +133,18 @@
     leader.link.publish(TOLD)
     gevent.sleep(0.02)
     assert follower.taken == [TOLD]
+
+
+def test_a_datagram_that_is_nested_deeply_is_passed_over():
+    node = Node()
+    try:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for data in (
+                b"\x94\x0b\x01\x01" + b"\x91" * 8000 + b"\x01",
+                msgspec.msgpack.encode(TOLD),
+            ):
+                sender.sendto(data, tuple(node.address))
+        gevent.sleep(0.1)
+        assert node.taken == [TOLD]
+    finally:
+        node.close()
--- a/tests/standin/metadata_store.py
+++ b/tests/standin/metadata_store.py
@@ -157,9 +157,15 @@
 
     def __init__(self):
         self.store = MetadataStore()
-        self._server = CallerServer(HostPort("127.0.0.1", 0), self.store.handle, ClientLimits)
+        self.rewrite = bytes  # what is done to each body of an answer: nothing
+        self._server = CallerServer(HostPort("127.0.0.1", 0), self._handle, ClientLimits)
         self._server.start()
         self.address = HostPort("127.0.0.1", self._server.port)
 
+    def _handle(self, request):
+        reply = self.store.handle(request)
+        reply.body = self.rewrite(reply.body)
+        return reply
+
     def close(self):
         self._server.stop()
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -276,3 +276,23 @@
 def test_retry_after_has_fractions():
     headers = PlatformDialect().refusal_headers(FACTS, 0.15)
     assert headers == [(b"Request-Id", b"r1"), (b"Retry-After", b"0.150")]
+
+
+def test_settings_nested_more_deeply_than_parsers_go_are_wrong_settings():
+    for value in (b"[" * 3000 + b"]" * 3000, b"1" + b"0" * 5000):
+        with pytest.raises(SettingsFileError):
+            parse_settings(SETTINGS + b"\n[odd]\nvalue = " + value)
+
+
+@pytest.mark.parametrize("value", [b"9" * 5000, b"65536", b"1e3", b"inf", b"-1", b""])
+def test_a_key_that_is_none_is_a_malformed_request(value):
+    """A number of more than 4,300 digits is one that Python refuses to read."""
+    request = CallerRequest(b"GET", b"/", [(b"Shard-Key", value)], b"", 0.0)
+    with pytest.raises(MalformedRequestError):
+        PlatformDialect().facts(request)
+
+
+@pytest.mark.parametrize("value", [b"0" * 5000 + b"7", b"7"])
+def test_leading_zeros_change_no_key(value):
+    request = CallerRequest(b"GET", b"/", [(b"Shard-Key", value)], b"", 0.0)
+    assert PlatformDialect().facts(request).shard_key == 7
--- a/tests/unit/test_store_pages.py
+++ b/tests/unit/test_store_pages.py
@@ -51,6 +51,52 @@
     ]
 
 
+@pytest.mark.parametrize("levels", [600, 905, 930, 970, 3000, 300_000])
+@pytest.mark.parametrize("part", [b"[%s]", b'{"a":%s}', b'"x",%s'])
+def test_an_object_that_is_nested_deeply_leaves_the_others(levels, part):
+    """Parsers that recurse refuse all that they were given at some 900 levels."""
+    opening, closing = part.split(b"%s")
+    if part.startswith(b'"'):
+        opening, closing = b'["x",', b"]"
+    spec = opening * levels + b"1" + closing * levels
+    page = pages.read_page(b'{"items":[%s,%s],"at":9,"more":true}' % (odd(spec), SOUND))
+    assert (page.revision, page.more) == (9, True)
+    assert [item.name for item in page.items] == ["odd", "sound"]
+    assert page.items[1].spec == {"x": 1}
+    assert levels < 900 or page.items[0].spec is None
+    msgspec.msgpack.encode([[[page.items[0].spec]]])
+    rows = b'{"gone":false,"object":%s},{"gone":true,"object":%s}' % (odd(spec), SOUND)
+    batch = pages.read_changes(b'{"events":[%s],"at":9}' % rows)
+    assert [(item.object.name, item.gone) for item in batch.changes] == [
+        ("odd", False),
+        ("sound", True),
+    ]
+    found = pages.read_object(odd(spec))
+    assert (found.name, found.revision) == ("odd", 3)
+
+
+def test_numbers_and_texts_beside_a_nested_object_stay_what_they_are():
+    values = b'{"a":1.5,"b":12345678901234567890,"c":"t\\u00e9","d":[true,null,-0.25]}'
+    sound = b'{"metadata":{"name":"sound","revision":4},"spec":%s}' % values
+    deep = odd(b"[" * 3000 + b"]" * 3000)
+    (_, item) = pages.read_page(b'{"items":[%s,%s],"at":9}' % (deep, sound)).items
+    assert item.spec == json.loads(values)
+    assert type(item.spec["a"]) is float
+
+
+def test_a_nested_object_and_text_that_is_none_leave_the_others():
+    deep = odd(b"[" * 3000 + b"]" * 3000)
+    page = pages.read_page(b'{"items":[%s,%s,%s],"at":9}' % (deep, odd(b'"\xff"'), SOUND))
+    assert page.items[2].spec == {"x": 1}
+
+
+def test_a_nested_object_and_a_number_that_is_none_leave_the_others():
+    """Each alone leaves them; together the page is refused, as no parser here takes both."""
+    deep = odd(b"[" * 3000 + b"]" * 3000)
+    page = pages.read_page(b'{"items":[%s,%s,%s],"at":9}' % (deep, odd(b"NaN"), SOUND))
+    assert page.items[2].spec == {"x": 1}
+
+
 @pytest.mark.parametrize("item", [b"{}", b"[]", b"7", b'{"metadata":{"name":7}}', b"null"])
 def test_an_object_without_a_name_is_left_out(item):
     page = pages.read_page(b'{"items":[%s,%s],"at":9}' % (item, SOUND))
