Count answers of which the system tells nothing as unknown, not as taken

Callers: nothing changes. Of a stopped process's answers those whose connections were closed before the system was asked were told as taken, and named so, though nothing showed it: a cut answer could hide there.

Cause: 'not known' and 'none missing' were the same number.

--- a/ploverhatch/gateway/answer_record.py
+++ b/ploverhatch/gateway/answer_record.py
@@ -44,14 +44,19 @@
     def __init__(self) -> None:
         self.taken = 0
         self.untaken = 0
+        self.unknown = 0  # the system told nothing of their connections any more
         self._names: list[str] = []
 
     def note(self, answers: Iterable[SentAnswer], unacknowledged: int | None) -> None:
         """Note the answers of a connection that ends, in the order in which they were sent.
 
         :param unacknowledged: bytes at its end; the last answers are those that miss some.
+            ``None`` where that isn't known.
         """
-        left = unacknowledged or 0
+        if unacknowledged is None:
+            self.unknown += len(list(answers))
+            return
+        left = unacknowledged
         for answer in reversed(list(answers)):
             if left > 0:
                 self.untaken += 1
--- a/ploverhatch/gateway/stop_sequence.py
+++ b/ploverhatch/gateway/stop_sequence.py
@@ -87,4 +87,5 @@
             crossed=counts.crossed,
             taken=answers.taken,
             untaken=answers.untaken,
+            unknown=answers.unknown,
         )
