--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -403,3 +403,43 @@
     answer = read(sock)
     assert answer.count(b"HTTP/1.1 200") == 1
     assert b"Connection: close" in answer
+
+
+@pytest.mark.parametrize("further", [b"GET /next HTTP/1.1\r\n\r\n", b"GET /ne"])
+def test_a_caller_that_sends_a_further_request_and_leaves_is_noticed(server, application, further):
+    """Its first request was served to the end, since its leaving came behind unread bytes."""
+    application.wait_s = 2.0
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(b"GET /1 HTTP/1.1\r\n\r\n")
+    gevent.sleep(0.05)
+    sock.sendall(further)
+    gevent.sleep(0.05)
+    assert application.gone == 0
+    sock.close()
+    gevent.sleep(0.2)
+    assert application.gone == 1
+
+
+def test_a_caller_that_sends_a_further_request_and_stays_is_answered(server, application):
+    application.wait_s = 0.2
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(b"GET /1 HTTP/1.1\r\n\r\n")
+    gevent.sleep(0.02)
+    sock.sendall(b"GET /2 HTTP/1.1\r\n\r\n")
+    assert read(sock).count(b"HTTP/1.1 200") == 2
+    assert application.gone == 0
+
+
+def test_a_caller_that_read_on_and_leaves_later_is_noticed(server, application):
+    """It had ended its sending side, was asked whether it left, and read on for a while."""
+    application.wait_s = 2.0
+    sock = socket.create_connection(("127.0.0.1", server.port))
+    sock.sendall(b"GET /1 HTTP/1.1\r\n\r\n")
+    sock.shutdown(stdlib_socket.SHUT_WR)
+    gevent.sleep(0.1)
+    assert sock.recv(1000).startswith(b"HTTP/1.1 100")
+    gevent.sleep(0.1)
+    assert application.gone == 0
+    sock.close()
+    gevent.sleep(0.5)
+    assert application.gone == 1
