Take an answer that waited to be read as old as it may be

Callers: a request that ends servers could be sent on once more by a node that had stood still, with up to six servers ended under it.

Cause: what nodes tell each other carries ages, and a datagram that waits while the node stands still makes all of it look later than it was. For ends that does no harm, since their earliest telling counts; an answer clears the ends before it, and one of before the stand cleared those of meanwhile, at this node and then at all.

A node that stood still takes answers as having come when it last ran. It holds since that is the earliest they can have come: a late answer at worst clears too little, and the next one to any caller clears it. The test fails on the code before.

Ruled out: stamps of the sender's clock (clocks of nodes have nothing in common).

--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -129,6 +129,7 @@
             self._elector.await_leader,
             lambda: self.leads,
             permits,
+            lambda: self._standstill.ran_until_ms,
         )
         self._peers.take_from(TrialAsk, permits.take_ask)
         self._peers.take_from(TrialWord, permits.take_word)
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -62,6 +62,7 @@
     :param send: sends a message to a node.
     :param await_members: waits for so many seconds at most until the other nodes are known.
     :param leads: whether this node leads, so that all others report to it.
+    :param ran_until_ms: until when the process ran before it stood still, if it just did.
     :param permits: for copies of requests under suspicion; by itself alone without it.
     """
 
@@ -73,6 +74,7 @@
         await_members: Callable[[float], None] = lambda timeout_s: None,
         leads: Callable[[], bool] = lambda: False,
         permits: TrialPermits | None = None,
+        ran_until_ms: Callable[[], float] = elapsed_ms,
     ) -> None:
         self.ends = 0  # requests under which a server was found to have ended
         self._node = node
@@ -82,6 +84,7 @@
         self._leads = leads
         self._settled = Event()
         self._ledger = CrashLedger()
+        self._ran_until_ms = ran_until_ms
         self._permits = permits or TrialPermits(lambda: None, lambda: 1, lambda message, to: None)
         self._first = FirstCopies()
         self._untold: set[bytes] = set()
@@ -315,7 +318,8 @@
     def _merge(self, told: ToldRecord, now_ms: float) -> bool:
         """Take one record; return whether it told something new."""
         before = self._ledger.get(told.content)
-        if not self._ledger.merge(told.content, messages.decode(told, now_ms)):
+        heard = messages.decode(told, now_ms, self._ran_until_ms())
+        if not self._ledger.merge(told.content, heard):
             return False
         after = self._ledger.get(told.content)
         if after is not None and after.unanswered and not (before and before.unanswered):
--- a/ploverhatch/quarantine/messages.py
+++ b/ploverhatch/quarantine/messages.py
@@ -87,15 +87,21 @@
     return ToldRecord(content, ends, answered, last)
 
 
-def decode(told: ToldRecord, now_ms: float) -> CrashRecord:
-    """Return a record that was told just now."""
+def decode(told: ToldRecord, now_ms: float, came_ms: float | None = None) -> CrashRecord:
+    """Return a record that was told just now.
+
+    :param came_ms: when it came at the earliest, where this node may have stood still since.
+        An answer clears the ends before it, so that its earliest time counts; an end that looks
+        later than it was clears nothing, and its other tellings put it right.
+    """
     ends = tuple(
         ServerEnd(
             end.server, end.caller, end.witness, now_ms - end.sent_age_ms, now_ms - end.ended_age_ms
         )
         for end in told.ends
     )
-    answered = {caller: now_ms - age_ms for caller, age_ms in told.answered_age_ms.items()}
+    came_ms = now_ms if came_ms is None else came_ms
+    answered = {caller: came_ms - age_ms for caller, age_ms in told.answered_age_ms.items()}
     never = told.last_answer_age_ms < 0
-    last_ms = -math.inf if never else now_ms - told.last_answer_age_ms
+    last_ms = -math.inf if never else came_ms - told.last_answer_age_ms
     return CrashRecord(ends, answered, last_ms)
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -259,6 +259,24 @@
     assert messages.decode(last, elapsed_ms()).standing == ()
 
 
+def test_an_answer_that_waited_while_this_node_stood_still_clears_no_end_after_it(bench):
+    """Told times are ages, so what waits to be read looks later than it was.
+
+    Seen by reading: a node that stands still finds an answer of before and ends of meanwhile
+    in one go, and let the request through by the answer that came first.
+    """
+    content = b"content"
+    ends = [messages.ToldEnd(f"s{n}", b"c%d" % n, "n", 1030.0 - 150.0 * n, 1000.0 - 150.0 * n)
+            for n in range(record.ENDS_AFTER_ANSWER)]  # fmt: skip
+    for held_up_ms, stays in ((3000.0, True), (0.0, False)):
+        node = QuarantineBench()
+        node.quarantine._ran_until_ms = lambda held_up=held_up_ms: elapsed_ms() - held_up
+        answer = messages.ToldRecord(content, [], {b"c9": 20.0}, 20.0)
+        node.quarantine.take_told(CrashesTold([messages.ToldRecord(content, ends)]), PEER)
+        node.quarantine.take_told(CrashesTold([answer]), PEER)
+        assert (node.quarantine.held == 1) is stays
+
+
 def ask_many(bench, count, path=b"/read/a", headers=()):
     return [gevent.spawn(bench.ask, path, headers=headers) for _ in range(count)]
 
