Keep the connection of a call without an answer as a witness of its server's life

Callers: two servers could have run requests of one key.

Cause: whether a life still answers is read from the end of connections to it. A call without an answer was broken off by the node itself, which proves nothing, and its connection, the only witness, was closed; the renewal went over a new one.

It stays open now until a later call was answered, probed by the system each second; its end is a break like any other, so that keys are granted anew at higher tokens. A renewal looks once more when its connection is there. It holds since a process that ends closes its connections, and a machine that is back resets what it doesn't know; what is left is one that is back within a second of losing power. A server that was merely silent is renewed at its token, as before.

Ruled out: a raised token after each lost answer (keys go out of service each time).

--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -43,6 +43,11 @@
 class ServerControl:
     """Calls to one server; one kept connection, others as needed.
 
+    A renewal must reach the life that was granted the keys, or none: the next one at the
+    address has the same id, and would hold keys at a token that did not rise. So it is sent
+    only while no connection to that life was seen to end: the kept one, or the one whose call
+    got no answer, which stays open for that until a later call was answered.
+
     ``may_send`` is asked when a connection is there and the call would leave:
     what it says still holds then, since nothing waits in between. ``heard`` is told what
     answers say of the server.
@@ -57,6 +62,7 @@
         self._dialect = dialect
         self._heard = heard
         self._kept: HttpConnection | None = None
+        self._unanswered: HttpConnection | None = None  # its call got no answer in time
         self._broken = False
 
     def grant(
@@ -66,8 +72,13 @@
         if renewal and self._has_broken():
             return CallOutcome.UNPROVEN
         payload = self._dialect.encode_grant(call, self._server_id, self._host)
+
+        def is_right() -> bool:
+            # Connecting may have taken a while, in which another life began.
+            return may_send() and not (renewal and self._has_broken())
+
         try:
-            self._dialect.read_grant(self._call(payload, GRANT_TIMEOUT_S, may_send))
+            self._dialect.read_grant(self._call(payload, GRANT_TIMEOUT_S, is_right))
         except GrantRefusedError:
             return CallOutcome.REFUSED
         except OtherInstanceError:
@@ -98,12 +109,15 @@
             raise _NotSentError
         try:
             with gevent.Timeout(timeout_s):
-                answer = connection.exchange(b"POST", payload)
+                answer = connection.exchange(b"POST", payload, open_when_late=True)
         except gevent.Timeout as error:
+            self._note_unanswered(connection)
             raise _NoAnswerError("no answer in time") from error
         except AnswerCutError as error:
             self._broken = True
             raise _NoAnswerError(str(error)) from error
+        if not self._has_broken():
+            self._drop_unanswered()  # this connection shows as much from here on
         if connection.reusable:
             self._keep(connection)
         else:
@@ -141,9 +155,25 @@
             # A server that keeps connections at rest for so long only has said so.
             announced = 0 < kept.idle_limit_s <= idle_s + IDLE_MARGIN_S
             self._broken = self._broken or not announced
-            self.close()
+            self._close_kept()
+        if self._unanswered is not None and self._unanswered.has_ended():
+            self._broken = True
+            self._drop_unanswered()
         return self._broken
 
+    def _note_unanswered(self, connection: HttpConnection) -> None:
+        """Keep a connection whose call got no answer, unless an earlier one is kept."""
+        if self._unanswered is not None:
+            connection.abort()
+            return
+        connection.probe_steadily()
+        self._unanswered = connection
+
+    def _drop_unanswered(self) -> None:
+        if self._unanswered is not None:
+            self._unanswered.abort()
+            self._unanswered = None
+
     def _connect_again(self) -> None:
         """Connect at once where the answer said that its connection closes.
 
@@ -158,12 +188,16 @@
         self._keep(connection)
 
     def _keep(self, connection: HttpConnection) -> None:
-        self.close()
+        self._close_kept()
         connection.idle_since_s = elapsed_ms() / 1000
         self._kept = connection
 
     def close(self) -> None:
-        """Close the kept connection."""
+        """Close all connections."""
+        self._drop_unanswered()
+        self._close_kept()
+
+    def _close_kept(self) -> None:
         if self._kept is not None:
             self._kept.close()
             self._kept = None
--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -139,6 +139,14 @@
         self.complete = True
 
 
+_PROBES = (
+    (stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1),
+    (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_KEEPIDLE, 1),  # seconds
+    (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_KEEPINTVL, 1),  # seconds
+    (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_KEEPCNT, 30),
+)
+
+
 class HttpConnection:
     """A connection to one address."""
 
@@ -180,12 +188,32 @@
         poll.register(self._socket.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
         return not poll.poll(0)
 
-    def exchange(self, method: bytes, payload: bytes) -> WireAnswer:
+    def has_ended(self) -> bool:
+        """Whether the other side has ended a connection, whatever it sent before."""
+        if self._socket is None:
+            return True
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def probe_steadily(self) -> None:
+        """Have the system ask the other side each second whether it still knows of it.
+
+        A machine that was without power meanwhile answers by a reset. One that is dark answers
+        nothing, which ends nothing here.
+        """
+        for level, option, value in _PROBES:
+            with suppress(OSError):
+                self._socket.setsockopt(level, option, value)
+
+    def exchange(self, method: bytes, payload: bytes, open_when_late: bool = False) -> WireAnswer:
         """Send one request and read its answer. Bound it by ``gevent.Timeout``.
 
         The connection is closed with a reset unless the answer was whole, so
         that bytes still under way cannot arrive later.
 
+        :param open_when_late: whether it stays open where time was over: it takes no further
+            request, but shows by its end that the other side has ended.
         :raises AnswerCutError: when no whole answer came.
         """
         self.reusable = False
@@ -197,6 +225,10 @@
             if isinstance(error, AnswerCutError):
                 raise
             raise AnswerCutError(str(error)) from error
+        except gevent.Timeout:
+            if not open_when_late:
+                self.abort()
+            raise
         except BaseException:
             self.abort()
             raise
