Show that the tries still cut around stops are handshakes at the end of listening

That was suspected to be a handshake that the end of listening meets.

`Stopped.` has `quiet_ms=` now, the time from the last new connection to that end.

--- a/ploverhatch/cli/explain_stops.py
+++ b/ploverhatch/cli/explain_stops.py
@@ -12,7 +12,7 @@
 STOPPING, STOPPED, STARTED = "[gateway] Stopping.", "[gateway] Stopped.", "[gateway] Started."
 CUT_AT_THE_END = "[callers] Request without answer."
 PROCESS_ENDS = "cause=process-ends"
-SHOWN = ("took_ms", "busy", "given_up", "taken", "untaken", "unknown", "crossed")
+SHOWN = ("took_ms", "busy", "given_up", "taken", "untaken", "unknown", "crossed", "quiet_ms")
 
 
 @dataclass
--- a/ploverhatch/gateway/caller_server.py
+++ b/ploverhatch/gateway/caller_server.py
@@ -13,6 +13,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.answer_record import AnswerRecord
 from ploverhatch.gateway.caller_connection import CallerConnection
@@ -67,6 +68,7 @@
         self.stop_counts = StopCounts()
         self.answers = AnswerRecord()
         self._connections: set[CallerConnection] = set()
+        self._opened_ms = elapsed_ms()  # when a connection was taken last
         self._server = StreamServer(tuple(address), self._accepted, backlog=BACKLOG)
 
     def start(self) -> None:
@@ -103,6 +105,11 @@
         """Number of connections."""
         return len(self._connections)
 
+    @property
+    def quiet_ms(self) -> float:
+        """Time since a connection was taken last."""
+        return elapsed_ms() - self._opened_ms
+
     @property
     def busy(self) -> int:
         """Number of requests being served."""
@@ -141,6 +148,7 @@
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.stop_counts.opened += self.draining
+        self._opened_ms = elapsed_ms()
         connection = CallerConnection(sock, self, address[0].encode())
         self._connections.add(connection)
         try:
--- a/ploverhatch/gateway/stop_sequence.py
+++ b/ploverhatch/gateway/stop_sequence.py
@@ -49,13 +49,16 @@
         self._await_empty(self._plan.listening_until_ms)
         # While new connections come the process is never empty, and it would end
         # with requests under way.
+        # Where connections still come, some are on their way through their handshakes: the
+        # machine resets these, and nothing tells how many they are.
+        quiet_ms = callers.quiet_ms
         callers.stop()
         self._await_empty(self._plan.answered_by_ms)
         callers.ending = True
         given_up = self._forwarder.end_under_way()
         self._await_empty(self._plan.end_ms)
         leaving.join(self._left_s(self._plan.end_ms))
-        self._tell(given_up)
+        self._tell(given_up, quiet_ms)
 
     def _left_s(self, until_ms: float) -> float:
         return max(0.0, (until_ms - elapsed_ms()) / 1000)
@@ -71,7 +74,7 @@
             self._callers.close_idle(FIRST_REQUEST_S)
             gevent.sleep(POLL_S)
 
-    def _tell(self, given_up: int) -> None:
+    def _tell(self, given_up: int, quiet_ms: float) -> None:
         self._callers.tell_open()
         counts, answers = self._callers.stop_counts, self._callers.answers
         LOG.info(
@@ -85,6 +88,7 @@
             later=counts.later,
             closed=counts.closed,
             crossed=counts.crossed,
+            quiet_ms=round(quiet_ms),
             taken=answers.taken,
             untaken=answers.untaken,
             unknown=answers.unknown,
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -443,3 +443,12 @@
     sock.close()
     gevent.sleep(0.5)
     assert application.gone == 1
+
+
+def test_how_long_no_new_connection_has_come_is_known(server):
+    """Listening that ends while they come resets those whose handshake is under way."""
+    gevent.sleep(0.1)
+    assert server.quiet_ms >= 100.0
+    socket.create_connection(("127.0.0.1", server.port))
+    gevent.sleep(0.03)
+    assert 20.0 < server.quiet_ms < 90.0
