Soak many callers of what ends servers; look at no connection that was closed here

Soak: `--crowds` has 8 to 40 callers ask at once, each about every 0.2 s, for what ends its upstream; each copy that ran counts as an end, as the platform counts.

Found by its first run, in the mend of callers that leave: the look at a connection that the process itself had closed failed in the loop (a line on standard error, no request was touched). It counts as reset now; the test fails on the code before.

--- a/ploverhatch/gateway/departure.py
+++ b/ploverhatch/gateway/departure.py
@@ -101,6 +101,9 @@
 
 
 def _events(sock: Any) -> int:
+    fd = sock.fileno()
+    if fd < 0:  # closed here, as by the end of the process
+        return int(select.POLLHUP)
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
+    poll.register(fd, select.POLLRDHUP)
     return next((event for _, event in poll.poll(0)), 0)
--- a/tests/functional/test_caller_server.py
+++ b/tests/functional/test_caller_server.py
@@ -452,3 +452,12 @@
     socket.create_connection(("127.0.0.1", server.port))
     gevent.sleep(0.03)
     assert 20.0 < server.quiet_ms < 90.0
+
+
+def test_a_connection_that_was_closed_here_is_none_to_ask():
+    """As where a process ends: the look must not fail in the loop of the process."""
+    ours, theirs = stdlib_socket.socketpair()
+    assert not is_reset(ours)
+    ours.close()
+    assert is_reset(ours)
+    theirs.close()
--- a/tests/probe/test_gateway_soak.py
+++ b/tests/probe/test_gateway_soak.py
@@ -50,3 +50,14 @@
         assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
     finally:
         result.site.close()
+
+
+def test_soak_of_many_callers_of_what_ends_servers():
+    result = soak(15.0, seed=6000, gateways=4, sound_store=True, crowds=True)
+    try:
+        assert result.found == []
+        assert result.faults.seen["crowd"] >= 1
+        assert result.verdict.killer_ends >= 1
+        assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
+    finally:
+        result.site.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,8 +14,9 @@
 work only; with ``--sound-store`` the store has no faults, so that more of what
 nodes in touch do is judged; with ``--wishes`` upstreams also say in their answers
 that they leave or want rest, and start again under their ids, and other writers
-put entries. At the end all is healed and judged from records alone. Exit code 1
-when a promise was broken; the gateways' logs are kept then.
+put entries; with ``--crowds`` many callers ask at once for what ends its upstream.
+At the end all is healed and judged from records alone. Exit code 1 when a promise
+was broken; the gateways' logs are kept then.
 """
 
 import os
@@ -112,6 +113,7 @@
     planned_only: bool = False
     sound_store: bool = False
     wishes: bool = False
+    crowds: bool = False
 
 
 def soak(seconds, seed, gateways=3, **trouble):
@@ -127,7 +129,7 @@
 def _soak(site, seconds, seed, kinds):
     load = Load(site, seed)
     planned = PlannedWork(site, seed)
-    faults = Faults(site, seed, planned, kinds.sound_store, kinds.wishes)
+    faults = Faults(site, seed, planned, kinds.sound_store, kinds.wishes, kinds.crowds)
     await_start(site)
     least, each, most = CLIENTS
     count = min(max(least, each * len(site.gateways)), most)
@@ -238,20 +240,27 @@
 @click.option("--planned", is_flag=True, help="Planned work only: stops, SIGHUP, configurations.")
 @click.option("--sound-store", is_flag=True, help="No faults of the store.")
 @click.option("--wishes", is_flag=True, help="Upstreams that leave, rest, are reborn; odd entries.")
+@click.option("--crowds", is_flag=True, help="Many callers ask at once for what ends upstreams.")
 @click.option("--keep-logs", type=click.Path(file_okay=False), help="Where logs go if it fails.")
-def main(seconds, seed, seeds, jobs, gateways, planned, sound_store, wishes, keep_logs):
+def main(seconds, seed, seeds, jobs, gateways, planned, sound_store, wishes, crowds, keep_logs):
     main_task = end_in_order()
     if seeds:
         first, _, end = seeds.partition(":")
         options = ["--seconds", str(seconds), *(["--planned"] if planned else [])]
         options += ["--sound-store"] if sound_store else []
         options += ["--wishes"] if wishes else []
+        options += ["--crowds"] if crowds else []
         options += ["--gateways", str(gateways)] if gateways else []
         jobs = min(jobs, 4)
         sys.exit(1 if run_seeds(range(int(first), int(end)), options, jobs, keep_logs) else 0)
     limit_s = seconds + SEED_MARGIN_S
     gevent.spawn_later(limit_s, gevent.kill, main_task, SystemExit(f"not over after {limit_s} s"))
-    trouble = {"planned_only": planned, "sound_store": sound_store, "wishes": wishes}
+    trouble = {
+        "planned_only": planned,
+        "sound_store": sound_store,
+        "wishes": wishes,
+        "crowds": crowds,
+    }
     sys.exit(0 if run_one(seconds, seed, gateways, trouble, keep_logs) else 1)
 
 
--- a/tests/standin/callers.py
+++ b/tests/standin/callers.py
@@ -71,7 +71,30 @@
                 answer += part
         return answer.partition(b"\r\n\r\n")[0].lower()
 
+    @property
+    def copies_count(self):
+        """Whether each copy that ran counts as a server that ended: not for one caller's tries."""
+        return False
+
     def ask_forever(self, gateways):
         for number in count():
             self.ask(gateways[number % len(gateways)])
             gevent.sleep(PAUSE_S)
+
+
+@dataclass
+class Crowd:
+    """Many callers that ask for the same at once."""
+
+    name: str
+    path: str
+    callers: list
+
+    @property
+    def asked(self):
+        return [sent for caller in self.callers for sent in caller.asked]
+
+    @property
+    def copies_count(self):
+        """Whether each copy that ran counts as a server that ended, as the platform counts."""
+        return True
--- a/tests/standin/trouble.py
+++ b/tests/standin/trouble.py
@@ -8,7 +8,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
-from tests.standin.callers import Caller
+from tests.standin.callers import Caller, Crowd
 from tests.standin.odd_entries import CHANGES, odd_record
 from tests.standin.site import KEYED, PLAIN, configuration
 from tests.standin.upstream import Upstream
@@ -24,6 +24,9 @@
 REST_S = (0.8, 4.0)  # that an upstream asks for
 REBIRTH_S = (0.1, 2.0)  # from its crash to its next start
 KILLER_PAUSE_S = (0.3, 3.0)  # between repeats of a request that ends servers
+CROWD = (8, 40)  # callers
+CROWD_PAUSE_S = 0.2  # of each one
+CROWD_LENGTH_S = 10.0  # long enough for the keys to be with their next holder
 KILLER_LENGTH_S = (4.0, 16.0)
 
 
@@ -113,7 +116,7 @@
 class Faults:
     """Brings faults about and heals them; planned work comes in between."""
 
-    def __init__(self, site, seed, planned, sound_store=False, wishes=False):
+    def __init__(self, site, seed, planned, sound_store=False, wishes=False, crowds=False):
         self.site = site
         self.planned = planned
         self.random = random.Random(f"{seed} faults")
@@ -137,6 +140,9 @@
                 self.upstream_rests, self.upstream_reborn, self.upstream_reborn, self.odd_entry,
             ]  # fmt: skip
 
+        if crowds:
+            self.kinds += [self.crowd, self.crowd, self.crowd, self.crowd]
+
     def run(self):
         while True:
             gevent.sleep(self.random.uniform(*FAULT_PAUSE_S))
@@ -204,6 +210,26 @@
         chance = random.Random(self.random.random())
         self._tasks.append(gevent.spawn(self._repeat, killer, chance))
 
+    def crowd(self):
+        """Have many callers ask at once for what ends its upstreams, at any node."""
+        number, key = len(self.killers), self.random.choice(SAMPLE_KEYS)
+        path = self.random.choice(["/read/crowd", "/kread/crowd"]) + str(number)
+        callers = [
+            Caller(f"crowd{number}-{n}", path, f"127.0.2.{n + 1}", ends_server=True, key=key)
+            for n in range(self.random.randint(*CROWD))
+        ]
+        self.killers.append(Crowd(f"crowd{number}", path, callers))
+        for caller in callers:
+            chance = random.Random(self.random.random())
+            self._tasks.append(gevent.spawn(self._press, caller, chance))
+
+    def _press(self, caller, chance):
+        gevent.sleep(chance.uniform(0.0, CROWD_PAUSE_S))
+        end_s = elapsed_ms() / 1000 + CROWD_LENGTH_S
+        while elapsed_ms() / 1000 < end_s:
+            gevent.spawn(caller.ask, chance.choice(self.site.gateways))
+            gevent.sleep(CROWD_PAUSE_S * chance.uniform(0.8, 1.2))
+
     def _repeat(self, killer, chance):
         end_s = elapsed_ms() / 1000 + chance.uniform(*KILLER_LENGTH_S)
         while elapsed_ms() / 1000 < end_s:
--- a/tests/standin/verdict.py
+++ b/tests/standin/verdict.py
@@ -217,6 +217,10 @@
     for killer in killers:
         lives = set().union(*(ran[sent.name] for sent in killer.asked))
         ends = sorted(ended[life] for life in lives if ended[life] is not None)
+        verdict.killer_ends += len(ends)
+        if killer.copies_count:
+            at = [life for sent in killer.asked for life in ran[sent.name]]
+            ends = sorted(ended[life] for life in at if ended[life] is not None)
         sends = [(sent, at_s) for sent in killer.asked for _, at_s in arrivals[sent.name]]
         known_s = ends[2] + CONTACT_S if len(ends) > 2 else inf
         late = [
@@ -225,7 +229,6 @@
             if at_s > known_s and in_touch(site, sent.life, at_s)
         ]
         verdict.killers += 1
-        verdict.killer_ends += len(ends)
         verdict.killer_sends += len(sends)
         verdict.killer_late += len(late)
         verdict.held += sum(HELD in sent.head for sent in killer.asked)
