--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -151,6 +151,23 @@
     assert stopping.get(timeout=3.0)
 
 
+def test_a_request_whose_first_line_is_being_read_is_finished(served):
+    """As one whose later lines are: its caller has begun to send it.
+
+    Known of it: the library's handler counts a request as begun once its first line is whole, so
+    that one which is split there looks like a connection at rest.
+    """
+    slow = served.connect()
+    head = request(b"/0")
+    slow.sendall(head[:6])
+    gevent.sleep(0.05)
+    stopping = gevent.spawn(served.stop, 2.0, 0.1)
+    gevent.sleep(0.3)
+    slow.sendall(head[6:])
+    assert status(slow) == 200
+    assert stopping.get(timeout=3.0)
+
+
 # ---- the node's administration API --------------------------------------------------------
 
 
