--- a/tests/functional/test_servers_that_leave_or_rest.py
+++ b/tests/functional/test_servers_that_leave_or_rest.py
@@ -20,16 +20,12 @@
 import pytest
 
 from ploverhatch.common.clock import elapsed_ms
-from ploverhatch.simulation.keys.server import SAMPLE_KEYS
-from tests.standin.callers import Caller
+from tests.standin.play import Play
 from tests.standin.site import KEYED, PLAIN, StandinSite
 from tests.standin.wishes import DRAIN_S, broken_rests, late_to_leaving
 
 GATEWAYS = 4
 KEYED_UPSTREAMS = PLAIN_UPSTREAMS = 4
-KEYS = SAMPLE_KEYS[::4]
-PLAIN_CALLERS = 8
-START_LIMIT_S = 20.0
 PLAY_S = 6.0
 SERVED = 0.99
 SERVED_OF_KEYS = 0.9  # the keys of one of four holders wait until they have moved
@@ -39,61 +35,6 @@
 RESTS = b"ploverhatch-result: 2112"
 
 
-class Play:
-    """A site and callers that ask at every node, some for keys and some without."""
-
-    def __init__(self, site):
-        self.site = site
-        self.callers = {}
-        self.tasks = []
-
-    def begin(self):
-        self.callers = {
-            KEYED: [Caller(f"k{key}", "/kread/a", key=key) for key in KEYS],
-            PLAIN: [Caller(f"p{n}", "/read/a") for n in range(PLAIN_CALLERS)],
-        }
-        everybody = [*self.callers[KEYED], *self.callers[PLAIN]]
-        gateways = self.site.gateways
-        with gevent.Timeout(START_LIMIT_S):
-            for gateway in gateways:
-                for caller in everybody:
-                    while caller.ask(gateway).status != 200:
-                        gevent.sleep(0.05)
-        for number, caller in enumerate(everybody):
-            turned = gateways[number % GATEWAYS :] + gateways[: number % GATEWAYS]
-            self.tasks.append(gevent.spawn(caller.ask_forever, turned))
-
-    @property
-    def sent(self):
-        callers = [caller for group in self.callers.values() for caller in group]
-        return {one.name: one for caller in callers for one in caller.asked}
-
-    def asked(self, service, start_s, end_s=float("inf")):
-        found = [one for caller in self.callers[service] for one in caller.asked]
-        return [one for one in found if start_s <= one.sent_s < end_s and one.status]
-
-    def served(self, service, start_s, end_s=float("inf")):
-        asked = self.asked(service, start_s, end_s)
-        return sum(one.status == 200 for one in asked) / len(asked)
-
-    def upstreams(self, service):
-        return [u for u in self.site.upstreams.values() if u.service == service]
-
-    def busiest(self):
-        """Return the upstream of each service that ran most."""
-        return [
-            max(self.upstreams(service), key=lambda upstream: len(upstream.ran))
-            for service in (PLAIN, KEYED)
-        ]
-
-    def stop_callers(self):
-        gevent.killall(self.tasks)
-
-    def close(self):
-        self.stop_callers()
-        self.site.close()
-
-
 @pytest.fixture
 def play():
     made = Play(StandinSite(GATEWAYS, KEYED_UPSTREAMS, PLAIN_UPSTREAMS))
@@ -199,7 +140,9 @@
     play.site.store.faults.silent = False
     gevent.sleep(6.0)
     for gateway in play.site.gateways:
-        assert [caller.ask(gateway).status for caller in play.callers[KEYED]] == [200] * len(KEYS)
+        assert [caller.ask(gateway).status for caller in play.callers[KEYED]] == [200] * len(
+            play.callers[KEYED]
+        )
 
 
 def test_keys_of_one_that_leaves_are_served_while_the_store_is_away(play):
