Tell in logs and figures that a server names a limit, and what is sent to it

The word is read and kept now, with when it was said; an answer to a request that ran, sent after that, shows that it holds no more. Nothing is decided by it yet. A value that is no decimal number of 0 or more is logged once and tells nothing, so that the limit before holds; of several the least counts.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -13,7 +13,7 @@
 from ploverhatch.sharding import view
 from ploverhatch.sharding.keymap import KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord, ServerSet
-from ploverhatch.state.standing import NOTHING, ServerNotice
+from ploverhatch.state.standing import NO_LIMIT, NOTHING, ServerNotice
 
 LOG = PartLogger("directory")
 
@@ -77,16 +77,29 @@
         LOG.info("Server record gone.", server=name)
         self.changed.raise_()
 
-    def take_notice(self, server_id: str, notice: ServerNotice) -> None:
-        """An answer to this node says something of its server."""
-        news = self.servers.take_notice(server_id, notice, elapsed_ms())
+    def take_notice(
+        self, server_id: str, notice: ServerNotice, asked_ms: float | None = None
+    ) -> None:
+        """An answer to this node says something of its server.
+
+        :param asked_ms: when the request was sent; now where that is not known.
+        """
+        news = self.servers.take_notice(server_id, notice, elapsed_ms(), asked_ms)
         if news.leaving:
             LOG.info("Server says that it leaves.", server=server_id, by="its-answer")
         if news.rest_ms:
             LOG.info("Server asks for rest.", server=server_id, for_ms=round(news.rest_ms))
+        if news.limit_per_s is not None:
+            self._log_limit(server_id, news.limit_per_s, "its-answer")
         if news != NOTHING:
             self.changed.raise_()
 
+    def _log_limit(self, server_id: str, per_s: float, by: str) -> None:
+        if per_s == NO_LIMIT:
+            LOG.info("Server names no limit any more.", server=server_id, by=by)
+        else:
+            LOG.info("Server names a limit.", server=server_id, per_s=f"{per_s:g}", by=by)
+
     def hear_leaving(self, ages_ms: Mapping[str, float], by: str) -> None:
         """Another node tells which servers said that they leave, and how long ago."""
         now_ms = elapsed_ms()
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -40,7 +40,7 @@
 from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.routing.route_table import ShareSplitter
-from ploverhatch.state.standing import NOTHING
+from ploverhatch.state.standing import NO_LIMIT, NOTHING
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     NotConnectedError,
@@ -447,7 +447,7 @@
         result = self._dialect.judge(call.facts, record.server_id, answer)
         notice = self._dialect.notice(call.facts.request_id, record.server_id, answer)
         if notice != NOTHING:
-            self._directory.take_notice(record.server_id, notice)
+            self._directory.take_notice(record.server_id, notice, sent_ms)
         if notice.rest_ms:
             upstream.asked_for_rest()
             self._choice.note_rest(record.server_id)
@@ -465,6 +465,8 @@
             self.metrics.sends["leaving"] += 1
         if standings.rest_left_ms(server_id, elapsed_ms()) > 0:
             self.metrics.sends["resting"] += 1
+        if standings.limit_per_s(server_id) < NO_LIMIT:
+            self.metrics.sends["limited"] += 1
 
     # ---- choice of the server ---------------------------------------------------------
 
--- a/ploverhatch/gateway/metrics.py
+++ b/ploverhatch/gateway/metrics.py
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         self.results: Counter[int] = Counter()
         self.attempts: Counter[str] = Counter()
-        self.sends: Counter[str] = Counter()  # to servers that leave, or rest
+        self.sends: Counter[str] = Counter()  # to servers that leave, rest or name a limit
         self._durations: Counter[float] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
 
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -470,6 +470,7 @@
         standings = self.directory.servers.standings
         metrics.gauge("leaving_servers", lambda: float(len(standings.leaving_ms)))
         metrics.gauge("resting_servers", lambda: float(len(standings.resting(elapsed_ms()))))
+        metrics.gauge("limited_servers", lambda: float(standings.limited))
         metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
         metrics.gauge("nodes", lambda: float(self._elector.node_count))
         metrics.gauge("connections", lambda: float(self._callers.open_connections))
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -18,7 +18,7 @@
 from ploverhatch.platform import names
 from ploverhatch.routing.attempt_outcome import AttemptResult
 from ploverhatch.state.lives import registered_name
-from ploverhatch.state.standing import NOTHING, ServerNotice
+from ploverhatch.state.standing import NO_LIMIT, NOTHING, ServerNotice
 from ploverhatch.transport.http_connection import WireAnswer
 
 LOG = PartLogger("platform")
@@ -115,20 +115,39 @@
         if answer.status == 503:
             asked = [value for name, value in answer.headers if name.lower() == names.RETRY_AFTER]
             rest_s = max(map(self._rest_s, asked), default=0.0)
-        return ServerNotice(leaving is not None and leaving.strip() == LEAVING_YES, rest_s * 1000)
+        says_it_leaves = leaving is not None and leaving.strip() == LEAVING_YES
+        return ServerNotice(says_it_leaves, rest_s * 1000, self._limit_per_s(answered_id, answer))
 
     def _rest_s(self, value: bytes) -> float:
         """Read ``Retry-After``: seconds, fractions included; 0 where it is anything else."""
+        return self._quantity(value, "Rest not understood.") or 0.0
+
+    def _limit_per_s(self, answered_id: bytes | None, answer: WireAnswer) -> float | None:
+        """Read ``Server-Limit``: requests a second; the least of several counts.
+
+        Only the answer to a request that ran shows that its server names no limit. One with a
+        value that can't be read tells nothing, so that the limit named before holds.
+        """
+        named = [value for name, value in answer.headers if name.lower() == names.LIMIT]
+        if not named:
+            ran = answered_id is not None and answer.get(names.SEAL) is not None
+            return NO_LIMIT if ran else None
+        values = [part for value in named for part in value.split(b",")]
+        read = [self._quantity(value, "Limit not understood.") for value in values]
+        return min((per_s for per_s in read if per_s is not None), default=None)
+
+    def _quantity(self, value: bytes, complaint: str) -> float | None:
+        """Read a decimal number of 0 or more; anything else is logged, each value once."""
         try:
-            seconds = float(value)
+            number = float(value)
         except ValueError:
-            seconds = math.nan
-        if math.isfinite(seconds) and seconds >= 0:
-            return seconds
+            number = math.nan
+        if math.isfinite(number) and number >= 0:
+            return number
         if value not in self._misread and len(self._misread) < MOST_MISREAD:
             self._misread.add(value)
-            LOG.warning("Rest not understood.", value=value[:40].decode("latin-1"))
-        return 0.0
+            LOG.warning(complaint, value=value[:40].decode("latin-1"))
+        return None
 
     @override
     def reply_headers(self, answer: WireAnswer) -> HeaderList:
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -104,12 +104,17 @@
         else:
             self.leaving_since.pop(record.server_id, None)
 
-    def take_notice(self, server_id: str, notice: ServerNotice, now_ms: float) -> ServerNotice:
-        """Take what an answer of a server says of it; return what of it is new."""
+    def take_notice(
+        self, server_id: str, notice: ServerNotice, now_ms: float, asked_ms: float | None = None
+    ) -> ServerNotice:
+        """Take what an answer of a server says of it; return what of it is new.
+
+        :param asked_ms: when the request was sent; now where that is not known.
+        """
         record = self.records.get(server_id)
         if record is None:
             return NOTHING
-        news = self.standings.note(server_id, notice, now_ms)
+        news = self.standings.note(server_id, notice, now_ms, asked_ms)
         if news.leaving:
             self._show(record, now_ms)
         return news
--- a/ploverhatch/state/standing.py
+++ b/ploverhatch/state/standing.py
@@ -2,9 +2,12 @@
 
 A server that leaves says so in each answer, whether or not its entry in the store says it
 yet. A server that turns a request away may ask the node that sent it for a rest: it wants
-nothing more from that node for so long. What one life of a server said binds no other one.
+nothing more from that node for so long. One in need names a limit: how many requests a second
+it takes from all nodes together, for as long as its answers name it. What one life of a
+server said binds no other one.
 """
 
+import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
@@ -14,31 +17,67 @@
 # A server that leaves is gone in seconds, or in tens of them where the store is away. One
 # that is there for so long without a word of it in its entry stays: it is asked again.
 LEAVING_MS = 300_000.0
+# A server of which nothing was heard for so long is asked as any other, and says it again.
+LIMIT_MS = 300_000.0
+NO_LIMIT = math.inf  # requests a second
 
 
 @dataclass(frozen=True, slots=True)
 class ServerNotice:
-    """What one answer says of its server; ``rest_ms`` is 0 where it asks for none."""
+    """What one answer says of its server; ``rest_ms`` is 0 where it asks for none.
+
+    ``limit_per_s`` is how many requests a second it takes from all nodes together,
+    :data:`NO_LIMIT` where it surely names no limit, ``None`` where the answer tells neither.
+    """
 
     leaving: bool = False
     rest_ms: float = 0.0
+    limit_per_s: float | None = None
 
 
 NOTHING = ServerNotice()
 
 
+@dataclass(frozen=True, slots=True)
+class LimitWord:
+    """What a server said of its limit, and when.
+
+    ``said_ms`` is when an answer that names one was read. Of an answer that names none it is
+    when its request was sent: it may have been on its way while others were told of a limit.
+    """
+
+    per_s: float
+    said_ms: float
+
+
 @dataclass(slots=True)
 class Standings:
     """What the servers said to this node, and of leaving also to others; by server."""
 
     _leaving_ms: dict[str, float] = field(default_factory=dict)  # when it was heard first
     _rest_until_ms: dict[str, float] = field(default_factory=dict)
+    _limits: dict[str, LimitWord] = field(default_factory=dict)
+
+    @property
+    def limits(self) -> Mapping[str, LimitWord]:
+        """The latest word of each server that named a limit."""
+        return self._limits
+
+    @property
+    def limited(self) -> int:
+        """How many servers name a limit."""
+        return sum(word.per_s < NO_LIMIT for word in self._limits.values())
 
     @property
     def leaving_ms(self) -> Mapping[str, float]:
         """Servers that said that they leave, and when that was heard first."""
         return self._leaving_ms
 
+    def limit_per_s(self, server_id: str) -> float:
+        """Return how many requests a second a server takes from all nodes together."""
+        word = self._limits.get(server_id)
+        return word.per_s if word else NO_LIMIT
+
     def leaves(self, server_id: str) -> bool:
         """Whether a server said that it leaves."""
         return server_id in self._leaving_ms
@@ -52,19 +91,43 @@
         left = {name: until_ms - now_ms for name, until_ms in self._rest_until_ms.items()}
         return {name: left_ms for name, left_ms in left.items() if left_ms > 0}
 
-    def note(self, server_id: str, notice: ServerNotice, now_ms: float) -> ServerNotice:
+    def note(
+        self, server_id: str, notice: ServerNotice, now_ms: float, asked_ms: float | None = None
+    ) -> ServerNotice:
         """Take what an answer says; return what of it is new.
 
         The longest of several rests counts. It is new where the server did not rest.
+
+        :param asked_ms: when the request was sent; now where that is not known.
         """
         leaving = notice.leaving and self.note_leaving(server_id, now_ms)
+        limit_per_s = notice.limit_per_s
+        if limit_per_s is not None:
+            said_ms = now_ms
+            if limit_per_s == NO_LIMIT and asked_ms is not None:
+                said_ms = asked_ms
+            if not self.note_limit(server_id, LimitWord(limit_per_s, said_ms)):
+                limit_per_s = None
         rest_ms = min(notice.rest_ms, LONGEST_REST_MS)
         if rest_ms <= 0:
-            return ServerNotice(leaving)
+            return ServerNotice(leaving, limit_per_s=limit_per_s)
         rested = self.rest_left_ms(server_id, now_ms) > 0
         until_ms = self._rest_until_ms.get(server_id, now_ms)
         self._rest_until_ms[server_id] = max(until_ms, now_ms + rest_ms)
-        return ServerNotice(leaving, 0.0 if rested else rest_ms)
+        return ServerNotice(leaving, 0.0 if rested else rest_ms, limit_per_s)
+
+    def note_limit(self, server_id: str, word: LimitWord) -> bool:
+        """Take a word on a server's limit unless a later one is known; true if it is new.
+
+        Nothing is kept of a server that never named a limit.
+        """
+        known = self._limits.get(server_id)
+        if known is None and word.per_s == NO_LIMIT:
+            return False
+        if known is not None and word.said_ms <= known.said_ms:
+            return False
+        self._limits[server_id] = word
+        return known is None or known.per_s != word.per_s
 
     def note_leaving(self, server_id: str, since_ms: float) -> bool:
         """A server said at a time that it leaves; true if that is new."""
@@ -76,6 +139,9 @@
 
     def expire(self, now_ms: float) -> list[str]:
         """Forget rests that are over and old words; return the servers that stayed."""
+        silent = [name for name, word in self._limits.items() if now_ms - word.said_ms > LIMIT_MS]
+        for name in silent:
+            del self._limits[name]
         for name in [name for name, end in self._rest_until_ms.items() if end <= now_ms]:
             del self._rest_until_ms[name]
         old = [name for name, ms in self._leaving_ms.items() if now_ms - ms > LEAVING_MS]
@@ -88,3 +154,4 @@
         for name in server_ids:
             self._leaving_ms.pop(name, None)
             self._rest_until_ms.pop(name, None)
+            self._limits.pop(name, None)
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -9,7 +9,9 @@
 from ploverhatch.state.servers import ServerRecord, ServerSet
 from ploverhatch.state.standing import (
     LEAVING_MS,
+    LIMIT_MS,
     LONGEST_REST_MS,
+    NO_LIMIT,
     NOTHING,
     ServerNotice,
     Standings,
@@ -23,6 +25,10 @@
     return ServerNotice(rest_ms=seconds * 1000.0)
 
 
+def limit(per_s):
+    return ServerNotice(limit_per_s=per_s)
+
+
 def record(number=0, draining=False):
     return ServerRecord(f"s{number}", "svc", "10.0.0.1", 9000 + number, "z1", 2, draining)
 
@@ -37,6 +43,7 @@
 # ---- how an answer is read -----------------------------------------------------------------
 
 OWN = (b"Request-Id", b"r1")
+SEAL = (b"Response-Seal", b"s")
 READINGS = [
     (200, [OWN, (b"Server-Leaving", b"1")], LEAVES),
     (200, [(b"server-leaving", b" 1 ")], LEAVES),
@@ -58,6 +65,27 @@
     (503, [OWN, (b"Retry-After", b"Wed, 21 Oct 2026 07:28:00 GMT")], NOTHING),
     (503, [OWN], NOTHING),
     (429, [OWN, (b"Retry-After", b"3")], NOTHING),
+    (200, [OWN, (b"Server-Limit", b"2.5")], limit(2.5)),
+    (
+        503,
+        [OWN, (b"server-limit", b" 0.4 "), (b"Retry-After", b"1")],
+        ServerNotice(False, 1000, 0.4),
+    ),
+    (200, [OWN, SEAL, (b"Server-Limit", b"0")], limit(0.0)),
+    (200, [OWN, SEAL, (b"Server-Limit", b"1e9")], limit(1e9)),
+    (200, [OWN, (b"Server-Limit", b"6"), (b"Server-Limit", b"4")], limit(4.0)),
+    (200, [OWN, (b"Server-Limit", b"6, 3,9")], limit(3.0)),
+    (200, [OWN, (b"Server-Limit", b"soon"), (b"Server-Limit", b"4")], limit(4.0)),
+    (200, [OWN, SEAL, (b"Server-Limit", b"")], NOTHING),
+    (200, [OWN, SEAL, (b"Server-Limit", b"-1")], NOTHING),
+    (200, [OWN, SEAL, (b"Server-Limit", b"nan")], NOTHING),
+    (200, [OWN, SEAL, (b"Server-Limit", b"inf")], NOTHING),
+    (200, [OWN, SEAL, (b"Server-Limit", b"fast")], NOTHING),
+    (200, [OWN, SEAL], limit(NO_LIMIT)),
+    (500, [OWN, SEAL], limit(NO_LIMIT)),
+    (200, [SEAL], NOTHING),
+    (200, [(b"Request-Id", b"r2"), SEAL], NOTHING),
+    (421, [OWN, (b"Server-Limit", b"2"), (b"Instance-Id", b"other")], NOTHING),
     (200, [OWN, (b"Retry-After", b"3")], NOTHING),
     (503, [(b"Request-Id", b"r2"), (b"Retry-After", b"3")], NOTHING),
 ]
@@ -179,3 +207,52 @@
     reports.expire(9000.0)
     reports.add({"s0": 3000.0}, 9000.0)
     assert shedding(reports, 9001.0) == set()
+
+
+# ---- limits --------------------------------------------------------------------------------
+
+
+def test_a_limit_holds_until_an_answer_to_a_later_request_names_none():
+    known = Standings()
+    assert known.note("s0", limit(2.5), 1000.0, 900.0) == limit(2.5)
+    assert known.note("s0", limit(NO_LIMIT), 1010.0, 950.0) == NOTHING
+    assert known.limit_per_s("s0") == 2.5
+    assert known.note("s0", limit(NO_LIMIT), 1200.0, 1001.0) == limit(NO_LIMIT)
+    assert known.limit_per_s("s0") == NO_LIMIT
+    assert known.limited == 0
+
+
+def test_the_latest_of_several_limits_holds():
+    known = Standings()
+    for per_s in (2.0, 5.0, 0.0, 7.0):
+        known.note("s0", limit(per_s), 100.0 + per_s)
+    assert known.limit_per_s("s0") == 7.0
+
+
+def test_an_answer_that_tells_nothing_of_a_limit_leaves_it():
+    known = Standings()
+    known.note("s0", limit(2.5), 0.0)
+    known.note("s0", ServerNotice(leaving=True), 100.0)
+    assert known.limit_per_s("s0") == 2.5
+
+
+def test_nothing_is_kept_of_servers_that_never_named_a_limit():
+    known = Standings()
+    assert known.note("s0", limit(NO_LIMIT), 0.0) == NOTHING
+    assert known.limits == {}
+
+
+def test_a_limit_of_which_nothing_was_heard_for_long_is_forgotten():
+    known = Standings()
+    known.note("s0", limit(2.5), 0.0)
+    known.expire(LIMIT_MS)
+    assert known.limit_per_s("s0") == 2.5
+    known.expire(LIMIT_MS + 1)
+    assert known.limits == {}
+
+
+def test_a_limit_goes_with_the_life_that_named_it():
+    known = servers()
+    known.take_notice("s0", limit(2.5), 0.0)
+    known.remove("s0", 10.0)
+    assert known.standings.limits == {}
