--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -33,6 +33,7 @@
     crash_after_s: float = 0.03  # from the start of a request that ends its upstream
     leaving: bool = False  # said in all answers
     rest_s: float = 0.0  # asked for with each request, which is turned away
+    limit: str = ""  # requests a second from all callers, named in all answers; empty: none
 
 
 @dataclass
@@ -60,6 +61,7 @@
     grants: list = field(default_factory=list)
     turned_away: list = field(default_factory=list)  # (request, elapsed s, rest asked for)
     passed_on: list = field(default_factory=list)  # the same, of answers that say it leaves
+    named: list = field(default_factory=list)  # (request, elapsed s, limit named in its answer)
     ended_s: float | None = None  # of a crash, elapsed
     born: int = 0  # Unix milliseconds of its start; 0: it does not tell
     port: int = 0  # to listen at; 0: any that is free
@@ -101,6 +103,9 @@
         reply = self._handle(request)
         if self.behaviour.leaving:
             reply.headers.append((b"Server-Leaving", b"1"))
+        if self.behaviour.limit:
+            reply.headers.append((b"Server-Limit", self.behaviour.limit.encode()))
+            self.named.append((request, elapsed_ms() / 1000, self.behaviour.limit))
         return reply
 
     def _handle(self, request):
