Have the leader know the other nodes

A node that leads read the nodes' objects at the look that made it leader and never again. At the start of a site the others come at the same moment: the leader knew no other node for its whole term (4 nodes: 4, 4, 1, 4 known). So it asked no dispatcher, that is its callers shared no slots with those of other nodes, it took the retry budget of all for its own, and sent trials and crashes to nodes that report only. Found while limits were counted by dispatchers: its requests without a key were refused with slot=none, since nobody counted for it. It reads them now at the pace of the others, a second after it has won at first, by a stale read at a tenth of the price. A failure of that read is told and says nothing of the lease.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -17,6 +17,7 @@
 from ploverhatch.leadership.election import ElectionState, LeaseObject
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
+    Listing,
     ObjectStore,
     OutcomeUnknownError,
     RevisionConflictError,
@@ -140,7 +141,6 @@
                 self._renew()
             elif self._store_away or self._look_due or not self._hears_leader:
                 self._look()
-                self._looked_ms = elapsed_ms()
         except StoreCallError as error:
             self._looked.set()
             self._note_store(error)
@@ -150,6 +150,7 @@
         self._failures = 0
         self._note_store(None)
         if self.state.leading:
+            self._read_nodes_while_leading()
             return election.RENEW_MS / 1000
         return election.look_pause_ms(self.state, elapsed_ms(), random.random()) / 1000
 
@@ -188,11 +189,8 @@
     def _look(self) -> None:
         stale = self._registered
         listing = self._store.list_all(kinds.LEASES, stale=stale)
-        self._nodes = {
-            item.name: item for item in listing.items if item.name.startswith(NODE_PREFIX)
-        }
-        members = self._read_members()
-        self.member_zones = {item.address: item.zone for item in members if item.address}
+        self._looked_ms = elapsed_ms()
+        members = self._take_nodes(listing)
         strengths = [item.strength for item in members]
         strongest = max([*strengths, self.state.strength])
         rivals = max(1, strengths.count(strongest))
@@ -209,6 +207,27 @@
             gevent.sleep(delay_ms / 1000)  # stronger machines go first
             self._claim(read_again=stale or delay_ms > 0)
 
+    def _read_nodes_while_leading(self) -> None:
+        """Look who shares the budgets and queues at the pace of the other nodes.
+
+        Nodes that know other members take different ones for a queue's dispatcher.
+        """
+        if elapsed_ms() - self._looked_ms < election.LOOK_COVERED_MS:
+            return
+        self._looked_ms = elapsed_ms()
+        try:
+            self._take_nodes(self._store.list_all(kinds.LEASES, stale=True))
+        except StoreCallError as error:
+            LOG.warning("Nodes not read.", cause=error)
+
+    def _take_nodes(self, listing: Listing) -> list[Member]:
+        self._nodes = {
+            item.name: item for item in listing.items if item.name.startswith(NODE_PREFIX)
+        }
+        members = self._read_members()
+        self.member_zones = {item.address: item.zone for item in members if item.address}
+        return members
+
     def _read_members(self) -> list[Member]:
         """Return the nodes' own objects; one that another writer spoilt names no node."""
         members, odd = [], {}
@@ -253,6 +272,8 @@
         predecessor = self.state.seen.node
         if self._write_lease(self.state.seen.revision):
             self._led_since_ms = elapsed_ms()
+            # Others may have started beside this node, and not have been there at its look.
+            self._looked_ms = elapsed_ms() - election.LOOK_COVERED_MS + election.LOOK_MS
             LOG.info("Leadership won.", predecessor=predecessor or "-")
 
     def should_hand_over(self, offered: float) -> bool:
--- /dev/null
+++ b/tests/functional/test_members.py
@@ -0,0 +1,44 @@
+"""All nodes know the same members, among which queues and budgets are shared."""
+
+import re
+
+import gevent
+import pytest
+from gevent import socket
+
+from tests.standin.site import StandinSite
+
+GATEWAYS = 4
+KNOWN_S = 8.0
+NODES = re.compile(rb"^ploverhatch_nodes (\d+)$", re.MULTILINE)
+
+
+@pytest.fixture
+def site():
+    made = StandinSite(GATEWAYS)
+    yield made
+    made.close()
+
+
+def nodes_known_to(gateway):
+    try:
+        with socket.create_connection(("127.0.0.1", gateway.ready), 1.0) as sock:
+            sock.sendall(b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            answer = b""
+            while part := sock.recv(65536):
+                answer += part
+    except OSError:
+        return 0
+    found = NODES.search(answer)
+    return int(found[1]) if found else 0
+
+
+# The leader of a site that starts knew no other node for its whole term: it shared no slots with
+# them, and took the retry budget of all for its own.
+def test_the_leader_knows_the_nodes_that_start_beside_it(site):
+    known = []
+    with gevent.Timeout(KNOWN_S, False):
+        while known != [GATEWAYS] * GATEWAYS:
+            gevent.sleep(0.2)
+            known = [nodes_known_to(gateway) for gateway in site.gateways]
+    assert known == [GATEWAYS] * GATEWAYS
