Judge no server for long by what it completes of whose keys nobody asks

A holder that had lost its busy keys (a rest, a limit, a hot key that moved) got none again for as long as others were not at their end: the leader took it for one that falls behind. Asked 0 and completed 0 passed both tests of AnswerTimes.saturated_work_ms, which then said slots x 1,500 ms of work a request (6,000 ms with 4 slots, where the others have 60).

--- a/ploverhatch/sharding/load.py
+++ b/ploverhatch/sharding/load.py
@@ -15,6 +15,7 @@
 KEPT_TIMES = 64  # of one server
 LEAST_TIMES = 6  # fewer say nothing of a server
 TYPICAL_PART = 0.25  # of the answers are faster than the typical time
+BEHIND_MEMORY_MS = 10_000.0  # until a server that fell behind and lost its keys is tried again
 BEHIND_PART = 0.5  # a server that completes less than this of what it is asked falls behind,
 SURELY_BEHIND = 2.5  # ... if the gap is so many standard deviations of both counts
 SILENT_MS = 500.0  # longer than reports take to come, and than most answers take
@@ -96,6 +97,7 @@
     _known_ms: dict[str, float] = field(default_factory=dict)  # when it was told first
     _times: dict[str, deque[float]] = field(default_factory=dict)
     _completed: dict[str, deque[tuple[float, int]]] = field(default_factory=dict)
+    _behind: dict[str, tuple[float, float]] = field(default_factory=dict)  # when, and its work
 
     def add(self, server_id: str, times_ms: Collection[float], now_ms: float) -> None:
         """Add answer times of a server, as one node saw them since its last report."""
@@ -118,10 +120,14 @@
         """Return how long a request takes on a server that surely falls behind, else ``None``.
 
         Its slots are all in use, so what it completes tells its work. Answer times do
-        not: they come late and, where requests run out of time, not at all.
+        not: they come late and, where requests run out of time, not at all. Once its keys
+        have moved nothing tells how it works, so the last verdict holds for a while.
 
         :param rate: requests a second for its keys, which it has held for a while.
         """
+        if not rate:
+            judged_ms, work_ms = self._behind.get(server_id, (-math.inf, 0.0))
+            return work_ms if now_ms - judged_ms < BEHIND_MEMORY_MS else None
         if now_ms - self._known_ms.get(server_id, now_ms) < COMPLETED_MS:
             return None
         done = self._done(server_id, now_ms)
@@ -129,7 +135,9 @@
         behind = asked - done
         if done > asked * BEHIND_PART or behind < SURELY_BEHIND * math.sqrt(asked + done):
             return None
-        return slots * COMPLETED_MS / max(done, 1)
+        work_ms = slots * COMPLETED_MS / max(done, 1)
+        self._behind[server_id] = now_ms, work_ms
+        return work_ms
 
     def _done(self, server_id: str, now_ms: float) -> int:
         """Return how many requests a server completed lately."""
@@ -162,6 +170,7 @@
             self._completed.pop(server_id, None)
             self._answered_ms.pop(server_id, None)
             self._known_ms.pop(server_id, None)
+            self._behind.pop(server_id, None)
 
     def is_silent(self, server_id: str, rate: float, now_ms: float) -> bool:
         """Whether so many requests stayed unanswered that the server hardly answers at all.
--- a/tests/unit/test_answer_times.py
+++ b/tests/unit/test_answer_times.py
@@ -1,6 +1,6 @@
 """Whether servers answer at all, from the reports of all nodes."""
 
-from ploverhatch.sharding.load import COMPLETED_MS, SILENT_MS, AnswerTimes
+from ploverhatch.sharding.load import BEHIND_MEMORY_MS, COMPLETED_MS, SILENT_MS, AnswerTimes
 
 
 def times():
@@ -62,3 +62,14 @@
     made = AnswerTimes()
     made.add("s0", [200], 0.0)
     assert made.saturated_work_ms("s0", 3, rate=50.0, now_ms=COMPLETED_MS - 1) is None
+
+
+# A server that had lost its busy keys was taken for one that completes nothing, and got none again.
+def test_a_server_of_whose_keys_nobody_asks_does_not_fall_behind():
+    times = AnswerTimes()
+    times.add("s0", [10.0] * 20, 0.0)
+    assert times.saturated_work_ms("s0", 4, 0.0, 60_000.0) is None
+    work_ms = times.saturated_work_ms("s0", 4, 50.0, 60_000.0)
+    assert work_ms is not None
+    assert times.saturated_work_ms("s0", 4, 0.0, 60_000.0 + BEHIND_MEMORY_MS - 1) == work_ms
+    assert times.saturated_work_ms("s0", 4, 0.0, 60_000.0 + BEHIND_MEMORY_MS) is None
