--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -13,11 +13,11 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from ploverhatch.admission.cold_rate import ColdRate
+from ploverhatch.admission.request_rate import NO_BOUND, RequestRate, ServerBounds
 from ploverhatch.state.servers import ServerRecord
 
 QUEUED_AT_SERVER_PART = 0.5  # of the slots: hides the way of a returned slot to the next request
@@ -90,26 +90,15 @@
 Answer = Given | Queued | TurnedAway | Unknown
 
 
-@dataclass(frozen=True, slots=True)
-class ColdServers:
-    """What is known of a service's cold servers.
-
-    ``until_ms`` holds by server until when each is cold; ``per_s`` is how many requests
-    a second one sustains meanwhile, 0 where it is not bounded.
-    """
-
-    until_ms: Mapping[str, float] = field(default_factory=dict)
-    per_s: float = 0.0
-
-
 @dataclass(slots=True)
 class _Server:
     """A member of the group."""
 
+    server_id: str
     slots: int
     zone: str
-    cold_rate: ColdRate
-    cold_until_ms: float = -math.inf
+    rate: RequestRate
+    bounds: ServerBounds
     work_ms: float = 0.0  # 0: unknown
     failing_until_ms: float = 0.0
     in_use: int = 0
@@ -121,9 +110,9 @@
         """Most slots given at once."""
         return self.slots + math.floor(self.slots * QUEUED_AT_SERVER_PART)
 
-    def bounded(self, now_ms: float) -> bool:
-        """Whether the rate of a cold server binds now."""
-        return self.cold_rate.per_s > 0 and now_ms < self.cold_until_ms
+    def per_s(self, now_ms: float) -> float:
+        """Return how many requests a second it may be given now."""
+        return self.bounds.per_s(self.server_id, now_ms)
 
     def heard(self, unanswered: bool, said_something: bool, now_ms: float) -> None:
         """A request ended there; one that tells nothing of the server changes nothing."""
@@ -145,7 +134,17 @@
         room = 1 if self.is_silent(now_ms) else self.room
         if self.in_use >= room:
             return False
-        return not self.bounded(now_ms) or self.cold_rate.has_token(now_ms)
+        self.rate.bind(self.per_s(now_ms), now_ms)
+        return self.rate.per_s == NO_BOUND or self.rate.has_token(now_ms)
+
+    def given(self, now_ms: float) -> None:
+        """A request is given to it."""
+        if not self.in_use:
+            self.heard_ms = now_ms
+        self.in_use += 1
+        self.rate.bind(self.per_s(now_ms), now_ms)
+        if self.rate.per_s < NO_BOUND:
+            self.rate.take(now_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,23 +175,23 @@
         return len(self._waiting)
 
     def set_members(
-        self, records: Sequence[ServerRecord], now_ms: float, cold: ColdServers | None = None
+        self, records: Sequence[ServerRecord], now_ms: float, bounds: ServerBounds | None = None
     ) -> None:
         """Take the servers that may get requests; what is known of others is kept for none."""
-        cold = cold or ColdServers()
+        bounds = bounds or ServerBounds()
         ids = {record.server_id for record in records}
         for server_id in [known for known in self._servers if known not in ids]:
             del self._servers[server_id]
         for record in records:
             if record.server_id not in self._servers:
-                server = _Server(record.slots, record.zone, ColdRate(cold.per_s, now_ms))
+                rate = RequestRate(NO_BOUND, now_ms)
+                server = _Server(record.server_id, record.slots, record.zone, rate, bounds)
                 server.in_use = sum(
                     lease.server_id == record.server_id for lease in self._leases.values()
                 )
                 self._servers[record.server_id] = server
             server = self._servers[record.server_id]
-            server.cold_until_ms = cold.until_ms.get(record.server_id, -math.inf)
-            server.cold_rate.per_s = cold.per_s
+            server.bounds = bounds
 
     # ---- events -------------------------------------------------------------------------
 
@@ -238,6 +237,15 @@
                 server.work_ms = before_ms + WORK_WEIGHT * (took_ms - before_ms)
         return self.expire(now_ms)
 
+    def bind(self, bounds: ServerBounds) -> None:
+        """Take what bounds the servers from now on."""
+        for server in self._servers.values():
+            server.bounds = bounds
+
+    def gives_nothing(self, now_ms: float) -> bool:
+        """Whether no server may be given a request, however long one waits here."""
+        return all(server.per_s(now_ms) <= 0 for server in self._servers.values())
+
     def dismiss(self) -> list[Asker]:
         """Empty the queue, since another node keeps it from now on; return who waited."""
         askers = [wish.asker for wish in self._waiting]
@@ -282,13 +290,9 @@
 
     def _give(self, wish: Wish, server_id: str, now_ms: float) -> Given:
         server = self._servers[server_id]
-        if not server.in_use:
-            server.heard_ms = now_ms
         queued = server.in_use >= server.slots
         self._leases[wish.asker] = _Lease(server_id, now_ms + wish.hold_ms, queued)
-        server.in_use += 1
-        if server.bounded(now_ms):
-            server.cold_rate.take(now_ms)
+        server.given(now_ms)
         return Given(wish.asker, server_id)
 
     def _choose(self, wish: Wish, now_ms: float) -> str | None:
@@ -333,14 +337,12 @@
     """Return how many requests a server runs in a millisecond."""
     if server.is_silent(now_ms):
         return 0.0
-    if server.bounded(now_ms):
-        return server.cold_rate.per_s / 1000
-    return server.slots / (server.work_ms or usual_ms)
+    return min(server.per_s(now_ms) / 1000, server.slots / (server.work_ms or usual_ms))
 
 
 def _expected_ms(server: _Server, zone: str, usual_ms: float, now_ms: float) -> float:
     """Return how long a request would take there, with a preference for its own zone."""
     work_ms = server.work_ms or usual_ms
-    cold = COLD_FACTOR if now_ms < server.cold_until_ms else 1.0
+    cold = COLD_FACTOR if server.bounds.is_cold(server.server_id, now_ms) else 1.0
     far = OTHER_ZONE_FACTOR if server.zone != zone else 1.0
     return work_ms * cold * far * max(1.0, (server.in_use + 1) / server.slots)
--- a/ploverhatch/admission/messages.py
+++ b/ploverhatch/admission/messages.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+# By server: requests a second that it takes from all nodes together, infinite where it names
+# no limit any more, and how many milliseconds ago it said so.
+ToldLimits = dict[str, tuple[float, float]]
+
 
 class SlotAsk(msgspec.Struct, array_like=True, frozen=True, tag=5):
     """Ask for a slot of one of a group's servers.
@@ -14,7 +18,8 @@
     that of the group, empty where it has all servers of the service. ``holder`` is
     the server that must run the request; empty where any of the group may. ``regions``
     are those whose servers may run it; empty for all. ``barred`` are servers that the
-    sender may not use now, whatever others may.
+    sender may not use now, whatever others may. ``limits`` are the words of the group's
+    servers on the rate that they take, so that a new dispatcher knows them from the first.
     """
 
     number: int
@@ -29,6 +34,7 @@
     avoid: str = ""
     regions: tuple[str, ...] = ()
     barred: tuple[str, ...] = ()
+    limits: ToldLimits = {}
 
 
 class SlotWord(msgspec.Struct, array_like=True, frozen=True, tag=6):
@@ -51,7 +57,8 @@
 
     ``took_ms`` is how long the server worked, 0 where that says nothing of it;
     ``failed`` that it could not be reached or did not answer as it should, and
-    ``unanswered`` that it said nothing at all.
+    ``unanswered`` that it said nothing at all. ``limits`` has what the server's answer said
+    of the rate that it takes.
     """
 
     number: int
@@ -62,3 +69,4 @@
     failed: bool = False
     unanswered: bool = False
     regions: tuple[str, ...] = ()
+    limits: ToldLimits = {}
--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
+from ploverhatch.admission.messages import ToldLimits
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
@@ -13,10 +14,12 @@
 from ploverhatch.sharding import view
 from ploverhatch.sharding.keymap import KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord, ServerSet
-from ploverhatch.state.standing import NO_LIMIT, NOTHING, ServerNotice
+from ploverhatch.state.standing import NO_LIMIT, NOTHING, LimitWord, ServerNotice
 
 LOG = PartLogger("directory")
 
+OWN_LIMIT_MS = 1000.0  # a server's word is reported for so long, since reports may be lost
+MOST_LIMITS = 64  # servers whose limits one message holds
 SLOW_MOVE_MS = 400.0  # a move that takes longer waits for a lease to lapse
 
 
@@ -35,6 +38,8 @@
         self.keymaps_current_ms = elapsed_ms()  # the key maps were surely current then
         # Tokens of moving ranges whose new holder acknowledged the grant, by service.
         self.granted: dict[str, frozenset[int]] = {}
+        self._heard_limits: dict[str, float] = {}  # by server: when it last spoke of its limit
+        self._told_limit = ""  # the last server whose word was told
         self._table: RouteTable | None = None
         # Since when ranges move, by service and token.
         self._moving_since_ms: dict[str, dict[int, float]] = {}
@@ -89,6 +94,8 @@
             LOG.info("Server says that it leaves.", server=server_id, by="its-answer")
         if news.rest_ms:
             LOG.info("Server asks for rest.", server=server_id, for_ms=round(news.rest_ms))
+        if notice.limit_per_s is not None and server_id in self.servers.standings.limits:
+            self._heard_limits[server_id] = elapsed_ms()
         if news.limit_per_s is not None:
             self._log_limit(server_id, news.limit_per_s, "its-answer")
         if news != NOTHING:
@@ -113,6 +120,42 @@
                 )
                 self.changed.raise_()
 
+    def hear_limits(self, told: ToldLimits, by: str) -> None:
+        """Another node tells what servers said of the rate that they take."""
+        now_ms = elapsed_ms()
+        for server_id, (per_s, age_ms) in told.items():
+            if self.servers.hear_limit(server_id, LimitWord(per_s, now_ms - age_ms)):
+                self._log_limit(server_id, per_s, by)
+                self.changed.raise_()
+
+    def limits_of(self, server_ids: Iterable[str]) -> ToldLimits:
+        """Return what some servers said of the rate that they take, as far as is known."""
+        limits, now_ms = self.servers.standings.limits, elapsed_ms()
+        return {
+            name: (limits[name].per_s, now_ms - limits[name].said_ms)
+            for name in server_ids
+            if name in limits
+        }
+
+    def own_limits(self) -> ToldLimits:
+        """Return what answers to this node said lately, for the leader."""
+        now_ms = elapsed_ms()
+        self._heard_limits = {
+            name: heard_ms
+            for name, heard_ms in self._heard_limits.items()
+            if now_ms - heard_ms < OWN_LIMIT_MS
+        }
+        latest = sorted(self._heard_limits, key=self._heard_limits.__getitem__)
+        return self.limits_of(latest[-MOST_LIMITS:])
+
+    def next_limits(self) -> ToldLimits:
+        """Return the words to tell next; all are told in turn, since messages are short."""
+        known = sorted(self.servers.standings.limits)
+        after = [name for name in known if name > self._told_limit]
+        told = [*after, *known][: min(MOST_LIMITS, len(known))]
+        self._told_limit = told[-1] if told else ""
+        return self.limits_of(told)
+
     def leaving_ages_ms(self) -> dict[str, float]:
         """Return the servers that said that they leave and whose records don't, and when."""
         now_ms, records = elapsed_ms(), self.servers.records
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -40,7 +40,7 @@
 from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.routing.retry_budget import SharedRetryBudget
 from ploverhatch.routing.route_table import ShareSplitter
-from ploverhatch.state.standing import NO_LIMIT, NOTHING
+from ploverhatch.state.standing import NOTHING
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     NotConnectedError,
@@ -325,6 +325,8 @@
                 if result is AttemptResult.ANSWERED:
                     slot.took_ms = call.trace.attempts[-1].took_ms
                 return given, result, answer
+        if self._choice.only_by_dispatcher(call, tried):
+            raise self._out_of_time(call, history, results.QUEUE_TIMEOUT)
         # The wait for a slot may have been long: the holder is looked up again.
         upstream = self._await_upstream(call, tried, history)
         if self._choice.needs_dispatcher(upstream.record):
@@ -465,7 +467,7 @@
             self.metrics.sends["leaving"] += 1
         if standings.rest_left_ms(server_id, elapsed_ms()) > 0:
             self.metrics.sends["resting"] += 1
-        if standings.limit_per_s(server_id) < NO_LIMIT:
+        if server_id in standings.limit_per_s:
             self.metrics.sends["limited"] += 1
 
     # ---- choice of the server ---------------------------------------------------------
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -34,6 +34,7 @@
 )
 from ploverhatch.sharding.reading import Reading
 from ploverhatch.sharding.resting import RestReports
+from ploverhatch.state.standing import NO_LIMIT
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
     ObjectStore,
@@ -50,6 +51,8 @@
 READ_RETRY_S = 0.25
 # Reports of nodes come each 0.3 s, and reading those of hundreds takes milliseconds.
 READ_EVERY_MS = 150.0
+# A holder that nobody asked for so long may be well again: only requests for its keys tell.
+PLANNED_LIMIT_MS = 5000.0
 FORGET_EVERY_MS = 10_000.0  # servers that are gone are dropped so often
 
 
@@ -192,18 +195,32 @@
             self._controls.pop(server_id).close()
 
     def _view(self, service: str, now_ms: float) -> ServiceView:
-        records = self._directory.servers.of_service(service)
+        servers = self._directory.servers
+        records = servers.of_service(service)
+        words = servers.standings.limits
+        limits = {
+            item.server_id: word.per_s
+            for item in records
+            if (word := words.get(item.server_id))
+            and word.per_s < NO_LIMIT
+            and now_ms - word.said_ms < PLANNED_LIMIT_MS
+        }
         known = self._readings.get(service)
         if known is None or now_ms - known.taken_ms >= READ_EVERY_MS:
             load = self._loads.setdefault(service, KeyLoad())
-            known = reading.read(service, records, self._core, load, self._answer_times, now_ms)
+            known = reading.read(
+                service, records, self._core, load, self._answer_times, now_ms, limits.keys()
+            )
             self._readings[service] = known
-        servers = self._directory.servers
-        cold = {item.server_id for item in records if servers.is_cold(item.server_id, now_ms)}
-        cold_per_s = self._directory.cold_per_s(service)
-        shedding = self._rests.shedding(self._answer_times.answered_ms, now_ms)
         return ServiceView(
-            records, known.rates, known.work_ms, cold, cold_per_s, known.silent, shedding
+            records,
+            known.rates,
+            known.work_ms,
+            {item.server_id for item in records if servers.is_cold(item.server_id, now_ms)},
+            self._directory.cold_per_s(service),
+            known.silent,
+            self._rests.shedding(self._answer_times.answered_ms, now_ms),
+            limits,
         )
 
     def _execute(self, actions: list[Action]) -> None:
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -14,7 +14,7 @@
 from gevent import socket
 from msgspec.structs import replace
 
-from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
+from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord, ToldLimits
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
@@ -42,7 +42,8 @@
 
     ``leaving`` holds the servers that said that they leave, and how long ago, where their
     records don't say so; ``resting`` those that asked this node for a rest, and what is left
-    of it; both in milliseconds.
+    of it; both in milliseconds. ``limits`` are what servers' answers to this node said of the
+    rate that they take.
     """
 
     keys: dict[str, list[int]]
@@ -51,6 +52,7 @@
     strength: float = 0.0  # of the sender's machine if it is ready to lead, else 0
     leaving: dict[str, float] = {}
     resting: dict[str, float] = {}
+    limits: ToldLimits = {}
 
 
 SlotMessage = SlotAsk | SlotWord | SlotReturn
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -117,6 +117,7 @@
             self.directory,
             lambda: self._elector.member_zones,
             self._peers.send,
+            self._elector.address,
         )
         self._peers.take_slots(self._slots.take)
         permits = TrialPermits(
@@ -421,6 +422,7 @@
             strength=self._elector.offered_strength,
             leaving=self.directory.leaving_ages_ms(),
             resting=self.directory.servers.standings.resting(elapsed_ms()),
+            limits=self.directory.own_limits(),
         )
 
     @property
@@ -432,6 +434,7 @@
 
     def _take_load(self, report: LoadReport) -> None:
         self.directory.hear_leaving(report.leaving, "another-node")
+        self.directory.hear_limits(report.limits, "another-node")
         if self._leader is not None:
             self._leader.take_report(report)
         if self._elector.should_hand_over(report.strength):
@@ -470,7 +473,7 @@
         standings = self.directory.servers.standings
         metrics.gauge("leaving_servers", lambda: float(len(standings.leaving_ms)))
         metrics.gauge("resting_servers", lambda: float(len(standings.resting(elapsed_ms()))))
-        metrics.gauge("limited_servers", lambda: float(standings.limited))
+        metrics.gauge("limited_servers", lambda: float(len(standings.limit_per_s)))
         metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
         metrics.gauge("nodes", lambda: float(self._elector.node_count))
         metrics.gauge("connections", lambda: float(self._callers.open_connections))
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -101,6 +101,7 @@
         for service, tokens in beacon.granted.items():
             self._directory.note_granted(service, tokens)
         self._directory.hear_leaving(beacon.leaving, "the-leader")
+        self._directory.hear_limits(beacon.limits, "the-leader")
         self._note_keymaps()
         behind = [
             task
@@ -230,7 +231,8 @@
         beacon = publisher.beacon(term, views, elapsed_ms(), self._elector.address)
         granted = {name: sorted(tokens) for name, tokens in self._directory.granted.items()}
         leaving = self._directory.leaving_ages_ms()
-        self._send(msgspec.structs.replace(beacon, granted=granted, leaving=leaving))
+        limits = self._directory.next_limits()
+        self._send(msgspec.structs.replace(beacon, granted=granted, leaving=leaving, limits=limits))
 
     def _claimed(self, kind: str) -> FeedView:
         """Return what this node may claim of a kind while it leads.
--- a/ploverhatch/gateway/server_choice.py
+++ b/ploverhatch/gateway/server_choice.py
@@ -131,9 +131,23 @@
 
     def needs_dispatcher(self, record: ServerRecord) -> bool:
         """Whether only the group's dispatcher may give a server's slots: it counts for all."""
-        cold = self._directory.servers.is_cold(record.server_id, elapsed_ms())
+        servers = self._directory.servers
+        if record.server_id in servers.standings.limit_per_s:
+            return True
+        cold = servers.is_cold(record.server_id, elapsed_ms())
         return cold and self._directory.cold_per_s(record.service) > 0
 
+    def only_by_dispatcher(self, call: Call, tried: Collection[str]) -> bool:
+        """Whether a dispatcher alone may give a request without a key any server."""
+        if call.partitioned:
+            return False
+        usable = [
+            record
+            for record in self._directory.servers.of_service(call.service)
+            if record.server_id not in tried and not self.bar(call, record.server_id)
+        ]
+        return bool(usable) and all(map(self.needs_dispatcher, usable))
+
     def hopeless(self, call: Call, tried: Collection[str] = ()) -> Hopeless | None:
         """Return when to come back if it is known that no server may be sent a request.
 
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
@@ -19,7 +20,6 @@
 from ploverhatch.admission.dispatcher import (
     Answer,
     Asker,
-    ColdServers,
     Given,
     Group,
     Queued,
@@ -28,6 +28,7 @@
 )
 from ploverhatch.admission.groups import GroupName
 from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
+from ploverhatch.admission.request_rate import ServerBounds
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.directory import Directory
@@ -45,6 +46,12 @@
 NEAR_PART = 0.3  # of the time that a request waits in its own zone, if there are others
 REFRESH_MS = 100.0  # how old the members of a group may be at its dispatcher
 FORGET_MS = 20_000.0  # a queue that nobody asked for so long is forgotten
+# A node without a word for so long is gone: it was asked twice, PASSED_MS apart. Until then
+# nobody counts in its place what servers are given that name a limit.
+GONE_MS = 1000.0
+KNOWN_AFTER_MS = 6000.0  # from the start of a node until all others have looked for members
+BEHIND_SHARE = 0.5  # of a limit: given by one that ranks behind others that live
+BY_ASKER = "a-request"  # who told of a limit, in the log
 TICK_S = 0.025  # between looks for slots whose time is over
 NO_INFORMATION_MS = 0.0
 
@@ -144,6 +151,7 @@
     :param zone: of this node.
     :param members: zones of all nodes by address.
     :param send: sends a message to a node.
+    :param own: address of this node; where it is not given, the node counts as the first.
     """
 
     def __init__(
@@ -152,14 +160,18 @@
         directory: Directory,
         members: Callable[[], Mapping[str, str]],
         send: Callable[[SlotMessage, Address], None],
+        own: str = "",
     ) -> None:
         self._zone = zone
+        self._own = own
+        self._started_ms = elapsed_ms()
         self._directory = directory
         self._members = members
         self._send = send
         self._numbers = itertools.count(random.getrandbits(32))
         self._pending: dict[int, _Pending] = {}
         self._passed_ms: dict[str, float] = {}  # nodes that did not answer: until when
+        self._silent_since_ms: dict[str, float] = {}  # ... or stop, and not one word since
         self._kept: dict[GroupName, _Kept] = {}
         self.leaving = False  # this node is about to stop: others keep the queues
 
@@ -222,14 +234,16 @@
             for _ in range(ASKED_NODES):
                 spent_ms = elapsed_ms() - start_ms
                 left = wish.after(spent_ms)
-                ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms))
                 asked = groups.dispatcher(name, self._members(), self._passed())
+                if not self._counts(name, asked):
+                    left = self._without_limited(name, left)
+                ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms))
                 word = self._ask(ask, pending, asked) if asked else None
                 if word is not None and word.queued:
                     word = self._await_turn(pending, word, ask.wait_ms)
                 if word is None or not word.leaving:
                     break
-                self._pass_over(asked)
+                self._pass_over(asked, leaving=True)
                 pending.word = None
             if word is not None and not word.server and word.after_ms > 0:
                 raise TurnedAwayError(word.after_ms, asked)
@@ -248,6 +262,7 @@
                     slot.failed,
                     slot.unanswered,
                     name.regions,
+                    self._directory.limits_of([slot.server_id]),
                 )
                 self._send(back, HostPort.parse(asked))
 
@@ -265,8 +280,29 @@
             wish.avoid,
             name.regions,
             wish.barred,
+            self._directory.limits_of(self._limited(name)),
         )
 
+    def _limited(self, name: GroupName) -> list[str]:
+        """Return the servers of a group that named a limit."""
+        limits = self._directory.servers.standings.limits
+        if not limits:
+            return []
+        records = self._directory.servers.of_service(name.service)
+        members = groups.members_of(name, records)
+        return [record.server_id for record in members if record.server_id in limits]
+
+    def _without_limited(self, name: GroupName, wish: SlotWish) -> SlotWish:
+        """Return a wish for servers that name no limit, of a node that doesn't count for all.
+
+        :raises TurnedAwayError: when it is for a holder that names one.
+        """
+        named = self._directory.servers.standings.limit_per_s
+        limited = [server_id for server_id in self._limited(name) if server_id in named]
+        if limited and wish.holder is not None:
+            raise TurnedAwayError(GONE_MS)
+        return replace(wish, barred=tuple(sorted({*wish.barred, *limited})))
+
     def _passed(self) -> set[str]:
         now_ms = elapsed_ms()
         self._passed_ms = {node: end for node, end in self._passed_ms.items() if end > now_ms}
@@ -286,8 +322,13 @@
         self._pass_over(node)
         return None
 
-    def _pass_over(self, node: str) -> None:
-        self._passed_ms[node] = elapsed_ms() + PASSED_MS
+    def _pass_over(self, node: str, leaving: bool = False) -> None:
+        now_ms = elapsed_ms()
+        self._passed_ms[node] = now_ms + PASSED_MS
+        if leaving:
+            self._silent_since_ms[node] = -math.inf
+        else:
+            self._silent_since_ms.setdefault(node, now_ms)
 
     def _await_turn(self, pending: _Pending, word: SlotWord, wait_ms: float) -> SlotWord:
         """Wait for the slot of a request that has a place in the queue."""
@@ -309,6 +350,8 @@
             self._take_return(message, peer)
 
     def _take_word(self, word: SlotWord, peer: Address) -> None:
+        if not word.leaving:
+            self._silent_since_ms.pop(f"{peer[0]}:{peer[1]}", None)
         pending = self._pending.get(word.number)
         if pending is None:
             return  # the request is over, and gave everything back
@@ -320,15 +363,16 @@
         if self.leaving:
             self._send(SlotWord(ask.number, leaving=True), peer)
             return
+        self._directory.hear_limits(ask.limits, BY_ASKER)
         now_ms = elapsed_ms()
         name = GroupName(ask.service, ask.group_zone, ask.holder, ask.regions)
         kept = self._kept.setdefault(name, _Kept(Group()))
         kept.used_ms = now_ms
         if now_ms - kept.refreshed_ms > REFRESH_MS:
             servers = self._directory.servers
-            cold = ColdServers(servers.cold_until_ms, self._directory.cold_per_s(ask.service))
+            bounds = self._bounds(name)
             records = groups.members_of(name, servers.of_service(ask.service))
-            kept.group.set_members(records, now_ms, cold)
+            kept.group.set_members(records, now_ms, bounds)
             kept.refreshed_ms = now_ms
         wish = Wish(
             Asker(peer, ask.number),
@@ -342,7 +386,38 @@
         )
         self._answer(kept.group.ask(wish, now_ms))
 
+    def _bounds(self, name: GroupName) -> ServerBounds:
+        """Return what bounds the servers of a group whose queue this node keeps.
+
+        A node that ranks behind others, and does not find them gone by itself, is asked by
+        those that do; one that has just started is not yet known to all. Half of a limit
+        together with what the right one gives is within what a server bears beyond it.
+        """
+        servers = self._directory.servers
+        is_known = elapsed_ms() - self._started_ms >= KNOWN_AFTER_MS
+        share = 1.0 if is_known and self._counts(name, self._own) else BEHIND_SHARE
+        return ServerBounds(
+            servers.cold_until_ms,
+            self._directory.cold_per_s(name.service),
+            servers.standings.limit_per_s,
+            0.0 if self.leaving else share,
+        )
+
+    def _counts(self, name: GroupName, node: str) -> bool:
+        """Whether a node is the one that counts what limited servers of a group are given.
+
+        It ranks first of the nodes that are not surely gone. Nodes that merely pass over
+        another one for a lost word are not to have two of them count.
+        """
+        gone = self._gone() - {node}
+        return not node or groups.dispatcher(name, self._members(), gone) == node
+
+    def _gone(self) -> set[str]:
+        now_ms = elapsed_ms()
+        return {node for node, ms in self._silent_since_ms.items() if now_ms - ms >= GONE_MS}
+
     def _take_return(self, message: SlotReturn, peer: Address) -> None:
+        self._directory.hear_limits(message.limits, BY_ASKER)
         name = GroupName(message.service, message.group_zone, message.holder, message.regions)
         kept = self._kept.get(name)
         if kept is not None:
@@ -361,8 +436,17 @@
         come back to it, of which the other nodes don't know.
         """
         for kept in self._kept.values():
-            for asker in kept.group.dismiss():
-                self._send(SlotWord(asker.number, leaving=True), asker.node)
+            self._dismiss(kept)
+
+    def _give_no_limited(self, name: GroupName, kept: _Kept, now_ms: float) -> None:
+        """Leave limited servers to the next dispatcher, which counts by now."""
+        kept.group.bind(self._bounds(name))
+        if kept.group.waiting and kept.group.gives_nothing(now_ms):
+            self._dismiss(kept)
+
+    def _dismiss(self, kept: _Kept) -> None:
+        for asker in kept.group.dismiss():
+            self._send(SlotWord(asker.number, leaving=True), asker.node)
 
     def expire_forever(self) -> None:
         """Take back slots whose time is over."""
@@ -370,6 +454,8 @@
             gevent.sleep(TICK_S)
             now_ms = elapsed_ms()
             for name, kept in list(self._kept.items()):
+                if self.leaving:
+                    self._give_no_limited(name, kept, now_ms)
                 if kept.group.waiting:
                     self._answer(kept.group.expire(now_ms))
                 elif now_ms - kept.used_ms > FORGET_MS:
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -52,7 +52,8 @@
     ``address`` is where the leader takes reports, for a node that cannot read
     the lease. ``granted`` holds, by service, the fencing tokens of moving ranges
     whose new holders have them, before a map in the store says so. ``leaving`` holds the
-    servers that said in answers that they leave, and how many milliseconds ago.
+    servers that said in answers that they leave, and how many milliseconds ago. ``limits``
+    holds some of the words that servers said on the rate that they take, all in turn.
     """
 
     lease_revision: int
@@ -62,6 +63,7 @@
     address: str = ""
     granted: dict[str, list[int]] = {}
     leaving: dict[str, float] = {}
+    limits: dict[str, tuple[float, float]] = {}
 
 
 class SnapshotItem(msgspec.Struct, array_like=True, frozen=True):
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -47,6 +47,7 @@
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
+LEAST_LIMIT_PER_S = 0.05  # a server that takes nothing is planned for as if it took so much
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
@@ -318,6 +319,7 @@
                 Holder(record.server_id, record.host, record.port),
                 record.slots,
                 _work_ms(view, record),
+                record.server_id in view.limit_per_s,
             )
             for record in reachable
         ]
@@ -523,8 +525,11 @@
 
 
 def _work_ms(view: ServiceView, record: ServerRecord) -> float:
-    """Return how long a server works on a request; a cold one as if it was so slow."""
+    """Return how long a server works on a request; one of bounded rate as if it was so slow."""
     work_ms = view.work_ms.get(record.server_id, planner.DEFAULT_WORK_MS)
+    limit_per_s = view.limit_per_s.get(record.server_id)
+    if limit_per_s is not None:
+        work_ms = max(work_ms, record.slots * 1000 / max(limit_per_s, LEAST_LIMIT_PER_S))
     if record.server_id in view.cold and view.cold_per_s:
         return max(work_ms, record.slots * 1000 / view.cold_per_s)
     return work_ms
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -45,6 +45,7 @@
     cold_per_s: float = 0.0  # 0: no bound
     silent: Collection[str] = ()  # servers whose keys are busy, and that answer nobody
     shedding: Collection[str] = ()  # servers that ask for rest, and answer nobody
+    limit_per_s: Mapping[str, float] = field(default_factory=dict)  # by server that names one
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -56,6 +56,7 @@
     holder: Holder
     slots: int
     answer_ms: float
+    limited: bool = False  # it named a limit, from which its answer time is reckoned
 
     @property
     def cost_ms(self) -> float:
@@ -170,6 +171,7 @@
     plan = _Plan(keymap, candidates, rates, limits or PlanLimits())
     _rehome(plan, keymap)
     if not plan.moves and len(keymap.ranges) < MAX_RANGES:
+        _relieve_limited(plan, keymap, resting)
         _isolate_dominant(plan, keymap, resting)
         _even_out(plan, keymap)
     if not plan.moves and len(keymap.ranges) > TIDY_RANGES:
@@ -205,12 +207,43 @@
     return pieces
 
 
+def _relieve_limited(plan: _Plan, keymap: KeyMap, resting: Collection[int]) -> None:
+    """Give keys that are too much for a limited server to those that name no limit.
+
+    Evening out passes such a key over: its move makes the other server the busier one.
+    """
+    free = [share for share in plan.shares.values() if not share.candidate.limited]
+    if not free:
+        return
+    limited = [share for share in plan.shares.values() if share.candidate.limited]
+    for share in limited:
+        keys = [
+            key
+            for item in keymap.held_by(share.candidate.holder.server_id)
+            if item.settled
+            for key in plan.keys_within(item.first, item.last)
+            if share.candidate.utilisation(plan.rates[key]) >= DOMINANT and key not in resting
+        ]
+        for key in sorted(keys, key=lambda key: -plan.rates[key]):
+            if len(plan.moves) >= plan.limits.max_moves:
+                return
+            rate = plan.rates[key]
+            target = min(free, key=lambda other: other.pressure + _added(other, rate))
+            if target.utilisation + _added(target, rate) < FASTER * share.utilisation:
+                plan.give(key, key, target, share)
+                plan.taken.add(key)
+
+
+def _added(share: _Share, rate: float) -> float:
+    return share.candidate.utilisation(rate)
+
+
 def _isolate_dominant(plan: _Plan, keymap: KeyMap, resting: Collection[int]) -> None:
     """Give a key that fills a server by itself a fast server of its own."""
     for key in sorted(plan.rates, key=lambda key: -plan.rates[key])[: plan.limits.max_moves]:
         item = keymap.find(key)
         share = plan.shares.get(item.holder.server_id) if item else None
-        if item is None or share is None:
+        if item is None or share is None or share.candidate.limited:
             continue
         if share.candidate.utilisation(plan.rates[key]) < DOMINANT:
             return  # the keys that follow are less busy
@@ -223,7 +256,11 @@
 def _give_dominant(
     plan: _Plan, keymap: KeyMap, key: int, item: KeyRange, share: _Share, movable: bool
 ) -> None:
-    free = [other for name, other in plan.shares.items() if name not in plan.dominated]
+    free = [
+        other
+        for name, other in plan.shares.items()
+        if name not in plan.dominated and not other.candidate.limited
+    ]
     fastest = min(free, key=lambda other: other.candidate.cost_ms, default=None)
     if movable and fastest and fastest.candidate.cost_ms < FASTER * share.candidate.cost_ms:
         plan.give(key, key, fastest, share)
@@ -240,7 +277,11 @@
     if item.first <= key <= item.last:
         parts = [(item.first, key - 1), (key + 1, item.last)]
     for first, last in parts:
-        free = [other for name, other in plan.shares.items() if name not in plan.dominated]
+        free = [
+            other
+            for name, other in plan.shares.items()
+            if name not in plan.dominated and not other.candidate.limited
+        ]
         if free and first <= last and plan.keys_within(first, last):
             plan.give(first, last, min(free, key=lambda other: other.pressure), share)
 
--- a/ploverhatch/sharding/reading.py
+++ b/ploverhatch/sharding/reading.py
@@ -25,11 +25,15 @@
     load: KeyLoad,
     times: AnswerTimes,
     now_ms: float,
+    limited: Collection[str] = (),
 ) -> Reading:
     """Reckon what the reports say by now.
 
     A server that falls behind is judged by what it completes; of another one, what it
     completes bounds what its answers tell, since these include its queue.
+
+    :param limited: servers that named a limit: what they complete and whether they answer
+        tells how few requests they are sent.
     """
     rates = load.rates(now_ms)
     asked = core.rates_of_holders(service, rates, now_ms)
@@ -39,6 +43,12 @@
         name, slots = record.server_id, record.slots
         most_ms = times.most_work_ms(name, slots, now_ms)
         behind_ms = times.saturated_work_ms(name, slots, asked.get(name, 0.0), now_ms)
+        if name in limited:
+            behind_ms = None
         work_ms[name] = behind_ms or min(usual_ms[name], most_ms)
-    silent = {name for name, rate in asked.items() if times.is_silent(name, rate, now_ms)}
+    silent = {
+        name
+        for name, rate in asked.items()
+        if name not in limited and times.is_silent(name, rate, now_ms)
+    }
     return Reading(now_ms, rates, work_ms, silent)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -14,7 +14,13 @@
 from dataclasses import dataclass, field, replace
 
 from ploverhatch.state.lives import registered_name
-from ploverhatch.state.standing import LEAVING_MS, NOTHING, ServerNotice, Standings
+from ploverhatch.state.standing import (
+    LEAVING_MS,
+    NOTHING,
+    LimitWord,
+    ServerNotice,
+    Standings,
+)
 
 VANISH_GRACE_MS = 3000.0
 STORE_FAILURE_MEMORY_MS = 4000.0
@@ -129,6 +135,12 @@
             self._show(record, now_ms)
         return news
 
+    def hear_limit(self, server_id: str, word: LimitWord) -> bool:
+        """Another node tells what a server said of its limit; true if that is new."""
+        if server_id not in self.records:
+            return False
+        return self.standings.hear_limit(server_id, word)
+
     def note_cold(self, server_id: str, until_ms: float) -> None:
         """A server is cold until a time, or for longer if that was known."""
         known_ms = self.cold_until_ms.get(server_id, -1e12)
--- a/ploverhatch/state/standing.py
+++ b/ploverhatch/state/standing.py
@@ -20,6 +20,7 @@
 # A server of which nothing was heard for so long is asked as any other, and says it again.
 LIMIT_MS = 300_000.0
 NO_LIMIT = math.inf  # requests a second
+ECHO_MS = 250.0  # a word that another node tells again is younger by the way of messages
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,7 @@
     _leaving_ms: dict[str, float] = field(default_factory=dict)  # when it was heard first
     _rest_until_ms: dict[str, float] = field(default_factory=dict)
     _limits: dict[str, LimitWord] = field(default_factory=dict)
+    _limit_per_s: dict[str, float] = field(default_factory=dict)  # of those that name one
 
     @property
     def limits(self) -> Mapping[str, LimitWord]:
@@ -64,20 +66,15 @@
         return self._limits
 
     @property
-    def limited(self) -> int:
-        """How many servers name a limit."""
-        return sum(word.per_s < NO_LIMIT for word in self._limits.values())
+    def limit_per_s(self) -> Mapping[str, float]:
+        """How many requests a second the servers that name a limit take from all nodes."""
+        return self._limit_per_s
 
     @property
     def leaving_ms(self) -> Mapping[str, float]:
         """Servers that said that they leave, and when that was heard first."""
         return self._leaving_ms
 
-    def limit_per_s(self, server_id: str) -> float:
-        """Return how many requests a second a server takes from all nodes together."""
-        word = self._limits.get(server_id)
-        return word.per_s if word else NO_LIMIT
-
     def leaves(self, server_id: str) -> bool:
         """Whether a server said that it leaves."""
         return server_id in self._leaving_ms
@@ -127,8 +124,27 @@
         if known is not None and word.said_ms <= known.said_ms:
             return False
         self._limits[server_id] = word
+        self._show_limit(server_id, word.per_s)
         return known is None or known.per_s != word.per_s
 
+    def _show_limit(self, server_id: str, per_s: float) -> None:
+        if per_s < NO_LIMIT:
+            self._limit_per_s[server_id] = per_s
+        else:
+            self._limit_per_s.pop(server_id, None)
+
+    def hear_limit(self, server_id: str, word: LimitWord) -> bool:
+        """Another node tells a server's word; true if it is new.
+
+        The way of a message makes it look younger than it is, so that nodes which tell each
+        other of one word would keep it young for ever.
+        """
+        known = self._limits.get(server_id)
+        if known is not None and known.per_s == word.per_s:
+            younger_ms = word.said_ms - known.said_ms
+            return younger_ms >= ECHO_MS and self.note_limit(server_id, word)
+        return self.note_limit(server_id, word)
+
     def note_leaving(self, server_id: str, since_ms: float) -> bool:
         """A server said at a time that it leaves; true if that is new."""
         known_ms = self._leaving_ms.get(server_id)
@@ -142,6 +158,7 @@
         silent = [name for name, word in self._limits.items() if now_ms - word.said_ms > LIMIT_MS]
         for name in silent:
             del self._limits[name]
+            self._show_limit(name, NO_LIMIT)
         for name in [name for name, end in self._rest_until_ms.items() if end <= now_ms]:
             del self._rest_until_ms[name]
         old = [name for name, ms in self._leaving_ms.items() if now_ms - ms > LEAVING_MS]
@@ -155,3 +172,4 @@
             self._leaving_ms.pop(name, None)
             self._rest_until_ms.pop(name, None)
             self._limits.pop(name, None)
+            self._show_limit(name, NO_LIMIT)
--- a/tests/functional/test_limited_servers.py
+++ b/tests/functional/test_limited_servers.py
@@ -4,12 +4,15 @@
 import pytest
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.shared_slots import KNOWN_AFTER_MS
+from ploverhatch.simulation.keys.server import SAMPLE_KEYS
 from tests.standin.limits import over_limit
 from tests.standin.play import Play
 from tests.standin.site import GRACE_S, KEYED, PLAIN, StandinSite
 
 GATEWAYS = 4
 KEYED_UPSTREAMS = PLAIN_UPSTREAMS = 4
+PLAIN_CALLERS = 24  # more than can wait at a time for what the servers offer
 PLAY_S = 12.0
 SERVED = 0.99
 MOVED_S = 4.0  # until the keys that a limited holder can't serve are with others
@@ -17,8 +20,9 @@
 
 
 @pytest.fixture
-def play():
-    made = Play(StandinSite(GATEWAYS, KEYED_UPSTREAMS, PLAIN_UPSTREAMS))
+def play(request):
+    options = {"plain_callers": PLAIN_CALLERS, **getattr(request, "param", {})}
+    made = Play(StandinSite(GATEWAYS, KEYED_UPSTREAMS, PLAIN_UPSTREAMS), **options)
     made.begin()
     yield made
     made.close()
@@ -49,6 +53,7 @@
 
 # Where all servers of a service are limited, callers beyond the limits waited or overran them.
 def test_where_all_are_limited_the_others_are_refused_at_once(play):
+    gevent.sleep(KNOWN_AFTER_MS / 1000)
     name_limit(play.site.upstreams.values(), "6")
     gevent.sleep(2.0)
     start_s = now_s()
@@ -105,11 +110,14 @@
 
 
 # A server whose limit is over was left without its share.
+@pytest.mark.parametrize("play", [{"keys": SAMPLE_KEYS[::2]}], indirect=True)
 def test_a_server_that_names_no_limit_any_more_is_used_as_before(play):
     limited = play.busiest()
     name_limit(limited, "2.5")
     gevent.sleep(5.0)
     name_limit(limited, "")
+    for upstream in play.site.upstreams.values():
+        upstream.behaviour.work_s = 0.06  # so busy that each server is needed
     gevent.sleep(8.0)
     before = {upstream.server_id: len(upstream.ran) for upstream in play.site.upstreams.values()}
     gevent.sleep(4.0)
--- /dev/null
+++ b/tests/functional/test_shared_limits.py
@@ -0,0 +1,168 @@
+"""Which node counts what a limited server is given, over sockets: three nodes of one zone."""
+
+from contextlib import ExitStack
+
+import gevent
+import pytest
+
+from ploverhatch.admission import groups
+from ploverhatch.admission.groups import GroupName
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.shared_slots import BEHIND_SHARE, GONE_MS, KNOWN_AFTER_MS, TurnedAwayError
+from ploverhatch.state.standing import NO_LIMIT, ServerNotice
+from tests.functional.test_shared_slots import Cluster, record, wish
+
+LIMIT = ServerNotice(limit_per_s=2.5)
+ANY = GroupName("svc")
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def make(*records):
+        cluster = Cluster(list(records), zones=("a", "a", "a"))
+        for node in cluster.nodes:
+            node.slots._own = node.name
+            node.slots._started_ms -= KNOWN_AFTER_MS
+        started.append(cluster)
+        return cluster
+
+    yield make
+    for cluster in started:
+        for node in cluster.nodes:
+            node.stop()
+
+
+def in_order(cluster, name=ANY):
+    """Return the nodes in the order in which they keep a group's queue."""
+    names = []
+    for _ in cluster.nodes:
+        names.append(groups.dispatcher(name, cluster.zones, set(names)))
+    return [next(node for node in cluster.nodes if node.name == name) for name in names]
+
+
+def given(node, span_s, **options):
+    """Ask again and again; return which servers' slots were given."""
+    servers, end_ms = [], elapsed_ms() + span_s * 1000
+    while elapsed_ms() < end_ms:
+        try:
+            with node.slots.hold(wish(wait_ms=40.0, **options)) as slot:
+                servers += [slot.server_id] if slot else []
+        except TurnedAwayError:
+            gevent.sleep(0.005)
+        gevent.sleep(0.005)
+    return servers
+
+
+def test_a_limit_is_known_to_the_dispatcher_with_the_slot_that_comes_back(start):
+    cluster = start(record(0))
+    first, second, _ = in_order(cluster)
+    with second.slots.hold(wish()) as slot:
+        assert slot.dispatcher == first.name
+        second.directory.take_notice("s0", LIMIT)
+    gevent.sleep(0.05)
+    assert first.directory.servers.standings.limit_per_s == {"s0": 2.5}
+    assert len(given(second, 1.5)) <= 5
+
+
+# A dispatcher that has just started knows no limit, and gave the server all its slots.
+def test_a_new_dispatcher_learns_the_limits_with_the_first_request(start):
+    cluster = start(record(0))
+    first, second, third = in_order(cluster)
+    for node in (second, third):
+        node.directory.take_notice("s0", LIMIT)
+    with ExitStack() as held:
+        cluster.hold_all(held, 1, cluster.nodes.index(third))
+        with pytest.raises(TurnedAwayError):
+            cluster.hold_all(held, 1, cluster.nodes.index(third), wait_ms=40.0)
+    assert first.directory.servers.standings.limit_per_s == {"s0": 2.5}
+    assert len(given(third, 1.0)) <= 4
+
+
+def test_that_a_limit_is_over_is_told_in_the_same_ways(start):
+    cluster = start(record(0))
+    first, second, third = in_order(cluster)
+    for node in cluster.nodes:
+        node.directory.take_notice("s0", LIMIT)
+    gevent.sleep(0.5)
+    with second.slots.hold(wish(wait_ms=1000.0)):
+        second.directory.take_notice("s0", ServerNotice(limit_per_s=NO_LIMIT), elapsed_ms())
+    gevent.sleep(0.05)
+    assert first.directory.servers.standings.limit_per_s == {}
+    assert len(given(third, 0.5)) > 20
+
+
+# Nodes that passed a living dispatcher over for lost words had a second one count beside it.
+def test_words_that_are_lost_do_not_make_two_nodes_count(start):
+    cluster = start(record(0), record(1))
+    first, second, third = in_order(cluster)
+    for node in cluster.nodes:
+        node.directory.take_notice("s0", LIMIT)
+    lost = iter([True, True])  # both questions of one request
+    third.lost = lambda message: type(message).__name__ == "SlotAsk" and next(lost, False)
+    servers = given(third, 0.8)
+    assert first.name in third.slots._passed()
+    assert set(servers) == {"s1"}  # the second one in rank gives what is not limited
+    gevent.sleep(0.5)
+    assert "s0" in given(third, 1.0)
+
+
+def test_a_request_for_a_limited_holder_is_turned_away_while_its_dispatcher_is_in_doubt(start):
+    cluster = start(record(0))
+    name = GroupName("svc", "a", "s0")
+    first, _, third = in_order(cluster, name)
+    third.directory.take_notice("s0", LIMIT)
+    first.lost = lambda message: True
+    with third.slots.hold(wish(holder=record(0))) as slot:
+        assert slot is None
+    started_ms = elapsed_ms()
+    with pytest.raises(TurnedAwayError), third.slots.hold(wish(holder=record(0))):
+        pass
+    assert elapsed_ms() - started_ms < 20.0
+
+
+# With the node that counts gone for good a limited server was never used again.
+def test_once_a_dispatcher_is_surely_gone_the_next_one_counts(start):
+    cluster = start(record(0))
+    first, second, third = in_order(cluster)
+    for node in cluster.nodes:
+        node.directory.take_notice("s0", LIMIT)
+    first.lost = lambda message: True
+    given(second, GONE_MS / 1000 + 0.3)
+    given(third, GONE_MS / 1000 + 0.3)
+    servers = given(third, 3.0)
+    assert 6 <= len(servers) <= 9
+    assert second.slots._kept
+
+
+def test_a_dispatcher_that_stops_gives_limited_servers_no_more(start):
+    cluster = start(record(0))
+    first, second, third = in_order(cluster)
+    for node in cluster.nodes:
+        node.directory.take_notice("s0", LIMIT)
+    with ExitStack() as held:
+        given(third, 0.3)
+        waiting = gevent.spawn(hold, third, wish(wait_ms=2000.0))
+        gevent.sleep(0.05)
+        assert first.slots.waiting == 1 or waiting.ready()
+        first.slots.leaving = True
+        gevent.sleep(0.1)
+        assert first.slots.waiting == 0
+        held.callback(waiting.kill)
+        assert waiting.get(timeout=2.0).dispatcher == second.name
+
+
+def hold(node, wanted):
+    with node.slots.hold(wanted) as slot:
+        return slot
+
+
+# Nodes that do not know a new one yet go on asking the one before it.
+def test_a_node_that_has_just_started_gives_a_part(start):
+    cluster = start(record(0))
+    first, _, third = in_order(cluster)
+    for node in cluster.nodes:
+        node.directory.take_notice("s0", ServerNotice(limit_per_s=10.0))
+    first.slots._started_ms = elapsed_ms()
+    assert len(given(third, 2.0)) <= 2 * 10 * BEHIND_SHARE + 2
--- a/tests/standin/play.py
+++ b/tests/standin/play.py
@@ -14,15 +14,17 @@
 class Play:
     """Callers of a site, and what they got."""
 
-    def __init__(self, site):
+    def __init__(self, site, plain_callers=PLAIN_CALLERS, keys=KEYS):
         self.site = site
+        self.keys = keys
+        self.plain_callers = plain_callers
         self.callers = {}
         self.tasks = []
 
     def begin(self):
         self.callers = {
-            KEYED: [Caller(f"k{key}", "/kread/a", key=key) for key in KEYS],
-            PLAIN: [Caller(f"p{n}", "/read/a") for n in range(PLAIN_CALLERS)],
+            KEYED: [Caller(f"k{key}", "/kread/a", key=key) for key in self.keys],
+            PLAIN: [Caller(f"p{n}", "/read/a") for n in range(self.plain_callers)],
         }
         everybody = [*self.callers[KEYED], *self.callers[PLAIN]]
         gateways = self.site.gateways
--- a/tests/unit/test_cold_servers.py
+++ b/tests/unit/test_cold_servers.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ploverhatch.admission.cold_rate import ColdRate
-from ploverhatch.admission.dispatcher import Asker, ColdServers, Given, Group, Queued, Wish
+from ploverhatch.admission.dispatcher import Asker, Given, Group, Queued, Wish
+from ploverhatch.admission.request_rate import RequestRate, ServerBounds
 from ploverhatch.state.servers import ServerRecord, ServerSet
 
 NODE = ("10.0.0.1", 7000)
@@ -26,7 +26,7 @@
 
 def group(records, until_ms, now_ms=0.0, per_s=SUSTAINED_PER_S):
     made = Group()
-    made.set_members(records, now_ms, ColdServers(until_ms, per_s))
+    made.set_members(records, now_ms, ServerBounds(until_ms, per_s))
     return made
 
 
@@ -67,7 +67,7 @@
 
 
 def test_without_the_rate_a_cold_server_would_be_overloaded(monkeypatch):
-    monkeypatch.setattr(ColdRate, "has_token", lambda self, now_ms: True)
+    monkeypatch.setattr(RequestRate, "has_token", lambda self, now_ms: True)
     assert most_in_a_second(flood(group([record(0)], {"s0": 1e9}), 0.0, 2000.0)["s0"]) > 100
 
 
@@ -87,7 +87,7 @@
 def test_a_server_that_turns_cold_again_is_bounded_from_then_on():
     made = group([record(0)], {})
     assert len(flood(made, 0.0, 500.0)["s0"]) > 90
-    made.set_members([record(0)], 500.0, ColdServers({"s0": 1e9}, SUSTAINED_PER_S))
+    made.set_members([record(0)], 500.0, ServerBounds({"s0": 1e9}, SUSTAINED_PER_S))
     assert most_in_a_second(flood(made, 500.0, 3000.0)["s0"]) <= SUSTAINED_PER_S + 1
 
 
@@ -113,7 +113,7 @@
     per_s=st.floats(0.5, 50.0),
 )
 def test_in_each_second_the_rate_holds(gaps, per_s):
-    rate = ColdRate(per_s, 0.0)
+    rate = RequestRate(per_s, 0.0)
     now_ms, taken = 0.0, []
     for gap in gaps:
         now_ms += gap
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -13,7 +13,6 @@
     FAILING_MS,
     SILENT_FACTOR,
     Asker,
-    ColdServers,
     Given,
     Group,
     Queued,
@@ -22,6 +21,7 @@
     Wish,
 )
 from ploverhatch.admission.groups import GroupName
+from ploverhatch.admission.request_rate import ServerBounds
 from ploverhatch.state.servers import ServerRecord
 
 NODE = ("10.0.0.1", 7000)
@@ -40,8 +40,8 @@
 
 def group(*records):
     made = Group()
-    cold = ColdServers({item.server_id: item.warmup_ms for item in records})
-    made.set_members(records or [record(0)], 0.0, cold)
+    bounds = ServerBounds({item.server_id: item.warmup_ms for item in records})
+    made.set_members(records or [record(0)], 0.0, bounds)
     return made
 
 
--- /dev/null
+++ b/tests/unit/test_limited_rates.py
@@ -0,0 +1,201 @@
+"""Limits that servers name: what their group gives them, and which keys they keep."""
+
+from bisect import bisect_left
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ploverhatch.admission.dispatcher import Asker, Given, Group, TurnedAway, Wish
+from ploverhatch.admission.request_rate import LEAST_LIMIT_PER_S, RequestRate, ServerBounds
+from ploverhatch.gateway.shared_slots import BEHIND_SHARE, GONE_MS, PASSED_MS
+from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
+from ploverhatch.sharding.leader_core import LeaderCore
+from ploverhatch.sharding.messages import ServiceView, StoreMap
+from ploverhatch.state.servers import ServerRecord
+
+NODE = ("10.0.0.1", 7000)
+SERVICE = "svc"
+SPAN_MS = 4000.0
+
+
+def allowed(per_s):
+    """Return what a server gets at most in 4 s that has named a limit."""
+    return 1.5 * per_s * SPAN_MS / 1000 + 5
+
+
+def record(number, slots=4):
+    return ServerRecord(f"s{number}", SERVICE, "10.0.1.1", 9000 + number, "a", slots, False)
+
+
+def group(limits, count=1, share=1.0):
+    made = Group()
+    bounds = ServerBounds(limit_per_s=limits, share=share)
+    made.set_members([record(number) for number in range(count)], 0.0, bounds)
+    return made
+
+
+def wish(number, now_ms, wait_ms=400.0):
+    return Wish(Asker(NODE, number), 1, now_ms + wait_ms, now_ms + wait_ms, 1000.0, zone="a")
+
+
+def flood(made, start_ms, end_ms, step_ms=5.0):
+    """Ask every few milliseconds, answer at once; return when slots were given, by server."""
+    given_ms = {}
+    now_ms, number = start_ms, 0
+    while now_ms < end_ms:
+        number += 1
+        answers = made.ask(wish(number, now_ms), now_ms) + made.expire(now_ms)
+        for answer in (item for item in answers if isinstance(item, Given)):
+            given_ms.setdefault(answer.server_id, []).append(now_ms)
+            made.give_back(answer.asker, 0.0, False, now_ms)
+        now_ms += step_ms
+    return given_ms
+
+
+def most(times_ms):
+    times_ms = sorted(times_ms)
+    return max(bisect_left(times_ms, at + SPAN_MS) - i for i, at in enumerate(times_ms))
+
+
+@pytest.mark.parametrize("per_s", [0.4, 1.2, 2.5, 6.0, 100.0])
+def test_a_limited_server_gets_what_it_named_and_no_more(per_s):
+    times = flood(group({"s0": per_s}), 0.0, 30_000.0)["s0"]
+    assert most(times) <= per_s * SPAN_MS / 1000 + max(1.0, 0.02 * per_s) + 1
+    assert len(times) >= 0.9 * per_s * 30
+
+
+# Two nodes count: the first one and one behind it that some take for the first.
+@pytest.mark.parametrize("per_s", [0.4, 1.2, 2.5, 6.0, 50.0])
+def test_two_nodes_that_both_count_keep_to_the_limit(per_s):
+    first = flood(group({"s0": per_s}), 0.0, 20_000.0)["s0"]
+    behind = flood(group({"s0": per_s}, share=BEHIND_SHARE), 3.0, 20_000.0)["s0"]
+    assert most([*first, *behind]) <= allowed(per_s)
+
+
+# The first node is gone and comes back: the one behind counts in full until it is asked again.
+@pytest.mark.parametrize("per_s", [0.4, 1.2, 2.5, 6.0, 50.0])
+def test_a_change_of_the_node_that_counts_keeps_to_the_limit(per_s):
+    gone_ms = 5000.0
+    before = flood(group({"s0": per_s}), 0.0, gone_ms)["s0"]
+    between = flood(group({"s0": per_s}), gone_ms + GONE_MS, 10_000.0 + PASSED_MS)["s0"]
+    after = flood(group({"s0": per_s}), 10_000.0, 20_000.0)["s0"]
+    assert most([*before, *between, *after]) <= allowed(per_s)
+
+
+def test_servers_without_a_limit_take_what_a_limited_one_does_not():
+    given_ms = flood(group({"s0": 2.5}, count=2), 0.0, 4000.0)
+    assert len(given_ms["s0"]) <= 11
+    assert len(given_ms["s1"]) > 700
+
+
+def test_a_limit_of_nothing_is_asked_now_and_then():
+    times = flood(group({"s0": 0.0}), 0.0, 30_000.0)["s0"]
+    assert most(times) <= allowed(0.0)
+    assert len(times) >= LEAST_LIMIT_PER_S * 30 - 1
+
+
+def test_who_cannot_be_served_in_time_is_told_when_to_come_back():
+    made = group({"s0": 0.5})
+    made.ask(wish(1, 0.0), 0.0)
+    (answer,) = made.ask(wish(2, 1.0), 1.0)
+    assert answer == TurnedAway(Asker(NODE, 2), 2000.0)
+
+
+def test_a_limit_binds_from_the_moment_at_which_it_is_known():
+    limits = {}
+    made = group(limits)
+    assert len(flood(made, 0.0, 1000.0)["s0"]) > 150
+    limits["s0"] = 2.5
+    assert len(flood(made, 1000.0, 5000.0)["s0"]) <= 11
+    del limits["s0"]
+    assert len(flood(made, 5000.0, 6000.0)["s0"]) > 150
+
+
+def test_a_group_whose_servers_are_left_to_others_gives_nothing():
+    made = group({"s0": 2.5, "s1": 4.0}, count=2)
+    assert not made.gives_nothing(0.0)
+    made.bind(ServerBounds(limit_per_s={"s0": 2.5, "s1": 4.0}, share=0.0))
+    assert made.gives_nothing(0.0)
+    made.bind(ServerBounds(limit_per_s={"s0": 2.5}, share=0.0))
+    assert not made.gives_nothing(0.0)
+
+
+@settings(max_examples=200, derandomize=True, database=None, deadline=None)
+@given(
+    steps=st.lists(st.tuples(st.floats(0.0, 400.0), st.floats(0.0, 40.0)), min_size=1, max_size=200)
+)
+def test_whatever_a_server_names_it_gets_no_more_than_the_largest(steps):
+    rate = RequestRate(float("inf"), 0.0)
+    now_ms, taken, largest = 0.0, [], 0.0
+    for gap_ms, per_s in steps:
+        now_ms += gap_ms
+        rate.bind(per_s, now_ms)
+        largest = max(largest, per_s)
+        if rate.has_token(now_ms):
+            rate.take(now_ms)
+            taken.append(now_ms)
+    assert not taken or most(taken) <= largest * SPAN_MS / 1000 + 2
+
+
+# ---- keys ----------------------------------------------------------------------------------
+
+
+def holder(number):
+    return Holder(f"s{number}", "10.0.1.1", 9000 + number)
+
+
+def leader(count=3):
+    width = 65536 // count
+    pieces = [
+        Move(n * width, 65535 if n == count - 1 else (n + 1) * width - 1, holder(n))
+        for n in range(count)
+    ]
+    keymap = settle(first_assignment(KeyMap(SERVICE), pieces), lambda item: True)
+    core = LeaderCore()
+    core.inherit(replace(keymap, revision=1), 0.0)
+    return core
+
+
+RATES = {key: 1.0 for key in range(100, 65536, 2000)}  # 33 requests a second
+
+
+def rate_held(keymap, server_id):
+    return sum(
+        rate for key, rate in RATES.items() if keymap.find(key).holder.server_id == server_id
+    )
+
+
+def plan_rounds(core, limits, rounds=20):
+    """Return the map once moves have been planned and carried out some times."""
+    records = [record(number) for number in range(3)]
+    view = ServiceView(records, RATES, {f"s{n}": 20.0 for n in range(3)}, limit_per_s=limits)
+    keymap = core.keymap(SERVICE)
+    for number in range(rounds):
+        now_ms = 1000.0 * (number + 1)
+        actions = [item for item in core.tick(now_ms, {SERVICE: view}, True)]
+        for action in (item for item in actions if isinstance(item, StoreMap)):
+            keymap = settle(action.keymap, lambda item: True)
+            core.map_stored(keymap, number + 2, now_ms)
+    return keymap
+
+
+# A limited holder kept all its keys, and their callers were refused for as long as it was in need.
+def test_keys_that_a_limited_holder_cannot_serve_go_to_others():
+    keymap = plan_rounds(leader(), {"s0": 2.5})
+    assert 0 < rate_held(keymap, "s0") <= 2.5
+    assert rate_held(keymap, "s1") + rate_held(keymap, "s2") >= 30
+
+
+# A single key that is more than the limit allows was taken for one that no server bears.
+def test_a_key_that_is_too_much_for_a_limited_holder_leaves_it():
+    keymap = plan_rounds(leader(), {"s0": 0.4})
+    assert rate_held(keymap, "s0") == 0
+    assert keymap.held_by("s0")
+
+
+def test_where_all_holders_are_limited_each_keeps_its_part():
+    limits = {"s0": 6.0, "s1": 6.0, "s2": 6.0}
+    keymap = plan_rounds(leader(), limits)
+    assert all(rate_held(keymap, name) >= 6.0 for name in limits)
--- a/tests/unit/test_standing.py
+++ b/tests/unit/test_standing.py
@@ -216,24 +216,23 @@
     known = Standings()
     assert known.note("s0", limit(2.5), 1000.0, 900.0) == limit(2.5)
     assert known.note("s0", limit(NO_LIMIT), 1010.0, 950.0) == NOTHING
-    assert known.limit_per_s("s0") == 2.5
+    assert known.limit_per_s == {"s0": 2.5}
     assert known.note("s0", limit(NO_LIMIT), 1200.0, 1001.0) == limit(NO_LIMIT)
-    assert known.limit_per_s("s0") == NO_LIMIT
-    assert known.limited == 0
+    assert known.limit_per_s == {}
 
 
 def test_the_latest_of_several_limits_holds():
     known = Standings()
     for per_s in (2.0, 5.0, 0.0, 7.0):
         known.note("s0", limit(per_s), 100.0 + per_s)
-    assert known.limit_per_s("s0") == 7.0
+    assert known.limit_per_s == {"s0": 7.0}
 
 
 def test_an_answer_that_tells_nothing_of_a_limit_leaves_it():
     known = Standings()
     known.note("s0", limit(2.5), 0.0)
     known.note("s0", ServerNotice(leaving=True), 100.0)
-    assert known.limit_per_s("s0") == 2.5
+    assert known.limit_per_s == {"s0": 2.5}
 
 
 def test_nothing_is_kept_of_servers_that_never_named_a_limit():
@@ -246,7 +245,7 @@
     known = Standings()
     known.note("s0", limit(2.5), 0.0)
     known.expire(LIMIT_MS)
-    assert known.limit_per_s("s0") == 2.5
+    assert known.limit_per_s == {"s0": 2.5}
     known.expire(LIMIT_MS + 1)
     assert known.limits == {}
 
@@ -255,4 +254,4 @@
     known = servers()
     known.take_notice("s0", limit(2.5), 0.0)
     known.remove("s0", 10.0)
-    assert known.standings.limits == {}
+    assert known.standings.limits == known.standings.limit_per_s == {}
