Count the rate of a server once, though routes of several regions use it

Queues of different regions are kept by the same node now, which has one rate for each server. The test failed before (24, bound 9.5).

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -163,6 +163,8 @@
     _servers: dict[str, _Server] = field(default_factory=dict)
     _leases: dict[Asker, _Lease] = field(default_factory=dict)
     _waiting: list[Wish] = field(default_factory=list)  # in the order in which slots are given
+    # By server; shared with other groups that this node keeps of the same servers.
+    rates: dict[str, RequestRate] = field(default_factory=dict)
 
     @property
     def in_use(self) -> int:
@@ -184,7 +186,7 @@
             del self._servers[server_id]
         for record in records:
             if record.server_id not in self._servers:
-                rate = RequestRate(NO_BOUND, now_ms)
+                rate = self.rates.setdefault(record.server_id, RequestRate(NO_BOUND, now_ms))
                 server = _Server(record.server_id, record.slots, record.zone, rate, bounds)
                 server.in_use = sum(
                     lease.server_id == record.server_id for lease in self._leases.values()
--- a/ploverhatch/admission/groups.py
+++ b/ploverhatch/admission/groups.py
@@ -9,7 +9,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from zlib import crc32
 
 from ploverhatch.state.servers import ServerRecord
@@ -71,4 +71,6 @@
 
 
 def _rank(name: GroupName, address: str) -> tuple[int, str]:
-    return crc32(f"{name}|{address}".encode()), address
+    # Groups of different regions share servers, whose rates one node must count.
+    everywhere = replace(name, regions=())
+    return crc32(f"{everywhere}|{address}".encode()), address
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -28,7 +28,7 @@
 )
 from ploverhatch.admission.groups import GroupName
 from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
-from ploverhatch.admission.request_rate import ServerBounds
+from ploverhatch.admission.request_rate import RequestRate, ServerBounds
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.directory import Directory
@@ -173,6 +173,7 @@
         self._passed_ms: dict[str, float] = {}  # nodes that did not answer: until when
         self._silent_since_ms: dict[str, float] = {}  # ... or stop, and not one word since
         self._kept: dict[GroupName, _Kept] = {}
+        self._rates: dict[str, RequestRate] = {}  # by server, of all queues that are kept
         self.leaving = False  # this node is about to stop: others keep the queues
 
     @property
@@ -366,7 +367,7 @@
         self._directory.hear_limits(ask.limits, BY_ASKER)
         now_ms = elapsed_ms()
         name = GroupName(ask.service, ask.group_zone, ask.holder, ask.regions)
-        kept = self._kept.setdefault(name, _Kept(Group()))
+        kept = self._kept.setdefault(name, _Kept(Group(rates=self._rates)))
         kept.used_ms = now_ms
         if now_ms - kept.refreshed_ms > REFRESH_MS:
             servers = self._directory.servers
@@ -448,6 +449,11 @@
         for asker in kept.group.dismiss():
             self._send(SlotWord(asker.number, leaving=True), asker.node)
 
+    def _forget_rates(self) -> None:
+        known = self._directory.servers.records
+        for server_id in [name for name in self._rates if name not in known]:
+            del self._rates[server_id]
+
     def expire_forever(self) -> None:
         """Take back slots whose time is over."""
         while True:
@@ -460,6 +466,7 @@
                     self._answer(kept.group.expire(now_ms))
                 elif now_ms - kept.used_ms > FORGET_MS:
                     del self._kept[name]
+                    self._forget_rates()
 
 
 def _word(answer: Answer) -> SlotWord:
--- a/tests/functional/test_shared_limits.py
+++ b/tests/functional/test_shared_limits.py
@@ -1,6 +1,7 @@
 """Which node counts what a limited server is given, over sockets: three nodes of one zone."""
 
 from contextlib import ExitStack
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -47,7 +48,7 @@
     servers, end_ms = [], elapsed_ms() + span_s * 1000
     while elapsed_ms() < end_ms:
         try:
-            with node.slots.hold(wish(wait_ms=40.0, **options)) as slot:
+            with node.slots.hold(replace(wish(wait_ms=40.0), **options)) as slot:
                 servers += [slot.server_id] if slot else []
         except TurnedAwayError:
             gevent.sleep(0.005)
@@ -166,3 +167,16 @@
         node.directory.take_notice("s0", ServerNotice(limit_per_s=10.0))
     first.slots._started_ms = elapsed_ms()
     assert len(given(third, 2.0)) <= 2 * 10 * BEHIND_SHARE + 2
+
+
+# Routes of different regions have queues of their own, and each gave the whole limit.
+def test_groups_of_different_regions_keep_to_one_limit(start):
+    cluster = start(record(0))
+    for node in cluster.nodes:
+        node.directory.servers.regions = {"a": "home"}
+        node.directory.replace_servers([record(0)])
+        node.directory.take_notice("s0", LIMIT)
+    ways = [frozenset(), frozenset({"home"}), frozenset({"home", "abroad"})]
+    tasks = [gevent.spawn(given, cluster.nodes[0], 3.0, regions=regions) for regions in ways]
+    gevent.joinall(tasks)
+    assert sum(len(task.value) for task in tasks) <= 3 * 2.5 + 2
