--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -273,6 +273,13 @@
             self._replace_all(listing.items)
             self._move_to(listing.revision)
             self._tell_listing(base, listing, gone)
+        else:
+            LOG.warning(
+                "Listing is older than what is known.",
+                kind=self.kind,
+                revision=listing.revision,
+                known=self._cursor.revision,
+            )
         self._note_current(sent_ms)
         self._must_list = False
         self._recovered()
--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -7,6 +7,7 @@
 import msgspec
 from typing_extensions import override
 
+from ploverhatch.common.logs import PartLogger
 from ploverhatch.platform import names, pages
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
@@ -28,10 +29,14 @@
     WireAnswer,
 )
 
+LOG = PartLogger("store")
+
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 1.5
 WATCH_SLACK_S = 1.5
 MAX_IDLE = 3
+UNKNOWN_ERA = -1  # before the first answer
+MOST_ERA_DIGITS = 6  # an era is one drill
 _KIND_PATHS = {
     kinds.CONFIGURATION: names.KIND_CONFIG,
     kinds.SERVERS: names.KIND_SERVERS,
@@ -48,6 +53,8 @@
         self._idle: list[HttpConnection] = []
         self._watching: set[HttpConnection] = set()
         self._watch_idle: dict[str, HttpConnection] = {}
+        self._era = UNKNOWN_ERA
+        self._misread_era = b""
 
     # ---- interface --------------------------------------------------------------
 
@@ -179,12 +186,29 @@
         failure = StoreCallError if method == "GET" else OutcomeUnknownError
         try:
             with gevent.Timeout(limit_s):
-                return connection.exchange(method.encode(), payload)
+                answer = connection.exchange(method.encode(), payload)
+            self._note_era(answer)
+            return answer
         except gevent.Timeout as error:
             raise failure("no answer in time") from error
         except AnswerCutError as error:
             raise failure(str(error)) from error
 
+    def _note_era(self, answer: WireAnswer) -> None:
+        """Take note of how often the store came back from a copy."""
+        value = answer.get(names.ERA)
+        if value is None:
+            return
+        if not value.isdigit() or len(value) > MOST_ERA_DIGITS:
+            if value != self._misread_era:
+                self._misread_era = value
+                LOG.warning("Era not understood.", value=value[:40].decode("latin-1"))
+            return
+        era = int(value)
+        if era > self._era >= 0:
+            LOG.warning("Store came back from a copy.", era=era, before=self._era)
+        self._era = max(self._era, era)
+
     def _encode(self, method: str, path: str, query: list[str], body: object) -> bytes:
         target = f"{path}?{'&'.join(query)}" if query else path
         data = b"" if body is None else msgspec.json.encode(body)
