--- a/tests/standin/metadata_store.py
+++ b/tests/standin/metadata_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's metadata store: pages, watches, conditions, faults."""
 
 import json
+from copy import deepcopy
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote
 
@@ -38,6 +39,8 @@
     faults: Faults = field(default_factory=Faults)
     calls: list = field(default_factory=list)
     changed: Event = field(default_factory=Event)
+    era: int = 0  # rises each time the store comes back from a copy
+    watches_ended: int = 0  # how often all watches that waited were ended
 
     # ---- direct use by tests ----------------------------------------------------------
 
@@ -70,6 +73,23 @@
         self.history.clear()
         self.wake()
 
+    def copy(self):
+        """Return what a later :meth:`restore` comes back from."""
+        return deepcopy(self.objects), self.revision
+
+    def restore(self, copy, watches_end=True):
+        """Come back from a copy: what was written since is gone, and its revisions are free.
+
+        :param watches_end: whether watches that wait are answered 410 at once, or wait on.
+        """
+        objects, self.revision = copy
+        self.objects = deepcopy(objects)
+        self.history = [row for row in self.history if row[0] <= self.revision]
+        self.era += 1
+        if watches_end:
+            self.watches_ended += 1
+            self.wake()
+
     def wake(self):
         event, self.changed = self.changed, Event()
         event.set()
@@ -110,9 +130,12 @@
         return _json(200, page)
 
     def _watch(self, kind, after, wait_s):
+        if after > self.revision:
+            return CallerReply(410)
+        ended = self.watches_ended
         with gevent.Timeout(wait_s, False):
             while True:
-                if after < self.compacted:
+                if after < self.compacted or ended != self.watches_ended:
                     return CallerReply(410)
                 news = [row for row in self.history if row[0] > after and row[1] == kind]
                 if news:
@@ -164,6 +187,7 @@
 
     def _handle(self, request):
         reply = self.store.handle(request)
+        reply.headers.append((b"Store-Era", b"%d" % self.store.era))
         reply.body = self.rewrite(reply.body)
         return reply
 
