Take what a store that came back from a copy says from then on

Class: numbers of one life of the store were compared with those of another. A revision of the product is the store's with its era (Store-Era) before it now, joined and divided in the adapter alone: it rises for good, so that all comparisons, in feeds, coverage, election and key maps, hold as they are. A watch or condition from an earlier era isn't sent; an answer of a later one than was asked in drops the history, or makes a write's outcome unknown, since a revision that was given out again may have met another change. Stale reads are read anew for 10 s, as they may be of before.

--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -1,5 +1,7 @@
 """The platform's metadata store behind the product's :class:`ObjectStore`."""
 
+import math
+from dataclasses import replace
 from typing import Any
 from urllib.parse import quote
 
@@ -7,13 +9,15 @@
 import msgspec
 from typing_extensions import override
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.platform import names, pages
+from ploverhatch.platform import names, pages, revisions
 from ploverhatch.store import kinds
 from ploverhatch.store.objects import (
     ChangeBatch,
     HistoryDroppedError,
     Listing,
+    ObjectChange,
     ObjectStore,
     OutcomeUnknownError,
     RevisionConflictError,
@@ -37,6 +41,7 @@
 MAX_IDLE = 3
 UNKNOWN_ERA = -1  # before the first answer
 MOST_ERA_DIGITS = 6  # an era is one drill
+NEW_ERA_MS = 10_000.0  # after a drill stale reads may be of before
 _KIND_PATHS = {
     kinds.CONFIGURATION: names.KIND_CONFIG,
     kinds.SERVERS: names.KIND_SERVERS,
@@ -45,7 +50,12 @@
 
 
 class PlatformStore(ObjectStore):
-    """Calls on kept connections; each watched kind has a connection of its own."""
+    """Calls on kept connections; each watched kind has a connection of its own.
+
+    After a drill the store comes back from a copy: its revisions go back, and name other
+    changes from then on. A revision of the product is the store's with its era before it, so
+    that it rises for good, and one of an earlier era is never taken for one of today's.
+    """
 
     def __init__(self, address: HostPort) -> None:
         self._address = address
@@ -55,6 +65,7 @@
         self._watch_idle: dict[str, HttpConnection] = {}
         self._era = UNKNOWN_ERA
         self._misread_era = b""
+        self._era_since_ms = -math.inf  # when it was seen to have risen
 
     # ---- interface --------------------------------------------------------------
 
@@ -62,19 +73,24 @@
     def list_all(self, kind: str, stale: bool = False) -> Listing:
         items: list[VersionedObject] = []
         query = ["stale=1"] if stale else []
-        first_revision = None
+        first: tuple[int, int] | None = None
         after = ""
         while True:
             parts = [*query, f"after={quote(after, safe='')}"] if after else query
             answer = self._call("GET", _path(kind), parts)
             self._expect(answer, 200)
             page = pages.read_page(answer.body)
-            if first_revision is None:
-                first_revision = page.revision
-            items += page.items
+            era = self._era_of(answer)
+            if first is None:
+                first = era, page.revision
+            items += [_in_era(item, era) for item in page.items]
+            if era != first[0]:
+                raise StoreCallError("came back from a copy between two pages")
+            if stale and self._is_new(era):
+                return self.list_all(kind)  # what is old may be of before
             if not page.more or not page.items:
                 # Changes during later pages are reported by a watch from here.
-                return Listing(tuple(items), first_revision)
+                return Listing(tuple(items), revisions.joined(*first))
             after = page.items[-1].name
 
     @override
@@ -83,11 +99,14 @@
         if answer.status == 404:
             return None
         self._expect(answer, 200)
-        return pages.read_object(answer.body)
+        return _in_era(pages.read_object(answer.body), self._era_of(answer))
 
     @override
     def watch(self, kind: str, after: int, wait_s: float) -> ChangeBatch:
-        parts = [f"watch={after}", f"wait_ms={int(wait_s * 1000)}"]
+        asked_era, revision = revisions.divided(after)
+        if asked_era < self._era:
+            raise HistoryDroppedError(kind)
+        parts = [f"watch={revision}", f"wait_ms={int(wait_s * 1000)}"]
         connection = self._watch_idle.pop(kind, None)
         if connection is not None and not connection.is_quiet():
             connection.close()
@@ -110,7 +129,12 @@
         if answer.status == 410:
             raise HistoryDroppedError(kind)
         self._expect(answer, 200)
-        return pages.read_changes(answer.body)
+        era = self._era_of(answer)
+        if era != asked_era:
+            raise HistoryDroppedError(kind)
+        batch = pages.read_changes(answer.body)
+        changes = [ObjectChange(_in_era(item.object, era), item.gone) for item in batch.changes]
+        return ChangeBatch(tuple(changes), revisions.joined(era, batch.revision))
 
     @override
     def create(self, kind: str, name: str, spec: Any) -> VersionedObject:
@@ -119,8 +143,15 @@
 
     @override
     def replace(self, kind: str, name: str, spec: Any, revision: int) -> VersionedObject:
-        body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
-        return self._change("PUT", _path(kind, name), body)
+        expected_era, bare = revisions.divided(revision)
+        if expected_era < self._era:
+            raise RevisionConflictError(self.get(kind, name))
+        body = {"metadata": {"name": name, "revision": bare}, "spec": spec}
+        item = self._change("PUT", _path(kind, name), body)
+        if revisions.divided(item.revision)[0] != expected_era:
+            # The revision was given out again, to another change that this one has replaced.
+            raise OutcomeUnknownError("written after the store came back from a copy")
+        return item
 
     @override
     def interrupt(self) -> None:
@@ -139,11 +170,12 @@
         answer = self._call(method, path, body=body)
         if answer.status == 409:
             current = pages.read_object(answer.body) if answer.body else None
-            raise RevisionConflictError(current)
+            found = None if current is None else _in_era(current, self._era_of(answer))
+            raise RevisionConflictError(found)
         if answer.status == 404:
             raise RevisionConflictError(None)
         self._expect(answer, 200, 201)
-        return pages.read_object(answer.body)
+        return _in_era(pages.read_object(answer.body), self._era_of(answer))
 
     def _call(
         self, method: str, path: str, query: list[str] | None = None, body: object = None
@@ -194,6 +226,15 @@
         except AnswerCutError as error:
             raise failure(str(error)) from error
 
+    def _era_of(self, answer: WireAnswer) -> int:
+        """Return the era of an answer: that of a later one, where it tells none."""
+        value = answer.get(names.ERA) or b""
+        told = int(value) if value.isdigit() and len(value) <= MOST_ERA_DIGITS else self._era
+        return max(told, 0)
+
+    def _is_new(self, era: int) -> bool:
+        return era > 0 and elapsed_ms() - self._era_since_ms < NEW_ERA_MS
+
     def _note_era(self, answer: WireAnswer) -> None:
         """Take note of how often the store came back from a copy."""
         value = answer.get(names.ERA)
@@ -207,6 +248,7 @@
         era = int(value)
         if era > self._era >= 0:
             LOG.warning("Store came back from a copy.", era=era, before=self._era)
+            self._era_since_ms = elapsed_ms()
         self._era = max(self._era, era)
 
     def _encode(self, method: str, path: str, query: list[str], body: object) -> bytes:
@@ -222,6 +264,10 @@
             raise StoreCallError(f"status {answer.status}")
 
 
+def _in_era(item: VersionedObject, era: int) -> VersionedObject:
+    return replace(item, revision=revisions.joined(era, item.revision))
+
+
 def _path(kind: str, name: str = "") -> str:
     path = f"{names.OBJECTS_PATH}/{_KIND_PATHS.get(kind, kind)}"
     return f"{path}/{quote(name, safe='')}" if name else path
