Keep the leader over a lease of before, and register again

After a drill the store shows a lease of an earlier term, or none, at a later revision: the leader stepped down, or nobody could claim a lease that isn't there, and for 2.6 s and more nobody led. A lease tells its term now, which rises with each claim; one of an earlier term gives its revision alone, and the leader writes its own over it at once. Where none is left it makes one. A node whose own object is gone registers again. A lease without a term, of an earlier version of the program, is taken by its revision as before.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -195,9 +195,11 @@
         strongest = max([*strengths, self.state.strength])
         rivals = max(1, strengths.count(strongest))
         self.state = replace(self.state, strongest=strongest, rivals=rivals)
-        for item in listing.items:
-            if item.name == kinds.LEADER_LEASE:
-                self._observe(keymap_codec.decode_lease(item))
+        leases = [item for item in listing.items if item.name == kinds.LEADER_LEASE]
+        for item in leases:
+            self._observe(keymap_codec.decode_lease(item))
+        if not leases and not stale:
+            self.state = election.absent(self.state)
         self._looked.set()
         if not self._registered:
             self._register()
@@ -217,6 +219,8 @@
         self._looked_ms = elapsed_ms()
         try:
             self._take_nodes(self._store.list_all(kinds.LEASES, stale=True))
+            if not self._registered:
+                self._register()
         except StoreCallError as error:
             LOG.warning("Nodes not read.", cause=error)
 
@@ -226,6 +230,9 @@
         }
         members = self._read_members()
         self.member_zones = {item.address: item.zone for item in members if item.address}
+        if self._registered and NODE_PREFIX + self.state.node not in self._nodes:
+            LOG.warning("Node's own object is gone.")
+            self._registered = False  # the store came back from a copy of before
         return members
 
     def _read_members(self) -> list[Member]:
@@ -264,6 +271,8 @@
             current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
             if current is not None:
                 self._observe(keymap_codec.decode_lease(current))
+            else:
+                self.state = election.absent(self.state)
         now_ms = elapsed_ms()  # it may have resigned, or stopped, since the look
         if self._stopped or now_ms < self._not_before_ms:
             return
@@ -325,9 +334,14 @@
     def _settle_conflict(self, current: VersionedObject | None, sent_ms: float) -> bool:
         """Learn who holds the lease after a write that did not surely succeed."""
         if current is None:
-            self.state = election.stepped_down(self.state)
-            return False
+            # A store that came back from a copy of before has no lease at all.
+            led, self.state = self.state.leading, election.absent(self.state)
+            return self._write_over(0) if led else False
         lease = keymap_codec.decode_lease(current)
+        if lease.is_before(self.state.seen):
+            led = self.state.leading
+            self._observe(lease)
+            return self._write_over(lease.revision) if led else False
         if (lease.node, lease.life) == self.state.identity and not lease.released:
             # Our own earlier write arrived: nobody else can have held the lease
             # since, so it counts from when this one was sent at the latest.
@@ -337,6 +351,21 @@
         self.state = election.stepped_down(self.state)
         return False
 
+    def _write_over(self, revision: int) -> bool:
+        """Renew the lease over one of an earlier term, which the store came back with."""
+        LOG.warning("Lease is of before; written again.", term=self.state.seen.term)
+        sent_ms = elapsed_ms()
+        self._renewal += 1
+        lease = election.lease_to_write(self.state, self._address, sent_ms)
+        try:
+            written = self._put(keymap_codec.encode_lease(lease, self._renewal), revision)
+        except RevisionConflictError as error:
+            if error.current is not None:
+                self._observe(keymap_codec.decode_lease(error.current))
+            self.state = election.stepped_down(self.state)
+            return False
+        return self._acquire(replace(lease, revision=written.revision), sent_ms, sent_ms)
+
     def step_down(self) -> None:
         """Stop to lead without a word to the store: another leads already."""
         self.state = election.stepped_down(self.state)
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -51,6 +51,7 @@
     released: bool = False
     earlier_ms: float = 0.0
     strength: float = 1.0
+    term: int = 0
 
 
 def encode_keymap(keymap: KeyMap) -> object:
@@ -107,6 +108,7 @@
             lease.released,
             round(lease.earlier_ms + 1),
             lease.strength,
+            lease.term,
         )
     )
 
@@ -125,6 +127,7 @@
         stored.released,
         stored.earlier_ms,
         stored.strength,
+        stored.term,
     )
 
 
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -43,6 +43,11 @@
     released: bool = False
     earlier_ms: float = 0.0  # how long leaders before this one may act, when written
     strength: float = 1.0  # of its machine: how much of what leading takes it has
+    term: int = 0  # rises with each claim; 0 where an earlier version wrote none
+
+    def is_before(self, other: "LeaseObject") -> bool:
+        """Whether it is of an earlier term, whatever its revision."""
+        return 0 < self.term < other.term
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,15 +93,26 @@
 
 
 def observe(state: ElectionState, lease: LeaseObject, now_ms: float) -> ElectionState:
-    """Take a reading of the lease object, which may be old."""
+    """Take a reading of the lease object, which may be old.
+
+    A store that came back from a copy shows a lease of an earlier term at a later revision.
+    It says nothing of who leads; the next write of the lease replaces it.
+    """
     if lease.revision <= state.seen.revision:
         return state
+    if lease.is_before(state.seen):
+        return replace(state, seen=replace(state.seen, revision=lease.revision))
     lost = state.leading and (lease.node, lease.life) != state.identity
     known = lease.revision <= state.heard_revision  # it is as old as was told, at most
     since_ms = min(now_ms, state.heard_ms) if known else now_ms
     return replace(state, seen=lease, seen_since_ms=since_ms, leading=state.leading and not lost)
 
 
+def absent(state: ElectionState) -> ElectionState:
+    """The store has no lease object: the next write makes one."""
+    return replace(state, seen=replace(state.seen, revision=0))
+
+
 def heard(
     state: ElectionState, lease_revision: int, renewed_ms: float, address: str = ""
 ) -> ElectionState:
@@ -197,7 +213,10 @@
         earlier_ms = max(0.0, state.inherited_until_ms - now_ms)
     else:
         earlier_ms = earlier_authority_ms(state, now_ms)
-    return LeaseObject(0, state.node, state.life, address, released, earlier_ms, state.strength)
+    term = state.seen.term if state.leading else state.seen.term + 1
+    return LeaseObject(
+        0, state.node, state.life, address, released, earlier_ms, state.strength, term
+    )
 
 
 def acquired(state: ElectionState, lease: LeaseObject, sent_ms: float) -> ElectionState:
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -233,3 +233,34 @@
 def test_in_an_outage_those_that_may_lead_ask_at_a_steady_pace():
     for state in (ElectionState("s", "1"), replace(weak(), leading=True), weak(strongest=0.2)):
         assert election.outage_pause_ms(state, 20, 0.0) == election.OUTAGE_MS
+
+
+# ---- a store that came back from a copy ------------------------------------------------------
+
+
+def test_a_lease_of_an_earlier_term_at_a_later_revision_changes_no_leader():
+    state = election.observe(ElectionState("s", "1"), LeaseObject(8, "w", "1", "w:1", term=4), 0.0)
+    seen = election.observe(state, LeaseObject(9, "b", "1", "b:1", term=3), 500.0)
+    assert (seen.seen.node, seen.seen.revision, seen.leader_address) == ("w", 9, "w:1")
+    assert seen.seen_since_ms == 0.0
+
+
+def test_the_leader_stays_so_over_a_lease_of_an_earlier_term():
+    state = election.acquired(ElectionState("s", "1"), LeaseObject(8, "s", "1", term=4), 0.0)
+    kept = election.observe(state, LeaseObject(9, "b", "1", term=3), 500.0)
+    assert kept.leading
+    assert kept.seen.revision == 9
+    assert not election.observe(state, LeaseObject(9, "b", "1", term=5), 500.0).leading
+
+
+def test_a_lease_that_tells_no_term_is_taken_by_its_revision():
+    state = election.observe(ElectionState("s", "1"), LeaseObject(8, "w", "1", term=4), 0.0)
+    assert election.observe(state, LeaseObject(9, "b", "1"), 1.0).seen.node == "b"
+
+
+def test_each_claim_raises_the_term_and_renewals_keep_it():
+    state = election.observe(ElectionState("s", "1"), LeaseObject(8, "w", "1", term=4), 0.0)
+    claim = election.lease_to_write(state, "s:1", 5000.0)
+    assert claim.term == 5
+    led = election.acquired(state, claim, 5000.0)
+    assert election.lease_to_write(led, "s:1", 5500.0).term == 5
