Keep key maps that are newer than what the store came back with

A map of before, with lower tokens, at a later revision put holders of before into force again, and tokens out a second time. A node keeps what it knows where its token is higher and takes the revision alone; the leader writes its map over it, at tokens beyond those that may have been given out by a map of which nothing is left, and tells it whole, since nodes may know different maps at one revision.

--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
+from dataclasses import replace
 
 from ploverhatch.admission.messages import ToldLimits
 from ploverhatch.common.clock import elapsed_ms
@@ -36,6 +37,8 @@
         self.servers_known = False
         self.keymaps_known = False
         self.keymaps_current_ms = elapsed_ms()  # the key maps were surely current then
+        # Services whose maps in the store are older than what is known: it came back from a copy.
+        self.outdated_keymaps: set[str] = set()
         # Tokens of moving ranges whose new holder acknowledged the grant, by service.
         self.granted: dict[str, frozenset[int]] = {}
         self._heard_limits: dict[str, float] = {}  # by server: when it last spoke of its limit
@@ -214,6 +217,15 @@
         known = self.keymaps.get(keymap.service)
         if known is not None and keymap.revision <= known.revision:
             return False
+        if known is not None and keymap.token < known.token:
+            LOG.warning(
+                "Key map is of before.",
+                service=keymap.service,
+                token=keymap.token,
+                known=known.token,
+            )
+            keymap = replace(known, revision=keymap.revision)
+            self.outdated_keymaps.add(keymap.service)
         self.keymaps[keymap.service] = keymap
         earlier = self._moving_since_ms.get(keymap.service, {})
         now_ms = elapsed_ms()
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -184,6 +184,8 @@
             seen = self._directory.keymaps.get(service)
             if seen is not None:
                 self._core.map_seen(seen, now_ms)
+            if service in self._directory.outdated_keymaps:
+                self._core.map_lost(service)
         may_change = self._elector.may_change
         self._execute(self._core.tick(now_ms, views, may_change, self._finishing))
 
--- a/ploverhatch/gateway/keymap_relay.py
+++ b/ploverhatch/gateway/keymap_relay.py
@@ -25,7 +25,9 @@
         if before is not None and before.revision >= keymap.revision:
             return None
         self._told[keymap.service] = keymap
-        if before is None:
+        if before is None or keymap.service in self._directory.outdated_keymaps:
+            # After a drill nodes may know different maps at one revision.
+            self._directory.outdated_keymaps.discard(keymap.service)
             return ToldChange(keymap.service, keymap.revision, keymap_codec.encode_keymap(keymap))
         ranges = changed_ranges(before, keymap)
         part = KeyMap(keymap.service, ranges, keymap.token, keymap.revision)
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -47,6 +47,7 @@
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
+LOST_TOKENS = 100_000  # that may have been given out by a map of which nothing is left
 LEAST_LIMIT_PER_S = 0.05  # a server that takes nothing is planned for as if it took so much
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
@@ -76,6 +77,7 @@
 
     keymap: KeyMap
     storing: KeyMap | None = None
+    lost: bool = False  # the store has an older map than this
     granted: _GrantedRanges | None = None  # kept until the map or a transfer changes
     transfers: dict[RangeId, Transfer] = field(default_factory=dict)
     server_ids: frozenset[str] = frozenset()
@@ -216,6 +218,9 @@
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
         if state.storing is not None:
             return []
+        if state.lost and state.keymap.ranges:
+            keymap = self._granted_map(state)
+            return self._store(state, replace(keymap, token=keymap.token + LOST_TOKENS))
         candidates = self._candidates(state, view, now_ms)
         if not candidates:
             return self._settle(state, now_ms)
@@ -496,12 +501,19 @@
         """The store took a map; its answer was read at ``now_ms``."""
         state = self._services[keymap.service]
         state.storing = None
+        state.lost = False
         self._adopt(state, replace(keymap, revision=revision), now_ms)
 
     def map_not_stored(self, service: str) -> None:
         """The store did not take a map, or it is not known whether it did."""
         self._services[service].storing = None
 
+    def map_lost(self, service: str) -> None:
+        """The store came back with an older map of a service than is known here."""
+        state = self._services.get(service)
+        if state is not None:
+            state.lost = True
+
     def map_seen(self, keymap: KeyMap, now_ms: float) -> None:
         """A map was read from the store."""
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -207,6 +207,7 @@
 
     def __init__(self, *keymaps):
         self.keymaps = {keymap.service: keymap for keymap in keymaps}
+        self.outdated_keymaps = set()
 
     def put_keymap(self, keymap):
         self.keymaps[keymap.service] = keymap
