Have every server release keys of which later maps may be lost

Where all nodes start from the copy, or the leader changes in the moment of a drill, the next leader finds a map of before: those that were lost may have given any key to any server at tokens that it would give out again. A map names the revision that it replaced; where that is of an earlier era than the map's own, a new leader takes each range from every server first, at tokens beyond those that may be lost: releases at a high token, which no server refuses, or the end of all leases that another leader may still renew.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -16,6 +16,7 @@
 from ploverhatch.gateway.elector import Elector
 from ploverhatch.gateway.peer_link import LoadReport
 from ploverhatch.gateway.server_control import ServerControl
+from ploverhatch.leadership import election
 from ploverhatch.sharding import reading
 from ploverhatch.sharding.holders import HOLD_MS, LeaseTiming
 from ploverhatch.sharding.keymap import Holder, KeyMap
@@ -126,7 +127,8 @@
     def _load_maps(self) -> None:
         while self._elector.state.leading:
             try:
-                keymaps = self._read_maps(self._store.list_all(kinds.KEYMAPS).items)
+                items = self._store.list_all(kinds.KEYMAPS).items
+                keymaps = self._read_maps(items)
             except StoreCallError as error:
                 LOG.warning("Key maps not read.", cause=error)
                 gevent.sleep(READ_RETRY_S)
@@ -134,7 +136,12 @@
             renewable_ms = max(self._elector.state.inherited_until_ms, elapsed_ms())
             for keymap in keymaps:
                 self._directory.put_keymap(keymap)
-                self._core.inherit(keymap, renewable_ms, elapsed_ms(), same_lives=False)
+                known = self._directory.keymaps[keymap.service]
+                self._core.inherit(known, renewable_ms, elapsed_ms(), same_lives=False)
+            of_before = {item.name for item in items if keymap_codec.is_of_before(item)}
+            for service in of_before & {keymap.service for keymap in keymaps}:
+                LOG.warning("Later key maps may be lost.", service=service)
+                self._core.distrust(service, elapsed_ms() + election.AUTHORITY_MS)
             return
 
     def _read_maps(self, items: Sequence[VersionedObject]) -> list[KeyMap]:
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -7,6 +7,7 @@
 from ploverhatch.leadership.election import LeaseObject
 from ploverhatch.sharding.keymap import Holder, KeyMap, KeyRange
 from ploverhatch.store.objects import UnreadableObjectError, VersionedObject
+from ploverhatch.store.revisions import same_era
 
 T = TypeVar("T")
 
@@ -30,6 +31,7 @@
     token: int
     holders: list[_StoredHolder]
     ranges: list[_StoredRange]
+    base: int = 0  # revision that it replaced
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -69,7 +71,7 @@
         for item in keymap.ranges
     ]
     stored = [_StoredHolder(item.server_id, item.host, item.port) for item in holders]
-    return msgspec.to_builtins(_StoredMap(keymap.token, stored, ranges))
+    return msgspec.to_builtins(_StoredMap(keymap.token, stored, ranges, keymap.revision))
 
 
 def decode_keymap(item: VersionedObject) -> KeyMap:
@@ -97,6 +99,16 @@
     return KeyMap(item.name, ranges, stored.token, item.revision)
 
 
+def is_of_before(item: VersionedObject) -> bool:
+    """Whether a key map was written before the store came back from a copy.
+
+    Later maps may have been written, of which nothing is left.
+
+    :raises UnreadableObjectError: when the object has another form.
+    """
+    return not same_era(_read(item, _StoredMap).base, item.revision)
+
+
 def encode_lease(lease: LeaseObject, renewal: int) -> object:
     """Return the object's content."""
     return msgspec.to_builtins(
--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -11,8 +11,8 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.platform import names, pages, revisions
-from ploverhatch.store import kinds
+from ploverhatch.platform import names, pages
+from ploverhatch.store import kinds, revisions
 from ploverhatch.store.objects import (
     ChangeBatch,
     HistoryDroppedError,
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -78,6 +78,7 @@
     keymap: KeyMap
     storing: KeyMap | None = None
     lost: bool = False  # the store has an older map than this
+    unsure_until_ms: float | None = None  # until then others may renew grants that are lost
     granted: _GrantedRanges | None = None  # kept until the map or a transfer changes
     transfers: dict[RangeId, Transfer] = field(default_factory=dict)
     server_ids: frozenset[str] = frozenset()
@@ -218,6 +219,8 @@
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
         if state.storing is not None:
             return []
+        if state.unsure_until_ms is not None and state.keymap.ranges and view.records:
+            return self._store(state, self._taken_from_all(state, view, state.unsure_until_ms))
         if state.lost and state.keymap.ranges:
             keymap = self._granted_map(state)
             return self._store(state, replace(keymap, token=keymap.token + LOST_TOKENS))
@@ -502,12 +505,46 @@
         state = self._services[keymap.service]
         state.storing = None
         state.lost = False
+        state.unsure_until_ms = None
         self._adopt(state, replace(keymap, revision=revision), now_ms)
 
     def map_not_stored(self, service: str) -> None:
         """The store did not take a map, or it is not known whether it did."""
         self._services[service].storing = None
 
+    def distrust(self, service: str, renewable_until_ms: float) -> None:
+        """A map is what is left of later ones: any server may hold any key, at any token.
+
+        :param renewable_until_ms: until when another leader may renew grants of those maps.
+        """
+        state = self._services.get(service)
+        if state is not None:
+            state.unsure_until_ms = renewable_until_ms
+
+    def _taken_from_all(
+        self, state: _ServiceState, view: ServiceView, renewable_until_ms: float
+    ) -> KeyMap:
+        """Return the map with each range on its way from every server to its holder."""
+        holders = {item.holder.server_id: item.holder for item in state.keymap.ranges}
+        for record in view.records:
+            holder = Holder(record.server_id, record.host, record.port)
+            holders.setdefault(record.server_id, holder)
+        for holder in holders.values():
+            lease = self._lease(holder)
+            lapse_ms = self._timing.lapse_ms(renewable_until_ms)
+            lease.held_until_ms = max(lease.held_until_ms, lapse_ms)
+        token = state.keymap.token + LOST_TOKENS
+        ranges = tuple(
+            replace(
+                item,
+                token=token,
+                settled=False,
+                previous=tuple(other for other in holders.values() if other != item.holder),
+            )
+            for item in state.keymap.ranges
+        )
+        return merge_neighbours(replace(state.keymap, ranges=ranges, token=token))
+
     def map_lost(self, service: str) -> None:
         """The store came back with an older map of a service than is known here."""
         state = self._services.get(service)
--- a/ploverhatch/platform/revisions.py
+++ b/ploverhatch/store/revisions.py
@@ -13,6 +13,11 @@
     return (era << STORE_BITS) | (revision & _STORE_MASK)
 
 
+def same_era(revision: int, other: int) -> bool:
+    """Whether the store didn't come back from a copy between two revisions."""
+    return divided(revision)[0] == divided(other)[0]
+
+
 def divided(revision: int) -> tuple[int, int]:
     """Return the era, and the store's own revision in it; below 0 stays as it is."""
     if revision < 0:
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -3,10 +3,18 @@
 from dataclasses import replace
 
 from ploverhatch.sharding.holders import HOLD_MS, UNREACHABLE_MS, LeaseTiming
-from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
+from ploverhatch.sharding.keymap import (
+    Holder,
+    KeyMap,
+    Move,
+    begin_moves,
+    first_assignment,
+    settle,
+)
 from ploverhatch.sharding.leader_core import (
     CUT_OFF_MS,
     FIRST_SERVERS_MS,
+    LOST_TOKENS,
     SETTLE_MS,
     STEADY_MS,
     LeaderCore,
@@ -501,3 +509,25 @@
     for now_ms in (1300.0, 9000.0):
         assert not tokens & {call.range_id.token for call in of_kind(actions, SendGrant)}
         actions = later.tick(now_ms, views, False)
+
+
+# ---- a store that came back with an older map ------------------------------------------------
+
+
+# What is left of a lost map names not all who may hold keys.
+def test_keys_of_a_map_that_is_not_trusted_are_taken_from_every_server_first():
+    core = two_servers()
+    core.distrust(SERVICE, 8000.0)
+    (action,) = of_kind(core.tick(0.0, view(record(0), record(1), record(2)), True), StoreMap)
+    token = action.keymap.token
+    assert token > LOST_TOKENS
+    for item in action.keymap.ranges:
+        assert {other.server_id for other in item.previous} | {item.holder.server_id} == {
+            "s0",
+            "s1",
+            "s2",
+        }
+    core.map_stored(action.keymap, 2, 0.0)
+    calls = core.tick(50.0, view(record(0), record(1), record(2)), True)
+    assert of_kind(calls, SendGrant) == []
+    assert {call.range_id.token for call in of_kind(calls, SendRelease)} == {token}
