Take no map of before that the leader reads back after a write

A leader that stores a map before its feed has seen the new era is refused, reads the map back and adopted it, though its tokens were lower: former holders came into force again. The core keeps its own map, takes the revision alone and writes its map over the other one, whoever tells it of that. The unit test fails without it.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -554,8 +554,13 @@
     def map_seen(self, keymap: KeyMap, now_ms: float) -> None:
         """A map was read from the store."""
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
-        if state.storing is None and keymap.revision > state.keymap.revision:
-            self._adopt(state, keymap, now_ms)
+        if state.storing is not None or keymap.revision <= state.keymap.revision:
+            return
+        if keymap.token < state.keymap.token:
+            # The store came back with one of before: this one is written over it.
+            state.lost = True
+            keymap = replace(state.keymap, revision=keymap.revision)
+        self._adopt(state, keymap, now_ms)
 
     def _adopt(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
         state.keymap = keymap
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -514,6 +514,20 @@
 # ---- a store that came back with an older map ------------------------------------------------
 
 
+# A map of before, read back after a write that failed, put former holders into force again.
+def test_a_map_of_before_is_written_over_and_gives_nobody_keys():
+    core = two_servers()
+    moved = begin_moves(core.keymap(SERVICE), [Move(0, 100, holder(1))])
+    core.map_seen(replace(settle(moved, lambda item: True), revision=5), 0.0)
+    newest = core.keymap(SERVICE)
+    before = replace(newest, ranges=(), token=newest.token - 1, revision=9)
+    core.map_seen(before, 10.0)
+    assert core.keymap(SERVICE) == replace(newest, revision=9)
+    (action,) = of_kind(core.tick(20.0, view(record(0), record(1)), True), StoreMap)
+    assert action.keymap.ranges == newest.ranges
+    assert action.keymap.token == newest.token + LOST_TOKENS
+
+
 # What is left of a lost map names not all who may hold keys.
 def test_keys_of_a_map_that_is_not_trusted_are_taken_from_every_server_first():
     core = two_servers()
