Let a server that drains go on to do so after a drill

Reproduced with 24 callers and 2 s until servers write: 67 requests reached it. For 5 s after an object of a later era was seen, a server that drains goes on to do so, and one that drained and left does not come back; entries that were only missing while the store was away do. The test failed before (67) and passes now.

--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -51,6 +51,7 @@
     UnreadableObjectError,
     VersionedObject,
 )
+from ploverhatch.store.revisions import same_era
 from ploverhatch.transport.http_connection import HostPort
 
 LOG = PartLogger("gateway")
@@ -84,6 +85,7 @@
         self._dialect = dialect
         self._translation = translation
         self._draining = False
+        self._servers_revision = -1  # the latest that was listed
         self._stopped = Event()
         self._leader: KeyLeader | None = None
         self._tasks: list[gevent.Greenlet] = []
@@ -304,10 +306,19 @@
         return True
 
     def _take_servers(self, items: tuple[VersionedObject, ...]) -> None:
+        self._note_servers_revision(max((item.revision for item in items), default=-1))
         records = [self._translation.server(item) for item in items]
         self.directory.replace_servers([record for record in records if record is not None])
 
+    def _note_servers_revision(self, revision: int) -> None:
+        """Notice where an object of a later era shows that the store came back from a copy."""
+        known = self._servers_revision
+        if known >= 0 and revision > known and not same_era(revision, known):
+            self.directory.servers.note_store_restored(elapsed_ms())
+        self._servers_revision = max(revision, known)
+
     def _change_server(self, change: ObjectChange) -> bool:
+        self._note_servers_revision(change.object.revision)
         record = None if change.gone else self._translation.server(change.object)
         if record is not None:
             self.directory.put_server(record)
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -24,6 +24,10 @@
 
 VANISH_GRACE_MS = 3000.0
 STORE_FAILURE_MEMORY_MS = 4000.0
+# Servers write again after a drill, each within its own pace. Until then a server that drains
+# goes on to do so, and one that has left does not come back, whatever the store shows.
+RESTORED_MS = 5000.0
+LEFT_MS = 30_000.0  # copies are seconds old
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +69,8 @@
     standings: Standings = field(default_factory=Standings)
     _life_of: dict[str, str] = field(default_factory=dict)  # by registered name
     store_failed_ms: float = -1e12
+    store_restored_ms: float = -1e12  # when the store was seen to have come back from a copy
+    _left: dict[str, float] = field(default_factory=dict)  # drained servers that went, and when
 
     def is_cold(self, server_id: str, now_ms: float) -> bool:
         """Whether a server sustains few requests for now."""
@@ -78,6 +84,10 @@
         """The store did not answer: records may vanish without reason."""
         self.store_failed_ms = now_ms
 
+    def note_store_restored(self, now_ms: float) -> None:
+        """The store came back from a copy: what it shows may be of before."""
+        self.store_restored_ms = now_ms
+
     def put(self, record: ServerRecord, now_ms: float) -> str:
         """Take a record that was added or changed.
 
@@ -91,6 +101,12 @@
         record = replace(record, evacuated=record.zone in self.evacuated, region=region)
         name = registered_name(record.server_id)
         before = self._life_of.get(name, record.server_id)
+        restored = now_ms - self.store_restored_ms < RESTORED_MS
+        if restored and record.server_id in self._left:
+            return ""
+        earlier = self.records.get(record.server_id)
+        if restored and earlier is not None and earlier.draining:
+            record = replace(record, draining=True)
         if before != record.server_id:
             self._drop(before)
         self._life_of[name] = record.server_id
@@ -177,6 +193,8 @@
             if suspect and not record.draining and self._most_vanish(record, server_ids):
                 self.vanished.setdefault(server_id, now_ms)
             else:
+                if record.draining:
+                    self._left[server_id] = now_ms
                 self._drop(server_id)
 
     def _most_vanish(self, record: ServerRecord, server_ids: set[str]) -> bool:
@@ -189,6 +207,7 @@
 
     def expire(self, now_ms: float) -> bool:
         """Drop vanished records whose grace is over, and old words; true if any was."""
+        self._left = {name: ms for name, ms in self._left.items() if now_ms - ms < LEFT_MS}
         stayed = self.standings.expire(now_ms)
         for server_id in stayed:
             self._show(self.records[server_id], now_ms)
--- a/tests/functional/test_store_from_a_copy.py
+++ b/tests/functional/test_store_from_a_copy.py
@@ -25,8 +25,9 @@
 
 
 @pytest.fixture
-def play():
-    made = Play(StandinSite(GATEWAYS, UPSTREAMS, UPSTREAMS))
+def play(request):
+    options = getattr(request, "param", {})
+    made = Play(StandinSite(GATEWAYS, UPSTREAMS, UPSTREAMS), **options)
     made.begin()
     yield made
     made.close()
@@ -36,15 +37,19 @@
     return elapsed_ms() / 1000
 
 
-def come_back(store, copy, watches_end=True):
-    """Have the store be away, and come back as it was; others' writes are made again."""
+def come_back(store, copy, watches_end=True, servers_after_s=0.0):
+    """Have the store be away, and come back as it was; others' writes are made again.
+
+    :param servers_after_s: when servers write again.
+    """
     store.faults.refuse = 503
     gevent.sleep(AWAY_S)
     written = {key: item for key, item in store.objects.items() if key[0] not in OWN_KINDS}
     store.restore(copy, watches_end)
     for key, item in written.items():
         if store.objects.get(key) != item:
-            store.put(*key, item["spec"], item["status"])
+            after_s = servers_after_s if key[0] == "servers" else 0.0
+            gevent.spawn_later(after_s, store.put, *key, item["spec"], item["status"])
     for key in [
         key for key in store.objects if key[0] not in (*OWN_KINDS, *{k[0] for k in written})
     ]:
@@ -136,6 +141,20 @@
     judge(play, leaving, news_s)
 
 
+# Servers write again some time after the store's return: until then it shows them as ready.
+@pytest.mark.parametrize("play", [{"plain_callers": 24}], indirect=True)
+def test_a_server_that_leaves_stays_so_until_it_writes_again(play):
+    store = play.site.store
+    for upstream in play.upstreams(PLAIN):
+        upstream.behaviour.work_s = 0.1  # so busy that each server is needed
+    copy = store.copy()
+    news_s = now_s()
+    leaving = write_news(play)
+    gevent.sleep(COPY_AGE_S)
+    come_back(store, copy, servers_after_s=2.0)
+    judge(play, leaving, news_s)
+
+
 # Keys moved since the copy was made: their tokens may not be given out again.
 def test_keys_that_moved_since_the_copy_have_one_owner(play):
     store = play.site.store
