Read the other nodes beside the renewals of the lease

Found by reading the change that has the leader know the other nodes: the call stood in the loop that renews the lease each 0.5 s, and one whose answer is lost takes 1.5 s; others take the lead after 2.6 s of silence. It runs in a task of its own.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -150,7 +150,7 @@
         self._failures = 0
         self._note_store(None)
         if self.state.leading:
-            self._read_nodes_while_leading()
+            self._look_for_nodes()
             return election.RENEW_MS / 1000
         return election.look_pause_ms(self.state, elapsed_ms(), random.random()) / 1000
 
@@ -209,14 +209,17 @@
             gevent.sleep(delay_ms / 1000)  # stronger machines go first
             self._claim(read_again=stale or delay_ms > 0)
 
-    def _read_nodes_while_leading(self) -> None:
-        """Look who shares the budgets and queues at the pace of the other nodes.
+    def _look_for_nodes(self) -> None:
+        """Look, while leading, who shares the budgets and queues, as the other nodes do.
 
-        Nodes that know other members take different ones for a queue's dispatcher.
+        Nodes that know other members take different ones for a queue's dispatcher. The
+        renewals of the lease don't wait for it.
         """
-        if elapsed_ms() - self._looked_ms < election.LOOK_COVERED_MS:
-            return
-        self._looked_ms = elapsed_ms()
+        if elapsed_ms() - self._looked_ms >= election.LOOK_COVERED_MS:
+            self._looked_ms = elapsed_ms()
+            gevent.spawn(self._read_nodes)
+
+    def _read_nodes(self) -> None:
         try:
             self._take_nodes(self._store.list_all(kinds.LEASES, stale=True))
             if not self._registered:
