--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -36,6 +36,7 @@
 REBASE_MS = 5000.0  # a watch goes on from an older revision no longer: history is dropped
 UNHEARD_MS = 1000.0  # before history is dropped, watches may hear nothing for so long
 UNKNOWN_CONTENT = msgspec.Raw(msgspec.msgpack.encode(None))
+DROPPED_AGAIN_MS = 500.0
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0  # a node that leads: half of it, since it tells the others
 OUTAGE_PAUSE_S = 4.0  # while another task of this node asks whether the store answers again
@@ -126,6 +127,7 @@
         self._relied_until_ms = -1e12  # on what the leader told as a whole
         self._current_ms = -1e12  # the view was surely current then
         self._moved_ms = -1e12  # when the cursor moved last
+        self._dropped_ms = -1e12  # when history was found dropped last
         self._nudged = Signal()
         self._pause_s = FIRST_PAUSE_S
         self._lost_ms = 0.0
@@ -196,6 +198,10 @@
                 LOG.info("History dropped, listing again.", kind=self.kind)
                 self._current_ms = min(self._current_ms, elapsed_ms() - UNHEARD_MS)
                 self._must_list = True
+                # A store whose listings do not help is not asked without a pause.
+                if elapsed_ms() - self._dropped_ms < DROPPED_AGAIN_MS:
+                    self._nudged.wait(FIRST_PAUSE_S)
+                self._dropped_ms = elapsed_ms()
             except WatchInterruptedError:
                 self._must_list = True
             except StoreCallError as error:
--- /dev/null
+++ b/tests/functional/test_dropped_history.py
@@ -0,0 +1,29 @@
+"""A store that drops history again and again."""
+
+import gevent
+
+from tests.standin.site import StandinSite
+
+JUDGED_S = 2.0
+MOST_LISTINGS = 15 * JUDGED_S  # of one kind, each second and node
+
+
+# Nodes that were told again and again that history is dropped listed the kind 60 times a second.
+def test_a_store_whose_listings_do_not_help_is_not_flooded():
+    site = StandinSite(gateways=1, keyed=1, plain=1)
+    try:
+        with gevent.Timeout(10.0):
+            while not site.gateways[0].started():
+                gevent.sleep(0.05)
+        gevent.sleep(2.0)
+        site.store.watches_ended += 1
+        site.store.wake()
+        site.store.compacted = 1 << 39  # later than any revision that is listed
+        gevent.sleep(0.5)
+        before = len(site.store.calls)
+        gevent.sleep(JUDGED_S)
+        calls = site.store.calls[before:]
+        listings = [call for call in calls if call[1] == "config" and "watch" not in call[3]]
+        assert 0 < len(listings) <= MOST_LISTINGS
+    finally:
+        site.close()
