--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -138,8 +138,9 @@
                 self._directory.put_keymap(keymap)
                 known = self._directory.keymaps[keymap.service]
                 self._core.inherit(known, renewable_ms, elapsed_ms(), same_lives=False)
-            of_before = {item.name for item in items if keymap_codec.is_of_before(item)}
-            for service in of_before & {keymap.service for keymap in keymaps}:
+            read = {keymap.service for keymap in keymaps}
+            found = [item for item in items if item.name in read]
+            for service in [item.name for item in found if keymap_codec.is_of_before(item)]:
                 LOG.warning("Later key maps may be lost.", service=service)
                 self._core.distrust(service, elapsed_ms() + election.AUTHORITY_MS)
             return
