Keep no verdict on a limited holder from what its limit lets it complete

Found by reading the change: a limited holder's completions were judged and the verdict thrown away, but remembered for 10 s, so that once its limit was over it still counted as slow (1,200 ms of work a request where it has 20). It isn't judged while it is limited. The test failed before.

--- a/ploverhatch/sharding/reading.py
+++ b/ploverhatch/sharding/reading.py
@@ -42,9 +42,9 @@
     for record in records:
         name, slots = record.server_id, record.slots
         most_ms = times.most_work_ms(name, slots, now_ms)
-        behind_ms = times.saturated_work_ms(name, slots, asked.get(name, 0.0), now_ms)
-        if name in limited:
-            behind_ms = None
+        behind_ms = None
+        if name not in limited:
+            behind_ms = times.saturated_work_ms(name, slots, asked.get(name, 0.0), now_ms)
         work_ms[name] = behind_ms or min(usual_ms[name], most_ms)
     silent = {
         name
--- a/tests/unit/test_limited_rates.py
+++ b/tests/unit/test_limited_rates.py
@@ -12,7 +12,9 @@
 from ploverhatch.gateway.shared_slots import BEHIND_SHARE, GONE_MS, PASSED_MS
 from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
 from ploverhatch.sharding.leader_core import LeaderCore
+from ploverhatch.sharding.load import AnswerTimes, KeyLoad
 from ploverhatch.sharding.messages import ServiceView, StoreMap
+from ploverhatch.sharding.reading import read
 from ploverhatch.state.servers import ServerRecord
 
 NODE = ("10.0.0.1", 7000)
@@ -199,3 +201,16 @@
     limits = {"s0": 6.0, "s1": 6.0, "s2": 6.0}
     keymap = plan_rounds(leader(), limits)
     assert all(rate_held(keymap, name) >= 6.0 for name in limits)
+
+
+# A limited holder was remembered as slow for completing what its limit allows.
+def test_what_a_limited_holder_completes_is_no_verdict_on_it_later():
+    core, load, times = leader(1), KeyLoad(), AnswerTimes()
+    records = [record(0)]
+    times.add("s0", [20.0] * 20, 0.0)
+    for step in range(1, 40):
+        load.add(step * 300.0, [100] * 15)
+        times.add("s0", [20.0], step * 300.0)
+    read(SERVICE, records, core, load, times, 12_000.0, limited={"s0"})
+    later = read(SERVICE, records, core, KeyLoad(), times, 12_500.0)
+    assert later.work_ms["s0"] < 100.0
