Wait for previous holders too where keys are taken from every server

Found by reading the change: a range on its way names those that may still hold it; where one of them has no record any more, it was left out when a new leader takes keys from every server, and could have held them beside the next owner (OWNER). The test failed before.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -525,7 +525,11 @@
         self, state: _ServiceState, view: ServiceView, renewable_until_ms: float
     ) -> KeyMap:
         """Return the map with each range on its way from every server to its holder."""
-        holders = {item.holder.server_id: item.holder for item in state.keymap.ranges}
+        holders = {
+            holder.server_id: holder
+            for item in state.keymap.ranges
+            for holder in (item.holder, *item.previous)
+        }
         for record in view.records:
             holder = Holder(record.server_id, record.host, record.port)
             holders.setdefault(record.server_id, holder)
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -545,3 +545,15 @@
     calls = core.tick(50.0, view(record(0), record(1), record(2)), True)
     assert of_kind(calls, SendGrant) == []
     assert {call.range_id.token for call in of_kind(calls, SendRelease)} == {token}
+
+
+# A server whose record is gone may go on holding keys that it was to release.
+def test_previous_holders_without_a_record_are_waited_for_too():
+    core = two_servers()
+    moved = begin_moves(core.keymap(SERVICE), [Move(0, 32767, holder(1))])
+    core.map_seen(replace(moved, revision=5), 0.0)
+    core.distrust(SERVICE, 8000.0)
+    (action,) = of_kind(core.tick(0.0, view(record(1)), True), StoreMap)
+    moving = action.keymap.find(0)
+    assert moving.holder == holder(1)
+    assert holder(0) in moving.previous
