Register again only where the node's own object is surely gone

Found by reading the change: nodes look for members by stale reads, which may be from before the registration. Each such read took the node's object for gone and had it written again, a call that the store refuses and counts. A listing that is older than the registration says nothing of it. The test failed before (2 writes, 1 is right).

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable, Collection
-from contextlib import suppress
 from dataclasses import replace
 
 import gevent
@@ -63,6 +62,7 @@
         self._store_away = False
         self._failures = 0  # calls in a row that got no answer
         self._registered = False
+        self._registered_revision = 0
         self._renewal = 0
         self._nodes: dict[str, VersionedObject] = {}
         self._odd_nodes: dict[str, int] = {}  # objects that can't be read, by revision
@@ -233,9 +233,11 @@
         }
         members = self._read_members()
         self.member_zones = {item.address: item.zone for item in members if item.address}
-        if self._registered and NODE_PREFIX + self.state.node not in self._nodes:
+        missing = NODE_PREFIX + self.state.node not in self._nodes
+        # A stale listing may be from before the registration.
+        if self._registered and missing and listing.revision >= self._registered_revision:
             LOG.warning("Node's own object is gone.")
-            self._registered = False  # the store came back from a copy of before
+            self._registered = False
         return members
 
     def _read_members(self) -> list[Member]:
@@ -262,11 +264,14 @@
         name = NODE_PREFIX + self.state.node
         content = keymap_codec.encode_member(self._member)
         known = self._nodes.get(name)
-        with suppress(RevisionConflictError):  # an earlier call of this node was late
+        try:
             if known is None:
-                self._store.create(kinds.LEASES, name, content)
+                known = self._store.create(kinds.LEASES, name, content)
             elif name in self._odd_nodes or keymap_codec.decode_member(known) != self._member:
-                self._store.replace(kinds.LEASES, name, content, known.revision)
+                known = self._store.replace(kinds.LEASES, name, content, known.revision)
+        except RevisionConflictError as error:  # an earlier call of this node was late
+            known = error.current
+        self._registered_revision = known.revision if known is not None else 0
         self._registered = True
 
     def _claim(self, read_again: bool) -> None:
--- a/tests/functional/test_members.py
+++ b/tests/functional/test_members.py
@@ -6,6 +6,8 @@
 import pytest
 from gevent import socket
 
+from ploverhatch.gateway.elector import Elector
+from ploverhatch.store.objects import Listing, VersionedObject
 from tests.standin.site import StandinSite
 
 GATEWAYS = 4
@@ -42,3 +44,33 @@
             gevent.sleep(0.2)
             known = [nodes_known_to(gateway) for gateway in site.gateways]
     assert known == [GATEWAYS] * GATEWAYS
+
+
+class Leases:
+    """A store whose listings a test lays down."""
+
+    def __init__(self):
+        self.revision = 10
+        self.created = []
+
+    def list_all(self, kind, stale=False):
+        return Listing((), self.revision)
+
+    def create(self, kind, name, spec):
+        self.created.append(name)
+        return VersionedObject(name, 20, spec)
+
+
+def look(leases, revision, elector):
+    leases.revision = revision
+    elector._look()
+    return leases.created.count("node-n1")
+
+
+# A node registered again and again where stale listings were older than its registration.
+def test_a_node_registers_again_only_where_its_object_is_surely_gone():
+    leases = Leases()
+    elector = Elector(leases, "n1", "life", "127.0.0.1:1", lambda: None, lambda: None)
+    assert look(leases, 10, elector) == 1
+    assert look(leases, 15, elector) == 1
+    assert look(leases, 25, elector) == 2
