Have one least limit for what is given and for how keys are planned

Two constants of one name stood for 0.2 and 0.05 requests a second: a server that names 0 was given one request in 5 s, and its keys were planned for one in 20 s.

--- a/ploverhatch/admission/request_rate.py
+++ b/ploverhatch/admission/request_rate.py
@@ -16,11 +16,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ploverhatch.state.standing import LEAST_LIMIT_PER_S
+
 MOST_SAVED = 1.0  # requests that may be given at once: the rate holds in each second
 # Waiting requests are given what has come free at a steady tick, which no rate may outrun.
 SAVED_S = 0.02
-# A server that takes nothing is asked now and then, since only its answers tell that it does.
-LEAST_LIMIT_PER_S = 0.2
 NO_BOUND = math.inf
 
 
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -41,6 +41,7 @@
 from ploverhatch.sharding.transfer import Transfer
 from ploverhatch.state.lives import is_later_life, registered_name
 from ploverhatch.state.servers import ServerRecord
+from ploverhatch.state.standing import LEAST_LIMIT_PER_S
 
 PLAN_EVERY_MS = 400.0
 SETTLE_MS = 500.0  # a grant is told to all nodes at once, and stored with the next move or then
@@ -48,7 +49,6 @@
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
 LOST_TOKENS = 100_000  # that may have been given out by a map of which nothing is left
-LEAST_LIMIT_PER_S = 0.05  # a server that takes nothing is planned for as if it took so much
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
--- a/ploverhatch/state/standing.py
+++ b/ploverhatch/state/standing.py
@@ -20,6 +20,8 @@
 # A server of which nothing was heard for so long is asked as any other, and says it again.
 LIMIT_MS = 300_000.0
 NO_LIMIT = math.inf  # requests a second
+# A server that takes none is sent a request now and then: only its answers tell when it does.
+LEAST_LIMIT_PER_S = 0.2
 ECHO_MS = 250.0  # a word that another node tells again is younger by the way of messages
 
 
--- a/tests/unit/test_limited_rates.py
+++ b/tests/unit/test_limited_rates.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from ploverhatch.admission.dispatcher import Asker, Given, Group, TurnedAway, Wish
-from ploverhatch.admission.request_rate import LEAST_LIMIT_PER_S, RequestRate, ServerBounds
+from ploverhatch.admission.request_rate import RequestRate, ServerBounds
 from ploverhatch.gateway.shared_slots import BEHIND_SHARE, GONE_MS, PASSED_MS
 from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
 from ploverhatch.sharding.leader_core import LeaderCore
@@ -16,6 +16,7 @@
 from ploverhatch.sharding.messages import ServiceView, StoreMap
 from ploverhatch.sharding.reading import read
 from ploverhatch.state.servers import ServerRecord
+from ploverhatch.state.standing import LEAST_LIMIT_PER_S
 
 NODE = ("10.0.0.1", 7000)
 SERVICE = "svc"
