--- a/ploverhatch/gateway/directory.py
+++ b/ploverhatch/gateway/directory.py
@@ -15,7 +15,7 @@
 from ploverhatch.sharding import view
 from ploverhatch.sharding.keymap import KeyMap, KeyRange
 from ploverhatch.state.servers import ServerRecord, ServerSet
-from ploverhatch.state.standing import NO_LIMIT, NOTHING, LimitWord, ServerNotice
+from ploverhatch.state.standing import NO_LIMIT, NOTHING, RateLimit, ServerNotice
 
 LOG = PartLogger("directory")
 
@@ -37,7 +37,7 @@
         self.servers_known = False
         self.keymaps_known = False
         self.keymaps_current_ms = elapsed_ms()  # the key maps were surely current then
-        # Services whose maps in the store are older than what is known: it came back from a copy.
+        # Services whose maps in the store, restored from a snapshot, are older than those known.
         self.outdated_keymaps: set[str] = set()
         # Tokens of moving ranges whose new holder acknowledged the grant, by service.
         self.granted: dict[str, frozenset[int]] = {}
@@ -127,7 +127,7 @@
         """Another node tells what servers said of the rate that they take."""
         now_ms = elapsed_ms()
         for server_id, (per_s, age_ms) in told.items():
-            if self.servers.hear_limit(server_id, LimitWord(per_s, now_ms - age_ms)):
+            if self.servers.hear_limit(server_id, RateLimit(per_s, now_ms - age_ms)):
                 self._log_limit(server_id, per_s, by)
                 self.changed.raise_()
 
@@ -219,7 +219,7 @@
             return False
         if known is not None and keymap.token < known.token:
             LOG.warning(
-                "Key map is of before.",
+                "Restored store has an older key map.",
                 service=keymap.service,
                 token=keymap.token,
                 known=known.token,
--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -342,7 +342,7 @@
     def _settle_conflict(self, current: VersionedObject | None, sent_ms: float) -> bool:
         """Learn who holds the lease after a write that did not surely succeed."""
         if current is None:
-            # A store that came back from a copy of before has no lease at all.
+            # A store restored from a snapshot older than the first lease has none.
             led, self.state = self.state.leading, election.absent(self.state)
             return self._write_over(0) if led else False
         lease = keymap_codec.decode_lease(current)
@@ -360,8 +360,8 @@
         return False
 
     def _write_over(self, revision: int) -> bool:
-        """Renew the lease over one of an earlier term, which the store came back with."""
-        LOG.warning("Lease is of before; written again.", term=self.state.seen.term)
+        """Overwrite a lease of an earlier term, which a restored store has."""
+        LOG.warning("Restored store has an older lease; overwriting it.", term=self.state.seen.term)
         sent_ms = elapsed_ms()
         self._renewal += 1
         lease = election.lease_to_write(self.state, self._address, sent_ms)
--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -36,7 +36,7 @@
 REBASE_MS = 5000.0  # a watch goes on from an older revision no longer: history is dropped
 UNHEARD_MS = 1000.0  # before history is dropped, watches may hear nothing for so long
 UNKNOWN_CONTENT = msgspec.Raw(msgspec.msgpack.encode(None))
-DROPPED_AGAIN_MS = 500.0
+RELIST_INTERVAL_MS = 500.0  # listings less far apart are followed by a pause
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0  # a node that leads: half of it, since it tells the others
 OUTAGE_PAUSE_S = 4.0  # while another task of this node asks whether the store answers again
@@ -198,8 +198,7 @@
                 LOG.info("History dropped, listing again.", kind=self.kind)
                 self._current_ms = min(self._current_ms, elapsed_ms() - UNHEARD_MS)
                 self._must_list = True
-                # A store whose listings do not help is not asked without a pause.
-                if elapsed_ms() - self._dropped_ms < DROPPED_AGAIN_MS:
+                if elapsed_ms() - self._dropped_ms < RELIST_INTERVAL_MS:
                     self._nudged.wait(FIRST_PAUSE_S)
                 self._dropped_ms = elapsed_ms()
             except WatchInterruptedError:
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -140,7 +140,7 @@
                 self._core.inherit(known, renewable_ms, elapsed_ms(), same_lives=False)
             read = {keymap.service for keymap in keymaps}
             found = [item for item in items if item.name in read]
-            for service in [item.name for item in found if keymap_codec.is_of_before(item)]:
+            for service in [item.name for item in found if keymap_codec.predates_restore(item)]:
                 LOG.warning("Later key maps may be lost.", service=service)
                 self._core.distrust(service, elapsed_ms() + election.AUTHORITY_MS)
             return
@@ -193,7 +193,7 @@
             if seen is not None:
                 self._core.map_seen(seen, now_ms)
             if service in self._directory.outdated_keymaps:
-                self._core.map_lost(service)
+                self._core.map_outdated(service)
         may_change = self._elector.may_change
         self._execute(self._core.tick(now_ms, views, may_change, self._finishing))
 
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -99,8 +99,8 @@
     return KeyMap(item.name, ranges, stored.token, item.revision)
 
 
-def is_of_before(item: VersionedObject) -> bool:
-    """Whether a key map was written before the store came back from a copy.
+def predates_restore(item: VersionedObject) -> bool:
+    """Whether a key map was written before the store was restored from a snapshot.
 
     Later maps may have been written, of which nothing is left.
 
--- a/ploverhatch/gateway/keymap_relay.py
+++ b/ploverhatch/gateway/keymap_relay.py
@@ -26,7 +26,7 @@
             return None
         self._told[keymap.service] = keymap
         if before is None or keymap.service in self._directory.outdated_keymaps:
-            # After a drill nodes may know different maps at one revision.
+            # After a restore nodes may know different maps at one revision.
             self._directory.outdated_keymaps.discard(keymap.service)
             return ToldChange(keymap.service, keymap.revision, keymap_codec.encode_keymap(keymap))
         ranges = changed_ranges(before, keymap)
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -311,7 +311,7 @@
         self.directory.replace_servers([record for record in records if record is not None])
 
     def _note_servers_revision(self, revision: int) -> None:
-        """Notice where an object of a later era shows that the store came back from a copy."""
+        """Detect a restore of the store by the era of an object's revision."""
         known = self._servers_revision
         if known >= 0 and revision > known and not same_era(revision, known):
             self.directory.servers.note_store_restored(elapsed_ms())
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -46,11 +46,11 @@
 NEAR_PART = 0.3  # of the time that a request waits in its own zone, if there are others
 REFRESH_MS = 100.0  # how old the members of a group may be at its dispatcher
 FORGET_MS = 20_000.0  # a queue that nobody asked for so long is forgotten
-# A node without a word for so long is gone: it was asked twice, PASSED_MS apart. Until then
-# nobody counts in its place what servers are given that name a limit.
-GONE_MS = 1000.0
-KNOWN_AFTER_MS = 6000.0  # from the start of a node until all others have looked for members
-BEHIND_SHARE = 0.5  # of a limit: given by one that ranks behind others that live
+# A node that has not answered for so long is unreachable: it was asked twice, PASSED_MS apart.
+# Until then no other node enforces rate limits in its place.
+UNREACHABLE_MS = 1000.0
+DISCOVERY_MS = 6000.0  # from the start of a node until all others know it
+STANDBY_SHARE = 0.5  # of a limit: enforced by a node that is not surely the only one
 BY_ASKER = "a-request"  # who told of a limit, in the log
 TICK_S = 0.025  # between looks for slots whose time is over
 NO_INFORMATION_MS = 0.0
@@ -171,7 +171,7 @@
         self._numbers = itertools.count(random.getrandbits(32))
         self._pending: dict[int, _Pending] = {}
         self._passed_ms: dict[str, float] = {}  # nodes that did not answer: until when
-        self._silent_since_ms: dict[str, float] = {}  # ... or stop, and not one word since
+        self._silent_since_ms: dict[str, float] = {}  # ... or stop: since when
         self._kept: dict[GroupName, _Kept] = {}
         self._rates: dict[str, RequestRate] = {}  # by server, of all queues that are kept
         self.leaving = False  # this node is about to stop: others keep the queues
@@ -236,7 +236,7 @@
                 spent_ms = elapsed_ms() - start_ms
                 left = wish.after(spent_ms)
                 asked = groups.dispatcher(name, self._members(), self._passed())
-                if not self._counts(name, asked):
+                if not self._keeps_rates(name, asked):
                     left = self._without_limited(name, left)
                 ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms))
                 word = self._ask(ask, pending, asked) if asked else None
@@ -294,14 +294,14 @@
         return [record.server_id for record in members if record.server_id in limits]
 
     def _without_limited(self, name: GroupName, wish: SlotWish) -> SlotWish:
-        """Return a wish for servers that name no limit, of a node that doesn't count for all.
+        """Return a wish that bars rate-limited servers, for a node that enforces no limits.
 
         :raises TurnedAwayError: when it is for a holder that names one.
         """
         named = self._directory.servers.standings.limit_per_s
         limited = [server_id for server_id in self._limited(name) if server_id in named]
         if limited and wish.holder is not None:
-            raise TurnedAwayError(GONE_MS)
+            raise TurnedAwayError(UNREACHABLE_MS)
         return replace(wish, barred=tuple(sorted({*wish.barred, *limited})))
 
     def _passed(self) -> set[str]:
@@ -390,13 +390,13 @@
     def _bounds(self, name: GroupName) -> ServerBounds:
         """Return what bounds the servers of a group whose queue this node keeps.
 
-        A node that ranks behind others, and does not find them gone by itself, is asked by
-        those that do; one that has just started is not yet known to all. Half of a limit
-        together with what the right one gives is within what a server bears beyond it.
+        A node that others rank before, and that can reach these, is asked by nodes that
+        can't; one that has just started is not known to all yet. Half of the rate, beside the
+        whole of it at the first node, is within the excess that servers tolerate.
         """
         servers = self._directory.servers
-        is_known = elapsed_ms() - self._started_ms >= KNOWN_AFTER_MS
-        share = 1.0 if is_known and self._counts(name, self._own) else BEHIND_SHARE
+        is_known = elapsed_ms() - self._started_ms >= DISCOVERY_MS
+        share = 1.0 if is_known and self._keeps_rates(name, self._own) else STANDBY_SHARE
         return ServerBounds(
             servers.cold_until_ms,
             self._directory.cold_per_s(name.service),
@@ -404,18 +404,18 @@
             0.0 if self.leaving else share,
         )
 
-    def _counts(self, name: GroupName, node: str) -> bool:
-        """Whether a node is the one that counts what limited servers of a group are given.
+    def _keeps_rates(self, name: GroupName, node: str) -> bool:
+        """Whether a node enforces the rate limits of a group's servers.
 
-        It ranks first of the nodes that are not surely gone. Nodes that merely pass over
-        another one for a lost word are not to have two of them count.
+        It ranks first of the reachable nodes. A single lost answer makes no node unreachable:
+        two nodes would enforce the same limit side by side.
         """
-        gone = self._gone() - {node}
+        gone = self._unreachable() - {node}
         return not node or groups.dispatcher(name, self._members(), gone) == node
 
-    def _gone(self) -> set[str]:
+    def _unreachable(self) -> set[str]:
         now_ms = elapsed_ms()
-        return {node for node, ms in self._silent_since_ms.items() if now_ms - ms >= GONE_MS}
+        return {node for node, ms in self._silent_since_ms.items() if now_ms - ms >= UNREACHABLE_MS}
 
     def _take_return(self, message: SlotReturn, peer: Address) -> None:
         self._directory.hear_limits(message.limits, BY_ASKER)
@@ -439,8 +439,8 @@
         for kept in self._kept.values():
             self._dismiss(kept)
 
-    def _give_no_limited(self, name: GroupName, kept: _Kept, now_ms: float) -> None:
-        """Leave limited servers to the next dispatcher, which counts by now."""
+    def _hand_over_limited(self, name: GroupName, kept: _Kept, now_ms: float) -> None:
+        """Leave rate-limited servers to the dispatcher that takes over."""
         kept.group.bind(self._bounds(name))
         if kept.group.waiting and kept.group.gives_nothing(now_ms):
             self._dismiss(kept)
@@ -461,7 +461,7 @@
             now_ms = elapsed_ms()
             for name, kept in list(self._kept.items()):
                 if self.leaving:
-                    self._give_no_limited(name, kept, now_ms)
+                    self._hand_over_limited(name, kept, now_ms)
                 if kept.group.waiting:
                     self._answer(kept.group.expire(now_ms))
                 elif now_ms - kept.used_ms > FORGET_MS:
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -95,8 +95,8 @@
 def observe(state: ElectionState, lease: LeaseObject, now_ms: float) -> ElectionState:
     """Take a reading of the lease object, which may be old.
 
-    A store that came back from a copy shows a lease of an earlier term at a later revision.
-    It says nothing of who leads; the next write of the lease replaces it.
+    A store restored from a snapshot has a lease of an earlier term at a later revision. It
+    doesn't tell who leads; the next write of the lease replaces it.
     """
     if lease.revision <= state.seen.revision:
         return state
--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -40,8 +40,8 @@
 WATCH_SLACK_S = 1.5
 MAX_IDLE = 3
 UNKNOWN_ERA = -1  # before the first answer
-MOST_ERA_DIGITS = 6  # an era is one drill
-NEW_ERA_MS = 10_000.0  # after a drill stale reads may be of before
+MOST_ERA_DIGITS = 6  # an era is one restore
+NEW_ERA_MS = 10_000.0  # after a restore stale reads may be older than it
 _KIND_PATHS = {
     kinds.CONFIGURATION: names.KIND_CONFIG,
     kinds.SERVERS: names.KIND_SERVERS,
@@ -52,9 +52,9 @@
 class PlatformStore(ObjectStore):
     """Calls on kept connections; each watched kind has a connection of its own.
 
-    After a drill the store comes back from a copy: its revisions go back, and name other
-    changes from then on. A revision of the product is the store's with its era before it, so
-    that it rises for good, and one of an earlier era is never taken for one of today's.
+    A store that was restored from a snapshot issues revisions again that it had issued before.
+    The product's revisions therefore have the store's era as their upper bits: they rise
+    monotonically, and one from before a restore never equals one from after it.
     """
 
     def __init__(self, address: HostPort) -> None:
@@ -85,9 +85,9 @@
                 first = era, page.revision
             items += [_in_era(item, era) for item in page.items]
             if era != first[0]:
-                raise StoreCallError("came back from a copy between two pages")
+                raise StoreCallError("restored from a snapshot between two pages")
             if stale and self._is_new(era):
-                return self.list_all(kind)  # what is old may be of before
+                return self.list_all(kind)  # a stale answer may be older than the restore
             if not page.more or not page.items:
                 # Changes during later pages are reported by a watch from here.
                 return Listing(tuple(items), revisions.joined(*first))
@@ -149,8 +149,8 @@
         body = {"metadata": {"name": name, "revision": bare}, "spec": spec}
         item = self._change("PUT", _path(kind, name), body)
         if revisions.divided(item.revision)[0] != expected_era:
-            # The revision was given out again, to another change that this one has replaced.
-            raise OutcomeUnknownError("written after the store came back from a copy")
+            # The revision was issued twice: this write has replaced another change.
+            raise OutcomeUnknownError("written after the store was restored from a snapshot")
         return item
 
     @override
@@ -236,7 +236,7 @@
         return era > 0 and elapsed_ms() - self._era_since_ms < NEW_ERA_MS
 
     def _note_era(self, answer: WireAnswer) -> None:
-        """Take note of how often the store came back from a copy."""
+        """Track how often the store was restored from a snapshot."""
         value = answer.get(names.ERA)
         if value is None:
             return
@@ -247,7 +247,7 @@
             return
         era = int(value)
         if era > self._era >= 0:
-            LOG.warning("Store came back from a copy.", era=era, before=self._era)
+            LOG.warning("Store was restored from a snapshot.", era=era, before=self._era)
             self._era_since_ms = elapsed_ms()
         self._era = max(self._era, era)
 
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -48,7 +48,7 @@
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
-LOST_TOKENS = 100_000  # that may have been given out by a map of which nothing is left
+TOKEN_GAP = 100_000  # above all tokens that maps lost in a restore may have issued
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
@@ -77,8 +77,10 @@
 
     keymap: KeyMap
     storing: KeyMap | None = None
-    lost: bool = False  # the store has an older map than this
-    unsure_until_ms: float | None = None  # until then others may renew grants that are lost
+    outdated: bool = False  # the store has an older map than this
+    untrusted_until_ms: float | None = (
+        None  # until then other leaders may renew grants of lost maps
+    )
     granted: _GrantedRanges | None = None  # kept until the map or a transfer changes
     transfers: dict[RangeId, Transfer] = field(default_factory=dict)
     server_ids: frozenset[str] = frozenset()
@@ -219,11 +221,13 @@
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
         if state.storing is not None:
             return []
-        if state.unsure_until_ms is not None and state.keymap.ranges and view.records:
-            return self._store(state, self._taken_from_all(state, view, state.unsure_until_ms))
-        if state.lost and state.keymap.ranges:
+        if state.untrusted_until_ms is not None and state.keymap.ranges and view.records:
+            return self._store(
+                state, self._revoked_everywhere(state, view, state.untrusted_until_ms)
+            )
+        if state.outdated and state.keymap.ranges:
             keymap = self._granted_map(state)
-            return self._store(state, replace(keymap, token=keymap.token + LOST_TOKENS))
+            return self._store(state, replace(keymap, token=keymap.token + TOKEN_GAP))
         candidates = self._candidates(state, view, now_ms)
         if not candidates:
             return self._settle(state, now_ms)
@@ -504,8 +508,8 @@
         """The store took a map; its answer was read at ``now_ms``."""
         state = self._services[keymap.service]
         state.storing = None
-        state.lost = False
-        state.unsure_until_ms = None
+        state.outdated = False
+        state.untrusted_until_ms = None
         self._adopt(state, replace(keymap, revision=revision), now_ms)
 
     def map_not_stored(self, service: str) -> None:
@@ -513,18 +517,18 @@
         self._services[service].storing = None
 
     def distrust(self, service: str, renewable_until_ms: float) -> None:
-        """A map is what is left of later ones: any server may hold any key, at any token.
+        """Later maps were lost in a restore: any server may hold any key, at any token.
 
         :param renewable_until_ms: until when another leader may renew grants of those maps.
         """
         state = self._services.get(service)
         if state is not None:
-            state.unsure_until_ms = renewable_until_ms
+            state.untrusted_until_ms = renewable_until_ms
 
-    def _taken_from_all(
+    def _revoked_everywhere(
         self, state: _ServiceState, view: ServiceView, renewable_until_ms: float
     ) -> KeyMap:
-        """Return the map with each range on its way from every server to its holder."""
+        """Return the map with each range moving from every server to its holder."""
         holders = {
             holder.server_id: holder
             for item in state.keymap.ranges
@@ -537,7 +541,7 @@
             lease = self._lease(holder)
             lapse_ms = self._timing.lapse_ms(renewable_until_ms)
             lease.held_until_ms = max(lease.held_until_ms, lapse_ms)
-        token = state.keymap.token + LOST_TOKENS
+        token = state.keymap.token + TOKEN_GAP
         ranges = tuple(
             replace(
                 item,
@@ -549,11 +553,11 @@
         )
         return merge_neighbours(replace(state.keymap, ranges=ranges, token=token))
 
-    def map_lost(self, service: str) -> None:
-        """The store came back with an older map of a service than is known here."""
+    def map_outdated(self, service: str) -> None:
+        """The store was restored with an older map of a service than is known here."""
         state = self._services.get(service)
         if state is not None:
-            state.lost = True
+            state.outdated = True
 
     def map_seen(self, keymap: KeyMap, now_ms: float) -> None:
         """A map was read from the store."""
@@ -561,8 +565,8 @@
         if state.storing is not None or keymap.revision <= state.keymap.revision:
             return
         if keymap.token < state.keymap.token:
-            # The store came back with one of before: this one is written over it.
-            state.lost = True
+            # The store was restored from a snapshot: its map is overwritten.
+            state.outdated = True
             keymap = replace(state.keymap, revision=keymap.revision)
         self._adopt(state, keymap, now_ms)
 
--- a/ploverhatch/state/servers.py
+++ b/ploverhatch/state/servers.py
@@ -17,15 +17,15 @@
 from ploverhatch.state.standing import (
     LEAVING_MS,
     NOTHING,
-    LimitWord,
+    RateLimit,
     ServerNotice,
     Standings,
 )
 
 VANISH_GRACE_MS = 3000.0
 STORE_FAILURE_MEMORY_MS = 4000.0
-# Servers write again after a drill, each within its own pace. Until then a server that drains
-# goes on to do so, and one that has left does not come back, whatever the store shows.
+# After a restore of the store each server rewrites its record at its own pace. Until then its
+# record may be outdated: a draining server stays so, and one that has left stays away.
 RESTORED_MS = 5000.0
 LEFT_MS = 30_000.0  # copies are seconds old
 
@@ -69,7 +69,7 @@
     standings: Standings = field(default_factory=Standings)
     _life_of: dict[str, str] = field(default_factory=dict)  # by registered name
     store_failed_ms: float = -1e12
-    store_restored_ms: float = -1e12  # when the store was seen to have come back from a copy
+    store_restored_ms: float = -1e12  # when a restore of the store was detected
     _left: dict[str, float] = field(default_factory=dict)  # drained servers that went, and when
 
     def is_cold(self, server_id: str, now_ms: float) -> bool:
@@ -85,7 +85,7 @@
         self.store_failed_ms = now_ms
 
     def note_store_restored(self, now_ms: float) -> None:
-        """The store came back from a copy: what it shows may be of before."""
+        """The store was restored from a snapshot: its records may be outdated."""
         self.store_restored_ms = now_ms
 
     def put(self, record: ServerRecord, now_ms: float) -> str:
@@ -151,7 +151,7 @@
             self._show(record, now_ms)
         return news
 
-    def hear_limit(self, server_id: str, word: LimitWord) -> bool:
+    def hear_limit(self, server_id: str, word: RateLimit) -> bool:
         """Another node tells what a server said of its limit; true if that is new."""
         if server_id not in self.records:
             return False
--- a/ploverhatch/state/standing.py
+++ b/ploverhatch/state/standing.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LimitWord:
+class RateLimit:
     """What a server said of its limit, and when.
 
     ``said_ms`` is when an answer that names one was read. Of an answer that names none it is
@@ -59,11 +59,11 @@
 
     _leaving_ms: dict[str, float] = field(default_factory=dict)  # when it was heard first
     _rest_until_ms: dict[str, float] = field(default_factory=dict)
-    _limits: dict[str, LimitWord] = field(default_factory=dict)
+    _limits: dict[str, RateLimit] = field(default_factory=dict)
     _limit_per_s: dict[str, float] = field(default_factory=dict)  # of those that name one
 
     @property
-    def limits(self) -> Mapping[str, LimitWord]:
+    def limits(self) -> Mapping[str, RateLimit]:
         """The latest word of each server that named a limit."""
         return self._limits
 
@@ -105,7 +105,7 @@
             said_ms = now_ms
             if limit_per_s == NO_LIMIT and asked_ms is not None:
                 said_ms = asked_ms
-            if not self.note_limit(server_id, LimitWord(limit_per_s, said_ms)):
+            if not self.note_limit(server_id, RateLimit(limit_per_s, said_ms)):
                 limit_per_s = None
         rest_ms = min(notice.rest_ms, LONGEST_REST_MS)
         if rest_ms <= 0:
@@ -115,7 +115,7 @@
         self._rest_until_ms[server_id] = max(until_ms, now_ms + rest_ms)
         return ServerNotice(leaving, 0.0 if rested else rest_ms, limit_per_s)
 
-    def note_limit(self, server_id: str, word: LimitWord) -> bool:
+    def note_limit(self, server_id: str, word: RateLimit) -> bool:
         """Take a word on a server's limit unless a later one is known; true if it is new.
 
         Nothing is kept of a server that never named a limit.
@@ -135,7 +135,7 @@
         else:
             self._limit_per_s.pop(server_id, None)
 
-    def hear_limit(self, server_id: str, word: LimitWord) -> bool:
+    def hear_limit(self, server_id: str, word: RateLimit) -> bool:
         """Another node tells a server's word; true if it is new.
 
         The way of a message makes it look younger than it is, so that nodes which tell each
--- a/ploverhatch/store/revisions.py
+++ b/ploverhatch/store/revisions.py
@@ -1,7 +1,7 @@
-"""Revisions that rise for good, of a store whose own ones go back after a drill. Pure.
+"""Monotonic revisions of a store that may be restored from a snapshot. Pure.
 
-The store tells in each answer how often it came back from a copy: its era. A joined revision
-has the era in its upper bits, so that whatever is of a later era compares as later.
+Each answer of the store has its era, the number of restores so far. A joined revision has the
+era in its upper bits, so that any revision of a later era compares as later.
 """
 
 STORE_BITS = 40  # of the store's own revision: a thousand changes a second for 34 years
@@ -14,7 +14,7 @@
 
 
 def same_era(revision: int, other: int) -> bool:
-    """Whether the store didn't come back from a copy between two revisions."""
+    """Whether the store wasn't restored from a snapshot between two revisions."""
     return divided(revision)[0] == divided(other)[0]
 
 
--- a/tests/functional/test_limited_servers.py
+++ b/tests/functional/test_limited_servers.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ploverhatch.common.clock import elapsed_ms
-from ploverhatch.gateway.shared_slots import KNOWN_AFTER_MS
+from ploverhatch.gateway.shared_slots import DISCOVERY_MS
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
 from tests.standin.limits import over_limit
 from tests.standin.play import Play
@@ -53,7 +53,7 @@
 
 # Where all servers of a service are limited, callers beyond the limits waited or overran them.
 def test_where_all_are_limited_the_others_are_refused_at_once(play):
-    gevent.sleep(KNOWN_AFTER_MS / 1000)
+    gevent.sleep(DISCOVERY_MS / 1000)
     name_limit(play.site.upstreams.values(), "6")
     gevent.sleep(2.0)
     start_s = now_s()
--- a/tests/functional/test_shared_limits.py
+++ b/tests/functional/test_shared_limits.py
@@ -9,7 +9,12 @@
 from ploverhatch.admission import groups
 from ploverhatch.admission.groups import GroupName
 from ploverhatch.common.clock import elapsed_ms
-from ploverhatch.gateway.shared_slots import BEHIND_SHARE, GONE_MS, KNOWN_AFTER_MS, TurnedAwayError
+from ploverhatch.gateway.shared_slots import (
+    DISCOVERY_MS,
+    STANDBY_SHARE,
+    UNREACHABLE_MS,
+    TurnedAwayError,
+)
 from ploverhatch.state.standing import NO_LIMIT, ServerNotice
 from tests.functional.test_shared_slots import Cluster, record, wish
 
@@ -25,7 +30,7 @@
         cluster = Cluster(list(records), zones=("a", "a", "a"))
         for node in cluster.nodes:
             node.slots._own = node.name
-            node.slots._started_ms -= KNOWN_AFTER_MS
+            node.slots._started_ms -= DISCOVERY_MS
         started.append(cluster)
         return cluster
 
@@ -130,8 +135,8 @@
     for node in cluster.nodes:
         node.directory.take_notice("s0", LIMIT)
     first.lost = lambda message: True
-    given(second, GONE_MS / 1000 + 0.3)
-    given(third, GONE_MS / 1000 + 0.3)
+    given(second, UNREACHABLE_MS / 1000 + 0.3)
+    given(third, UNREACHABLE_MS / 1000 + 0.3)
     servers = given(third, 3.0)
     assert 6 <= len(servers) <= 9
     assert second.slots._kept
@@ -166,7 +171,7 @@
     for node in cluster.nodes:
         node.directory.take_notice("s0", ServerNotice(limit_per_s=10.0))
     first.slots._started_ms = elapsed_ms()
-    assert len(given(third, 2.0)) <= 2 * 10 * BEHIND_SHARE + 2
+    assert len(given(third, 2.0)) <= 2 * 10 * STANDBY_SHARE + 2
 
 
 # Routes of different regions have queues of their own, and each gave the whole limit.
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -14,9 +14,9 @@
 from ploverhatch.sharding.leader_core import (
     CUT_OFF_MS,
     FIRST_SERVERS_MS,
-    LOST_TOKENS,
     SETTLE_MS,
     STEADY_MS,
+    TOKEN_GAP,
     LeaderCore,
 )
 from ploverhatch.sharding.messages import (
@@ -525,7 +525,7 @@
     assert core.keymap(SERVICE) == replace(newest, revision=9)
     (action,) = of_kind(core.tick(20.0, view(record(0), record(1)), True), StoreMap)
     assert action.keymap.ranges == newest.ranges
-    assert action.keymap.token == newest.token + LOST_TOKENS
+    assert action.keymap.token == newest.token + TOKEN_GAP
 
 
 # What is left of a lost map names not all who may hold keys.
@@ -534,7 +534,7 @@
     core.distrust(SERVICE, 8000.0)
     (action,) = of_kind(core.tick(0.0, view(record(0), record(1), record(2)), True), StoreMap)
     token = action.keymap.token
-    assert token > LOST_TOKENS
+    assert token > TOKEN_GAP
     for item in action.keymap.ranges:
         assert {other.server_id for other in item.previous} | {item.holder.server_id} == {
             "s0",
--- a/tests/unit/test_limited_rates.py
+++ b/tests/unit/test_limited_rates.py
@@ -9,7 +9,7 @@
 
 from ploverhatch.admission.dispatcher import Asker, Given, Group, TurnedAway, Wish
 from ploverhatch.admission.request_rate import RequestRate, ServerBounds
-from ploverhatch.gateway.shared_slots import BEHIND_SHARE, GONE_MS, PASSED_MS
+from ploverhatch.gateway.shared_slots import PASSED_MS, STANDBY_SHARE, UNREACHABLE_MS
 from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
 from ploverhatch.sharding.leader_core import LeaderCore
 from ploverhatch.sharding.load import AnswerTimes, KeyLoad
@@ -73,7 +73,7 @@
 @pytest.mark.parametrize("per_s", [0.4, 1.2, 2.5, 6.0, 50.0])
 def test_two_nodes_that_both_count_keep_to_the_limit(per_s):
     first = flood(group({"s0": per_s}), 0.0, 20_000.0)["s0"]
-    behind = flood(group({"s0": per_s}, share=BEHIND_SHARE), 3.0, 20_000.0)["s0"]
+    behind = flood(group({"s0": per_s}, share=STANDBY_SHARE), 3.0, 20_000.0)["s0"]
     assert most([*first, *behind]) <= allowed(per_s)
 
 
@@ -82,7 +82,7 @@
 def test_a_change_of_the_node_that_counts_keeps_to_the_limit(per_s):
     gone_ms = 5000.0
     before = flood(group({"s0": per_s}), 0.0, gone_ms)["s0"]
-    between = flood(group({"s0": per_s}), gone_ms + GONE_MS, 10_000.0 + PASSED_MS)["s0"]
+    between = flood(group({"s0": per_s}), gone_ms + UNREACHABLE_MS, 10_000.0 + PASSED_MS)["s0"]
     after = flood(group({"s0": per_s}), 10_000.0, 20_000.0)["s0"]
     assert most([*before, *between, *after]) <= allowed(per_s)
 
