--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -7,7 +7,6 @@
 """
 
 import itertools
-import math
 import random
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
@@ -26,6 +25,7 @@
     TurnedAway,
     Wish,
 )
+from ploverhatch.admission.dispatcher_choice import UNREACHABLE_MS, DispatcherChoice
 from ploverhatch.admission.groups import GroupName
 from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
 from ploverhatch.admission.request_rate import RequestRate, ServerBounds
@@ -41,14 +41,10 @@
 ANSWER_S = 0.025  # a dispatcher is asked again after it, and twice before it is passed over
 ASKED_TIMES = 2
 ASKED_NODES = 4  # where the first ones are about to stop, as in a restart of all in turn
-PASSED_MS = 1000.0  # how long a node that did not answer keeps no queue, as seen from here
 LATE_S = 0.02  # the way of an answer to one that waits
 NEAR_PART = 0.3  # of the time that a request waits in its own zone, if there are others
 REFRESH_MS = 100.0  # how old the members of a group may be at its dispatcher
 FORGET_MS = 20_000.0  # a queue that nobody asked for so long is forgotten
-# A node that has not answered for so long is unreachable: it was asked twice, PASSED_MS apart.
-# Until then no other node enforces rate limits in its place.
-UNREACHABLE_MS = 1000.0
 DISCOVERY_MS = 6000.0  # from the start of a node until all others know it
 STANDBY_SHARE = 0.5  # of a limit: enforced by a node that is not surely the only one
 BY_ASKER = "a-request"  # who told of a limit, in the log
@@ -170,8 +166,7 @@
         self._send = send
         self._numbers = itertools.count(random.getrandbits(32))
         self._pending: dict[int, _Pending] = {}
-        self._passed_ms: dict[str, float] = {}  # nodes that did not answer: until when
-        self._silent_since_ms: dict[str, float] = {}  # ... or stop: since when
+        self._choice = DispatcherChoice()
         self._kept: dict[GroupName, _Kept] = {}
         self._rates: dict[str, RequestRate] = {}  # by server, of all queues that are kept
         self.leaving = False  # this node is about to stop: others keep the queues
@@ -235,8 +230,8 @@
             for _ in range(ASKED_NODES):
                 spent_ms = elapsed_ms() - start_ms
                 left = wish.after(spent_ms)
-                asked = groups.dispatcher(name, self._members(), self._passed())
-                if not self._keeps_rates(name, asked):
+                asked = self._choice.asked(name, self._members(), elapsed_ms())
+                if asked and not self._enforces_limits(name, asked):
                     left = self._without_limited(name, left)
                 ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms))
                 word = self._ask(ask, pending, asked) if asked else None
@@ -244,7 +239,7 @@
                     word = self._await_turn(pending, word, ask.wait_ms)
                 if word is None or not word.leaving:
                     break
-                self._pass_over(asked, leaving=True)
+                self._choice.stops(asked, elapsed_ms())
                 pending.word = None
             if word is not None and not word.server and word.after_ms > 0:
                 raise TurnedAwayError(word.after_ms, asked)
@@ -304,11 +299,6 @@
             raise TurnedAwayError(UNREACHABLE_MS)
         return replace(wish, barred=tuple(sorted({*wish.barred, *limited})))
 
-    def _passed(self) -> set[str]:
-        now_ms = elapsed_ms()
-        self._passed_ms = {node: end for node, end in self._passed_ms.items() if end > now_ms}
-        return set(self._passed_ms)
-
     def _ask(self, ask: SlotAsk, pending: _Pending, node: str) -> SlotWord | None:
         """Return a dispatcher's answer; ``None`` when there is none in time."""
         address = pending.asked = HostPort.parse(node)
@@ -316,21 +306,12 @@
             self._send(ask, address)
             if pending.wait(ANSWER_S):
                 return pending.word
-        if node not in self._passed_ms:
+        if self._choice.not_answered(node, elapsed_ms()):
             LOG.info(
                 "Dispatcher does not answer.", node=node, service=ask.service, zone=ask.group_zone
             )
-        self._pass_over(node)
         return None
 
-    def _pass_over(self, node: str, leaving: bool = False) -> None:
-        now_ms = elapsed_ms()
-        self._passed_ms[node] = now_ms + PASSED_MS
-        if leaving:
-            self._silent_since_ms[node] = -math.inf
-        else:
-            self._silent_since_ms.setdefault(node, now_ms)
-
     def _await_turn(self, pending: _Pending, word: SlotWord, wait_ms: float) -> SlotWord:
         """Wait for the slot of a request that has a place in the queue."""
         if pending.word is word:
@@ -352,7 +333,7 @@
 
     def _take_word(self, word: SlotWord, peer: Address) -> None:
         if not word.leaving:
-            self._silent_since_ms.pop(f"{peer[0]}:{peer[1]}", None)
+            self._choice.answered(f"{peer[0]}:{peer[1]}")
         pending = self._pending.get(word.number)
         if pending is None:
             return  # the request is over, and gave everything back
@@ -396,7 +377,8 @@
         """
         servers = self._directory.servers
         is_known = elapsed_ms() - self._started_ms >= DISCOVERY_MS
-        share = 1.0 if is_known and self._keeps_rates(name, self._own) else STANDBY_SHARE
+        is_first = not self._own or self._enforces_limits(name, self._own)
+        share = 1.0 if is_known and is_first else STANDBY_SHARE
         return ServerBounds(
             servers.cold_until_ms,
             self._directory.cold_per_s(name.service),
@@ -404,18 +386,8 @@
             0.0 if self.leaving else share,
         )
 
-    def _keeps_rates(self, name: GroupName, node: str) -> bool:
-        """Whether a node enforces the rate limits of a group's servers.
-
-        It ranks first of the reachable nodes. A single lost answer makes no node unreachable:
-        two nodes would enforce the same limit side by side.
-        """
-        gone = self._unreachable() - {node}
-        return not node or groups.dispatcher(name, self._members(), gone) == node
-
-    def _unreachable(self) -> set[str]:
-        now_ms = elapsed_ms()
-        return {node for node, ms in self._silent_since_ms.items() if now_ms - ms >= UNREACHABLE_MS}
+    def _enforces_limits(self, name: GroupName, node: str) -> bool:
+        return self._choice.enforces(name, node, self._members(), elapsed_ms())
 
     def _take_return(self, message: SlotReturn, peer: Address) -> None:
         self._directory.hear_limits(message.limits, BY_ASKER)
--- a/tests/functional/test_shared_limits.py
+++ b/tests/functional/test_shared_limits.py
@@ -108,7 +108,7 @@
     lost = iter([True, True])  # both questions of one request
     third.lost = lambda message: type(message).__name__ == "SlotAsk" and next(lost, False)
     servers = given(third, 0.8)
-    assert first.name in third.slots._passed()
+    assert first.name in third.slots._choice.passed(elapsed_ms())
     assert set(servers) == {"s1"}  # the second one in rank gives what is not limited
     gevent.sleep(0.5)
     assert "s0" in given(third, 1.0)
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -266,7 +266,9 @@
 
     first.link.take_slots(answer_late)
     with ExitStack() as held:
-        second.slots._passed_ms[first.name] = elapsed_ms() + 9000.0  # not asked by those who hold
+        second.slots._choice._passed_ms[first.name] = (
+            elapsed_ms() + 9000.0
+        )  # not asked by those who hold
         for _ in range(3):
             held.enter_context(second.slots.hold(wish(holder=record(0), hold_ms=9000.0)))
         assert second.slots.in_use == 3
--- a/tests/unit/test_limited_rates.py
+++ b/tests/unit/test_limited_rates.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 
 from ploverhatch.admission.dispatcher import Asker, Given, Group, TurnedAway, Wish
+from ploverhatch.admission.dispatcher_choice import PASSED_MS, UNREACHABLE_MS
 from ploverhatch.admission.request_rate import RequestRate, ServerBounds
-from ploverhatch.gateway.shared_slots import PASSED_MS, STANDBY_SHARE, UNREACHABLE_MS
+from ploverhatch.gateway.shared_slots import STANDBY_SHARE
 from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment, settle
 from ploverhatch.sharding.leader_core import LeaderCore
 from ploverhatch.sharding.load import AnswerTimes, KeyLoad
