--- a/tests/unit/test_limited_rates.py
+++ b/tests/unit/test_limited_rates.py
@@ -1,5 +1,6 @@
 """Limits that servers name: what their group gives them, and which keys they keep."""
 
+import random
 from bisect import bisect_left
 from dataclasses import replace
 
@@ -22,6 +23,7 @@
 NODE = ("10.0.0.1", 7000)
 SERVICE = "svc"
 SPAN_MS = 4000.0
+MOST_MOVES_OF_LIMITED = 20  # in 20 rounds, with load that varies
 
 
 def allowed(per_s):
@@ -216,3 +218,29 @@
     read(SERVICE, records, core, load, times, 12_000.0, limited={"s0"})
     later = read(SERVICE, records, core, KeyLoad(), times, 12_500.0)
     assert later.work_ms["s0"] < 100.0
+
+
+# Where all holders are limited each busy key seemed to fill its server, and all went to and fro.
+def test_where_all_holders_are_limited_keys_do_not_go_to_and_fro():
+    core, chance = leader(4), random.Random(1)
+    limits = dict.fromkeys(["s0", "s1", "s2", "s3"], 6.0)
+    records = [record(number) for number in range(4)]
+    for number in range(1, 21):
+        rates = {key: chance.uniform(4.0, 10.0) for key in range(0, 65536, 5461)}
+        view = ServiceView(records, rates, dict.fromkeys(limits, 20.0), limit_per_s=limits)
+        actions = core.tick(1000.0 * number, {SERVICE: view}, True)
+        for action in (item for item in actions if isinstance(item, StoreMap)):
+            keymap = settle(action.keymap, lambda item: True)
+            core.map_stored(keymap, number + 1, 1000.0 * number)
+    assert core.keymap(SERVICE).token <= MOST_MOVES_OF_LIMITED
+
+
+# A limited holder answers seldom since it is asked seldom, and was given up as silent.
+def test_a_limited_holder_is_not_taken_for_silent():
+    core, load, times = leader(1), KeyLoad(), AnswerTimes()
+    times.add("s0", [20.0], 0.0)
+    for step in range(1, 20):
+        load.add(step * 300.0, [100] * 15)
+    asked = SERVICE, [record(0)], core, load, times, 6000.0
+    assert read(*asked).silent == {"s0"}
+    assert read(*asked, limited={"s0"}).silent == set()
