Ask a leader for permits again as soon as it is heard from

Cause: a leader that gave no word on a trial within 50 ms was passed over for a whole second, during which each node had a copy of its own under way. Callers: requests of the servers that end for nothing.

Change: a word that comes late lifts the pause, and a wait during which the node itself was suspended doesn't count, since where a whole machine stood still so did the leader.

Ruled out: a longer first wait; a leader that is gone would cost that each time.

Measured: the two new tests fail without the change.

--- a/ploverhatch/gateway/trial_permits.py
+++ b/ploverhatch/gateway/trial_permits.py
@@ -27,7 +27,11 @@
 
 ANSWER_S = 0.025  # the leader is asked again after it, and twice before it is passed over
 ASKED_TIMES = 2
-PASSED_MS = 1000.0  # for how long a leader that did not answer isn't asked
+# A wait that took longer than this many times its time-out counts for nothing, so often at
+# most: this process was suspended meanwhile, and where a whole machine was, so was the leader.
+OVERSLEPT_FACTOR = 2.0
+MOST_OVERSLEPT = 3
+PASSED_MS = 1000.0  # for how long a leader that did not answer isn't asked, unless it does late
 # Between asks of this node for one content while another node has a copy of it under way. Where
 # there are many nodes they ask more rarely, so that the leader hears of 1,000 a second at most.
 AGAIN_MS = 50.0
@@ -141,13 +145,20 @@
     def _ask_node(self, node: Node, ask: TrialAsk) -> float | None:
         word = self._words[ask.number] = AsyncResult()
         try:
-            for _ in range(ASKED_TIMES):
+            waits = overslept = 0
+            while waits < ASKED_TIMES:
+                start_ms = elapsed_ms()
                 self._send(ask, node)
                 word.wait(ANSWER_S)
                 # Where the process stood still, the timer goes off before the word is read.
                 gevent.sleep(0)
                 if word.ready():
                     return float(word.get())
+                took_s = (elapsed_ms() - start_ms) / 1000
+                if took_s > OVERSLEPT_FACTOR * ANSWER_S and overslept < MOST_OVERSLEPT:
+                    overslept += 1
+                else:
+                    waits += 1
         finally:
             del self._words[ask.number]
         return None
@@ -157,8 +168,10 @@
         after_ms = self._kept.ask(ask.content, (peer, ask.number), elapsed_ms())
         self._send(TrialWord(ask.number, after_ms), peer)
 
-    def take_word(self, word: TrialWord, _peer: Node) -> None:
-        """Take the leader's answer; one that nobody waits for any more tells nothing."""
+    def take_word(self, word: TrialWord, peer: Node) -> None:
+        """Take the leader's answer; one that comes too late tells that the leader is there."""
+        if peer == self._leader():
+            self._passed_ms = -math.inf
         waits = self._words.get(word.number)
         if waits is not None:
             waits.set(word.after_ms)
--- a/tests/functional/test_trial_permits.py
+++ b/tests/functional/test_trial_permits.py
@@ -1,5 +1,6 @@
 """Nodes that have one copy of a request under suspicion under way, between them."""
 
+import time
 from types import SimpleNamespace
 
 import gevent
@@ -27,6 +28,7 @@
         self.lose = []  # forms of the next messages that are lost
         self.sent = []
         self.leader = NODES[0]
+        self.leader_takes_s = 0.0  # until it has answered
         self.permits = {node: self._make(node) for node in NODES}
 
     def _make(self, node):
@@ -41,7 +43,8 @@
         if type(message) in self.lose:
             self.lose.remove(type(message))
         elif to not in self.lost and sender not in self.lost:
-            gevent.spawn_later(0.001, self._deliver, sender, message, to)
+            takes_s = 0.001 + (self.leader_takes_s if to == self.leader else 0.0)
+            gevent.spawn_later(takes_s, self._deliver, sender, message, to)
 
     def _deliver(self, sender, message, to):
         takers = {TrialAsk: "take_ask", TrialWord: "take_word", TrialOver: "take_over"}
@@ -129,6 +132,30 @@
     assert fleet.sent[before:] == []  # a leader that says nothing isn't asked for a second
 
 
+def test_a_leader_that_answers_late_is_asked_next_time(fleet):
+    """Guards against a copy at each node for a second after a leader was slow once."""
+    leader, second, _ = fleet.nodes()
+    leader.take(call())
+    fleet.leader_takes_s = 0.1
+    asked = call()
+    assert second.take(asked) == 0.0
+    second.give_back(asked)
+    gevent.sleep(0.1)
+    fleet.leader_takes_s = 0.0
+    assert second.take(call()) > 0
+
+
+def test_a_node_that_was_suspended_while_it_waited_asks_again(fleet):
+    """Guards against a copy at each node where the whole machine stood still."""
+    leader, second, _ = fleet.nodes()
+    leader.take(call())
+    fleet.leader_takes_s = 0.03
+    fleet.lose = [TrialAsk] * trial_permits.ASKED_TIMES
+    for number in range(trial_permits.ASKED_TIMES):
+        gevent.spawn_later(0.01 + 0.07 * number, time.sleep, 0.06)
+    assert second.take(call()) > 0
+
+
 def test_the_next_leader_is_asked(fleet):
     _, second, third = fleet.nodes()
     second.take(call())
