Wait for the state that five tests start from, not for a fixed time

Cause, each traced from its output: the test slept 10 to 50 ms and then asserted what takes longer there.

- what comes under suspicion in the queue: waits for the first arrival (0 had arrived).
- a process that ends: waits until the server has the request (it was ended before it was sent, 503 instead of 504, which is right for it).
- a connection that is reset at once: the server works 200 ms, so that "at once" (a fifth of a typical time) is 40 ms, not 10; the asserted pause grows with it.
- a node that has just started: the time after which it sends on by itself is out of the way.
This shows that the test had passed by that time: it handed over the wrong telling.
It hands over the whole one now, so it is stricter.
- a node whom nobody answers: its own wait begins before the request's; both took 0.3 s and raced.
- key maps told as what changed: coverage is renewed with each beacon (0.25 s), so it is awaited.
What the test is about, that both nodes know the same map, is unchanged.

--- a/tests/functional/test_answers_around_a_stop.py
+++ b/tests/functional/test_answers_around_a_stop.py
@@ -216,7 +216,7 @@
     (gateway,) = start_site(site)
     site.upstreams["u3"].behaviour.hang = True
     asked = gevent.spawn(large_request, gateway)
-    until(lambda: gateway._forwarder._under_way)
+    until(lambda: site.upstreams["u3"].arrived)
     assert gateway._forwarder.end_under_way() == 1
     assert asked.get(timeout=GRACE_S).startswith(b"HTTP/1.1 504")
 
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -312,7 +312,7 @@
     upstream = Upstream("u1", sharded=True)
     upstream.held[(0, LAST_KEY)] = (1, float("inf"))
     bench.own_keys(bench.add(upstream, service=KEYED))
-    upstream.behaviour.work_s = 0.05
+    upstream.behaviour.work_s = 0.2
     for _ in range(3):
         assert bench.ask(b"/key/", headers=[(b"Shard-Key", b"5")]).status == 200
     known = bench.pool.get("u1")
@@ -323,7 +323,7 @@
     assert bench.ask(path, headers=[(b"Shard-Key", b"5")]).status == status
     assert known.limit < limit
     if status == 200:
-        assert elapsed_ms() - start_ms > 90.0  # a pause of a typical time, then the work
+        assert elapsed_ms() - start_ms > 360.0  # a pause of a typical time, then the work
 
 
 def test_a_connection_that_breaks_after_a_while_says_nothing_of_room(bench):
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -13,6 +13,7 @@
 from ploverhatch.quarantine.messages import CrashesAsk, CrashesTold
 from ploverhatch.state.servers import ServerRecord
 from tests.functional.test_forwarder import Bench, field
+from tests.functional.test_gateway import until
 from tests.standin.upstream import ENDS_SERVER, RawUpstream, Upstream
 
 ENDS = [(ENDS_SERVER, b"1")]
@@ -189,6 +190,7 @@
 
 
 def test_a_node_that_has_just_started_asks_before_it_sends_anything_on(monkeypatch):
+    monkeypatch.setattr("ploverhatch.gateway.quarantine.FIRST_ANSWER_S", 5.0)
     bench = QuarantineBench()
     bench.quarantine._settled.clear()
     upstream = bench.add_life()
@@ -199,10 +201,11 @@
     other = QuarantineBench()
     other.end_servers(3)
     other.quarantine.take_ask(bench.sent[0][0], PEER)
+    whole = other.sent[-1][0]
     bench.quarantine.take_told(CrashesTold([]), PEER)  # of another content: not all
     gevent.sleep(0.02)
     assert not bench.quarantine.settled
-    bench.quarantine.take_told(other.sent[-1][0], PEER)
+    bench.quarantine.take_told(whole, PEER)
     assert asked.get(timeout=1.0) == HELD
     assert upstream.arrived == []
     asks.kill()
@@ -212,6 +215,7 @@
     bench.quarantine._settled.clear()
     bench.add_life()
     asks = gevent.spawn(bench.quarantine.ask_forever)
+    gevent.sleep(0)  # its wait begins before that of the request
     start_ms = elapsed_ms()
     assert bench.ask(b"/once/a").status == 200
     assert 200 < elapsed_ms() - start_ms < 400
@@ -396,9 +400,8 @@
     crashing = bench.add_life()
     crashing.behaviour.crash_after_s = 0.03
     asked = ask_many(bench, 8, b"/once/a", ENDS)
-    gevent.sleep(0.01)
-    under_way = len(crashing.arrived)
-    assert 0 < under_way < 8  # the others wait for slots
+    until(lambda: crashing.arrived)
+    assert len(crashing.arrived) < 8  # the others wait for slots
     servers = [bench.add_life() for _ in range(4)]
     gevent.joinall(asked)
     ended = [upstream for upstream in servers if upstream.ended_s is not None]
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -69,7 +69,7 @@
     site.store.remove("servers", "s1")
     until(lambda: all_held_by(follower, "s2"))
     assert follower.directory.keymaps["keyed"] == leader.directory.keymaps["keyed"]
-    assert follower._relay.covered
+    until(lambda: follower._relay.covered)
 
 
 def all_held_by(gateway, server_id):
