Play drills and rate limits in the soak

The soak knew neither: a store that comes back from a copy of its own, some seconds old, and upstreams that name a limit, beside kills, freezes, stops and lost answers.

Options of the soak are passed whole. The store's return is a module of its own now; what was removed since the copy is removed again, as the rest is written again (before, it was back).

--- a/tests/functional/test_store_from_a_copy.py
+++ b/tests/functional/test_store_from_a_copy.py
@@ -10,6 +10,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.simulation.keys.judge import judge as judge_holds
 from tests.standin.callers import Caller
+from tests.standin.drills import come_back
 from tests.standin.play import Play
 from tests.standin.site import KEYED, PLAIN, StandinSite, configuration, route
 
@@ -21,7 +22,6 @@
 IN_FORCE_S = 2.0
 JUDGED_S = 3.0
 SERVED = 0.99
-OWN_KINDS = ("leases", "keymaps")
 
 
 @pytest.fixture
@@ -37,23 +37,11 @@
     return elapsed_ms() / 1000
 
 
-def come_back(store, copy, watches_end=True, servers_after_s=0.0):
-    """Have the store be away, and come back as it was; others' writes are made again.
-
-    :param servers_after_s: when servers write again.
-    """
+def be_away(store, copy, watches_end=True, servers_after_s=0.0):
+    """Have the store be away, and come back as it was."""
     store.faults.refuse = 503
     gevent.sleep(AWAY_S)
-    written = {key: item for key, item in store.objects.items() if key[0] not in OWN_KINDS}
-    store.restore(copy, watches_end)
-    for key, item in written.items():
-        if store.objects.get(key) != item:
-            after_s = servers_after_s if key[0] == "servers" else 0.0
-            gevent.spawn_later(after_s, store.put, *key, item["spec"], item["status"])
-    for key in [
-        key for key in store.objects if key[0] not in (*OWN_KINDS, *{k[0] for k in written})
-    ]:
-        store.remove(*key)
+    come_back(store, copy, watches_end, servers_after_s)
     store.faults.refuse = 0
 
 
@@ -61,7 +49,7 @@
     store = play.site.store
     copy = store.copy()
     gevent.sleep(COPY_AGE_S)
-    come_back(store, copy, watches_end)
+    be_away(store, copy, watches_end)
 
 
 def write_news(play, version=2):
@@ -121,9 +109,9 @@
     store = play.site.store
     copy = store.copy()
     gevent.sleep(COPY_AGE_S)
-    come_back(store, copy)
+    be_away(store, copy)
     gevent.sleep(1.0)
-    come_back(store, copy)
+    be_away(store, copy)
     gevent.sleep(NEWS_S)
     news_s = now_s()
     judge(play, write_news(play), news_s)
@@ -137,7 +125,7 @@
     news_s = now_s()
     leaving = write_news(play)
     gevent.sleep(COPY_AGE_S / 2)
-    come_back(store, copy)
+    be_away(store, copy)
     judge(play, leaving, news_s)
 
 
@@ -151,7 +139,7 @@
     news_s = now_s()
     leaving = write_news(play)
     gevent.sleep(COPY_AGE_S)
-    come_back(store, copy, servers_after_s=2.0)
+    be_away(store, copy, servers_after_s=2.0)
     judge(play, leaving, news_s)
 
 
@@ -162,7 +150,7 @@
     leaving = write_news(play)
     news_s = now_s()
     gevent.sleep(COPY_AGE_S)
-    come_back(store, copy)
+    be_away(store, copy)
     judge(play, leaving, news_s)
     gevent.sleep(4.0)
     assert judge_holds(play.site.journal.holds) == []
@@ -176,7 +164,7 @@
     gevent.sleep(COPY_AGE_S)
     for gateway in play.site.gateways:
         gateway.life.kill()
-    come_back(store, copy)
+    be_away(store, copy)
     for gateway in play.site.gateways:
         gateway.start()
     gevent.sleep(9.0)
--- a/tests/probe/test_gateway_soak.py
+++ b/tests/probe/test_gateway_soak.py
@@ -61,3 +61,14 @@
         assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
     finally:
         result.site.close()
+
+
+def test_soak_of_drills_and_rate_limits():
+    result = soak(20.0, seed=9001, gateways=4, drills=True)
+    try:
+        assert result.found == []
+        assert result.faults.seen["store_drill"] >= 1
+        assert result.verdict.limited >= 1
+        assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
+    finally:
+        result.site.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,7 +14,8 @@
 work only; with ``--sound-store`` the store has no faults, so that more of what
 nodes in touch do is judged; with ``--wishes`` upstreams also say in their answers
 that they leave or want rest, and start again under their ids, and other writers
-put entries; with ``--crowds`` many callers ask at once for what ends its upstream.
+put entries; with ``--crowds`` many callers ask at once for what ends its upstream; with
+``--drills`` the store comes back from copies of its own, and upstreams name rate limits.
 At the end all is healed and judged from records alone. Exit code 1 when a promise
 was broken; the gateways' logs are kept then.
 """
@@ -37,7 +38,7 @@
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
 from tests.standin.clients import Load
 from tests.standin.site import PORTS_VARIABLE, StandinSite
-from tests.standin.trouble import FAULT_LENGTH_S, Faults, PlannedWork
+from tests.standin.trouble import FAULT_LENGTH_S, Faults, PlannedWork, Trouble
 from tests.standin.verdict import Verdict, judge_soak
 
 DRAWN_GATEWAYS = (3, 4, 6, 8, 12)
@@ -106,16 +107,6 @@
     return unserved
 
 
-@dataclass(frozen=True)
-class Trouble:
-    """What kinds of trouble come."""
-
-    planned_only: bool = False
-    sound_store: bool = False
-    wishes: bool = False
-    crowds: bool = False
-
-
 def soak(seconds, seed, gateways=3, **trouble):
     """Run one soak; its site is closed by the caller, or here when it fails to end."""
     site = make_site(gateways)
@@ -129,7 +120,7 @@
 def _soak(site, seconds, seed, kinds):
     load = Load(site, seed)
     planned = PlannedWork(site, seed)
-    faults = Faults(site, seed, planned, kinds.sound_store, kinds.wishes, kinds.crowds)
+    faults = Faults(site, seed, planned, kinds)
     await_start(site)
     least, each, most = CLIENTS
     count = min(max(least, each * len(site.gateways)), most)
@@ -144,9 +135,7 @@
     planned.settle(SETTLE_S)
     gevent.killall(clients)
     unserved = await_recovery(site, load)
-    return Soak(
-        site, load, faults, planned, judge_soak(site, load, faults.killers, faults.odd), unserved
-    )
+    return Soak(site, load, faults, planned, judge_soak(site, load, faults), unserved)
 
 
 def summary(seed, result):
@@ -164,7 +153,8 @@
         f"killed after grace {verdict.killed_after_grace}; "
         f"requests that end servers {verdict.killers}: ends {verdict.killer_ends}, "
         f"sends {verdict.killer_sends}, late {verdict.killer_late}, held {verdict.held}; "
-        f"said that they leave {verdict.leaving}, rests asked for {verdict.rests}"
+        f"said that they leave {verdict.leaving}, rests asked for {verdict.rests}, "
+        f"named limits {verdict.limited}"
     )
 
 
@@ -241,26 +231,20 @@
 @click.option("--sound-store", is_flag=True, help="No faults of the store.")
 @click.option("--wishes", is_flag=True, help="Upstreams that leave, rest, are reborn; odd entries.")
 @click.option("--crowds", is_flag=True, help="Many callers ask at once for what ends upstreams.")
+@click.option("--drills", is_flag=True, help="The store comes back from copies; rate limits.")
 @click.option("--keep-logs", type=click.Path(file_okay=False), help="Where logs go if it fails.")
-def main(seconds, seed, seeds, jobs, gateways, planned, sound_store, wishes, crowds, keep_logs):
+def main(seconds, seed, seeds, jobs, gateways, planned, keep_logs, **kinds):
     main_task = end_in_order()
     if seeds:
         first, _, end = seeds.partition(":")
         options = ["--seconds", str(seconds), *(["--planned"] if planned else [])]
-        options += ["--sound-store"] if sound_store else []
-        options += ["--wishes"] if wishes else []
-        options += ["--crowds"] if crowds else []
+        options += [f"--{name.replace('_', '-')}" for name, asked in kinds.items() if asked]
         options += ["--gateways", str(gateways)] if gateways else []
         jobs = min(jobs, 4)
         sys.exit(1 if run_seeds(range(int(first), int(end)), options, jobs, keep_logs) else 0)
     limit_s = seconds + SEED_MARGIN_S
     gevent.spawn_later(limit_s, gevent.kill, main_task, SystemExit(f"not over after {limit_s} s"))
-    trouble = {
-        "planned_only": planned,
-        "sound_store": sound_store,
-        "wishes": wishes,
-        "crowds": crowds,
-    }
+    trouble = {"planned_only": planned, **kinds}
     sys.exit(0 if run_one(seconds, seed, gateways, trouble, keep_logs) else 1)
 
 
--- a/tests/standin/trouble.py
+++ b/tests/standin/trouble.py
@@ -3,12 +3,15 @@
 import random
 import signal
 from collections import Counter
+from dataclasses import dataclass
+from math import inf
 
 import gevent
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
 from tests.standin.callers import Caller, Crowd
+from tests.standin.drills import come_back
 from tests.standin.odd_entries import CHANGES, odd_record
 from tests.standin.site import KEYED, PLAIN, configuration
 from tests.standin.upstream import Upstream
@@ -22,6 +25,9 @@
 FAULT_PAUSE_S = (0.3, 2.5)
 FAULT_LENGTH_S = (0.5, 6.0)
 REST_S = (0.8, 4.0)  # that an upstream asks for
+AWAY_S = (0.1, 1.5)  # of the store in a drill
+LIMITS = (1.0, 8.0)  # requests a second that an upstream takes
+MOST_LIMITED = 2  # upstreams at a time
 REBIRTH_S = (0.1, 2.0)  # from its crash to its next start
 KILLER_PAUSE_S = (0.3, 3.0)  # between repeats of a request that ends servers
 CROWD = (8, 40)  # callers
@@ -30,6 +36,17 @@
 KILLER_LENGTH_S = (4.0, 16.0)
 
 
+@dataclass(frozen=True)
+class Trouble:
+    """What kinds of trouble come."""
+
+    planned_only: bool = False
+    sound_store: bool = False
+    wishes: bool = False
+    crowds: bool = False
+    drills: bool = False
+
+
 class PlannedWork:
     """Stops with a restart, in series that overlap; SIGHUP and changes in between."""
 
@@ -116,12 +133,13 @@
 class Faults:
     """Brings faults about and heals them; planned work comes in between."""
 
-    def __init__(self, site, seed, planned, sound_store=False, wishes=False, crowds=False):
+    def __init__(self, site, seed, planned, trouble):
         self.site = site
         self.planned = planned
         self.random = random.Random(f"{seed} faults")
         self.seen = Counter()
         self.killers = []
+        self.healed_s = inf  # elapsed
         self.odd = []  # upstreams whose entries name none to use
         self._tasks = []
         of_store = [
@@ -132,16 +150,18 @@
             self.kill, self.kill_all, self.freeze, self.freeze, self.stop, self.upstream_ends,
             self.upstream_leaves, self.upstream_joins, self.reconfigure, self.stop_twice,
             self.series, self.hang_up, self.killer, self.killer,
-            *([] if sound_store else of_store),
+            *([] if trouble.sound_store else of_store),
         ]  # fmt: skip
-        if wishes:  # apart, so that the seeds of runs without them stay what they were
+        if trouble.wishes:  # apart, so that the seeds of runs without them stay what they were
             self.kinds += [
                 self.upstream_says_it_leaves, self.upstream_says_it_leaves, self.upstream_rests,
                 self.upstream_rests, self.upstream_reborn, self.upstream_reborn, self.odd_entry,
             ]  # fmt: skip
 
-        if crowds:
+        if trouble.crowds:
             self.kinds += [self.crowd, self.crowd, self.crowd, self.crowd]
+        if trouble.drills:
+            self.kinds += [self.store_drill] * 3 + [self.upstream_limits] * 2
 
     def run(self):
         while True:
@@ -260,6 +280,25 @@
         self.site.store_faults.append((elapsed_ms() / 1000, elapsed_ms() / 1000))
         self.site.store.compact()
 
+    def store_drill(self):
+        """Have the store be away in a while, and come back as it is now."""
+        self.later(self._drill, self.site.store.copy())
+
+    def _drill(self, copy):
+        away_s, now_s = self.random.uniform(*AWAY_S), elapsed_ms() / 1000
+        self.site.store_faults.append((now_s, now_s + away_s))
+        self.site.store.faults.refuse = 503
+        gevent.sleep(away_s)
+        come_back(self.site.store, copy, watches_end=self.random.random() < 0.5)
+        self.site.store.faults.refuse = 0
+
+    def upstream_limits(self):
+        """Have one name a limit from now on."""
+        upstream = self._some_upstream()
+        limited = [one for one in self.site.upstreams.values() if one.behaviour.limit]
+        if upstream is not None and upstream not in limited and len(limited) < MOST_LIMITED:
+            upstream.behaviour.limit = f"{self.random.uniform(*LIMITS):.1f}"
+
     def _some_upstream(self):
         alive = [
             upstream
@@ -329,6 +368,9 @@
 
     def heal(self):
         gevent.killall(self._tasks)
+        self.healed_s = elapsed_ms() / 1000
+        for upstream in self.site.upstreams.values():
+            upstream.behaviour.limit = ""
         faults = self.site.store.faults
         faults.refuse = faults.lose_answers = 0
         faults.silent = False
--- a/tests/standin/verdict.py
+++ b/tests/standin/verdict.py
@@ -11,6 +11,7 @@
 from ploverhatch.simulation.keys.judge import judge
 from tests.standin.callers import HELD
 from tests.standin.clients import End
+from tests.standin.limits import over_limit
 from tests.standin.site import GRACE_S
 from tests.standin.wishes import broken_rests, late_to_leaving, rests
 
@@ -48,19 +49,21 @@
     held: int = 0  # repeats that were kept from servers
     rests: int = 0  # that upstreams asked nodes for
     leaving: int = 0  # upstreams that said so in answers
+    limited: int = 0  # upstreams that named a limit
 
 
-def judge_soak(site, load, killers=(), odd=()):
+def judge_soak(site, load, faults):
     """Return the verdict on a soak that is over."""
     verdict = Verdict()
+    killers = faults.killers
     answers = {sent.name: sent for killer in killers for sent in killer.asked}
     verdict.found += broken_promises(site, load, answers)
     verdict.found += held_for_nothing(load)
     verdict.found += ended_alone(site)
-    verdict.found += wishes_broken(site, load, killers, verdict)
+    verdict.found += wishes_broken(site, load, faults, verdict)
     verdict.found += [
         f"{upstream.server_id} got {len(upstream.arrived)}, and its entry names no server"
-        for upstream in odd
+        for upstream in faults.odd
         if upstream.arrived
     ]
     _judge_stops(site, load, verdict)
@@ -93,13 +96,15 @@
     return found + judge(site.journal.holds)
 
 
-def wishes_broken(site, load, killers, verdict):
-    """Return what was sent to upstreams that had said that they leave, or want rest."""
+def wishes_broken(site, load, faults, verdict):
+    """Return what was sent to upstreams that leave, want rest, or have a limit."""
     sent = {one.name: one for one in load.requests}
-    sent |= {one.name: one for killer in killers for one in killer.asked}
+    sent |= {one.name: one for killer in faults.killers for one in killer.asked}
+    verdict.limited = sum(bool(upstream.named) for upstream in site.upstreams.values())
     verdict.rests = len(rests(site, sent))
     verdict.leaving = sum(bool(upstream.passed_on) for upstream in site.upstreams.values())
-    return late_to_leaving(site, sent) + broken_rests(site, sent)
+    limits = over_limit(site, sent, faults.healed_s)
+    return late_to_leaving(site, sent) + broken_rests(site, sent) + limits
 
 
 def ended_alone(site):
--- a/tests/unit/test_soak_verdict.py
+++ b/tests/unit/test_soak_verdict.py
@@ -27,7 +27,7 @@
         untaken_at_stops=lambda: 4,
         last_words=lambda life: "a word",
     )
-    upstream = SimpleNamespace(ended_s=crash_s, arrived=[], passed_on=[], turned_away=[])
+    upstream = SimpleNamespace(ended_s=crash_s, arrived=[], passed_on=[], turned_away=[], named=[])
     site = SimpleNamespace(
         gateways=[gateway],
         upstreams={"life-1": upstream},
@@ -38,7 +38,8 @@
         work=lambda: spans,
     )
     answers = {sent.name: (sent.status, sent.body)}
-    return judge_soak(site, SimpleNamespace(requests=[sent], answers=answers))
+    faults = SimpleNamespace(killers=(), odd=(), healed_s=FOREVER)
+    return judge_soak(site, SimpleNamespace(requests=[sent], answers=answers), faults)
 
 
 def request(sent_s, end_s, end=End.CLOSED, of=None, keyed=True, kept=False):
