Await two states of tests instead of looking for them after a fixed time

Both failed when the whole test run stood still for 60 of every 160 ms: a node's report to a new leader was looked for after 50 ms (reports come once a minute there), a second copy after 100 ms, which is to come before the first one's answer: that order is asserted now.

--- a/tests/functional/test_peer_link.py
+++ b/tests/functional/test_peer_link.py
@@ -12,6 +12,7 @@
 from ploverhatch.gateway.peer_link import LoadReport, PeerLink
 from ploverhatch.relay.messages import Beacon, Claim, Told, ToldChange
 from ploverhatch.transport.http_connection import HostPort
+from tests.functional.test_gateway import until
 from tests.standin.site import free_port
 
 TOLD = Told("kind", 4, 5, [ToldChange("a", 5, {"x": 1})])
@@ -108,9 +109,8 @@
     leader.link._members = lambda: [leader.leader, node.leader]
     node.link.take(Beacon, lambda beacon: setattr(node, "leader", beacon.address))
     leader.link.publish(replace(BEACON, address=leader.leader))
-    gevent.sleep(0.05)
+    until(lambda: tuple(node.address) in leader.link.peers)  # reports come once a minute
     assert node.leader == leader.leader
-    assert tuple(node.address) in leader.link.peers
     leader.close()
     node.close()
 
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -365,8 +365,8 @@
     slow = bench.add_life()
     slow.behaviour.work_s = 0.3
     asked = ask_many(bench, 2, b"/once/a")
-    gevent.sleep(0.1)
-    assert len(slow.arrived) == 2
+    until(lambda: len(slow.arrived) == 2)
+    assert not any(task.ready() for task in asked)
     assert [task.get().status for task in asked] == [200, 200]
 
 
