Issue tokens above those of every era that a restore may have lost

Callers: keys without an owner for good (503, not-holder) after two restores of the store from one copy, or a copy from before the first key map, where all nodes had started again meanwhile.

Cause: a leader that starts from an older map goes 100,000 above its tokens. The leader before had done the same, from the same map, and had gone on: servers refuse the lower tokens. Where the copy has no map at all tokens began again at 1.

Change: each restore opens a block of 2^24 tokens, counted by the store's era; what a leader issues after one is in its block at least, and 100,000 above the map as before. A leader that finds no map in a store that was ever restored has each server release the keys first.

Ruled out: a larger gap alone; two leaders add the same one. The difference of eras instead of blocks: a leader that knows a later map from memory has no era for it.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -45,6 +45,7 @@
     UnreadableObjectError,
     VersionedObject,
 )
+from ploverhatch.store.revisions import era_of
 
 LOG = PartLogger("leader")
 
@@ -127,13 +128,18 @@
     def _load_maps(self) -> None:
         while self._elector.state.leading:
             try:
-                items = self._store.list_all(kinds.KEYMAPS).items
+                listing = self._store.list_all(kinds.KEYMAPS)
+                items = listing.items
                 keymaps = self._read_maps(items)
             except StoreCallError as error:
                 LOG.warning("Key maps not read.", cause=error)
                 gevent.sleep(READ_RETRY_S)
                 continue
             renewable_ms = max(self._elector.state.inherited_until_ms, elapsed_ms())
+            others_until_ms = elapsed_ms() + election.AUTHORITY_MS
+            self._core.note_restores(era_of(listing.revision))
+            if era_of(listing.revision):
+                self._core.distrust_missing(others_until_ms)
             for keymap in keymaps:
                 self._directory.put_keymap(keymap)
                 known = self._directory.keymaps[keymap.service]
@@ -142,7 +148,7 @@
             found = [item for item in items if item.name in read]
             for service in [item.name for item in found if keymap_codec.predates_restore(item)]:
                 LOG.warning("Later key maps may be lost.", service=service)
-                self._core.distrust(service, elapsed_ms() + election.AUTHORITY_MS)
+                self._core.distrust(service, others_until_ms)
             return
 
     def _read_maps(self, items: Sequence[VersionedObject]) -> list[KeyMap]:
@@ -191,6 +197,7 @@
         for service in views:
             seen = self._directory.keymaps.get(service)
             if seen is not None:
+                self._core.note_restores(era_of(seen.revision))
                 self._core.map_seen(seen, now_ms)
             if service in self._directory.outdated_keymaps:
                 self._core.map_outdated(service)
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -48,10 +48,22 @@
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
-TOKEN_GAP = 100_000  # above all tokens that maps lost in a restore may have issued
+# Above the tokens that maps lost in a restore may have issued: in the era of the map that is
+# left, and in each of those since, where the store was restored more than once.
+TOKEN_GAP = 100_000
+TOKENS_PER_ERA = 1 << 24
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
+def above_lost(token: int, restores: int) -> int:
+    """Return a token above all that maps lost in restores may have issued.
+
+    :param token: the highest one of a map that is left.
+    :param restores: how often the store was restored so far.
+    """
+    return max(token + TOKEN_GAP, restores * TOKENS_PER_ERA)
+
+
 @dataclass(frozen=True, slots=True)
 class _GrantedRanges:
     """A map with the ranges settled that their new holders have, and its settled ranges."""
@@ -100,6 +112,8 @@
         self._services: dict[str, _ServiceState] = {}
         self._leases: dict[str, HolderLease] = {}
         self._cut_off_since_ms: float | None = None
+        self._restores = 0  # of the store
+        self._lost_until_ms: float | None = None  # until when grants of lost maps may be renewed
 
     # ---- what is known ------------------------------------------------------------------
 
@@ -223,19 +237,23 @@
             return []
         if state.untrusted_until_ms is not None and state.keymap.ranges and view.records:
             return self._store(
-                state, self._revoked_everywhere(state, view, state.untrusted_until_ms)
+                state, self._revoked_everywhere(state.keymap, view, state.untrusted_until_ms)
             )
         if state.outdated and state.keymap.ranges:
             keymap = self._granted_map(state)
-            return self._store(state, replace(keymap, token=keymap.token + TOKEN_GAP))
+            return self._store(
+                state, replace(keymap, token=above_lost(keymap.token, self._restores))
+            )
         candidates = self._candidates(state, view, now_ms)
         if not candidates:
             return self._settle(state, now_ms)
         if not state.keymap.ranges:
             if now_ms - state.servers_since_ms < FIRST_SERVERS_MS:
                 return []
-            pieces = planner.initial_pieces(candidates)
-            return self._store(state, first_assignment(state.keymap, pieces))
+            keymap = first_assignment(state.keymap, planner.initial_pieces(candidates))
+            if self._lost_until_ms is not None:
+                keymap = self._revoked_everywhere(keymap, view, self._lost_until_ms)
+            return self._store(state, keymap)
         return self._plan_moves(state, candidates, view.rates, now_ms) or self._settle(
             state, now_ms
         )
@@ -525,13 +543,24 @@
         if state is not None:
             state.untrusted_until_ms = renewable_until_ms
 
+    def note_restores(self, count: int) -> None:
+        """The store was restored from snapshots so many times, counted over its whole life."""
+        self._restores = max(self._restores, count)
+
+    def distrust_missing(self, renewable_until_ms: float) -> None:
+        """A service without a map may have lost it in a restore: any server may hold its keys.
+
+        :param renewable_until_ms: until when another leader may renew grants of lost maps.
+        """
+        self._lost_until_ms = renewable_until_ms
+
     def _revoked_everywhere(
-        self, state: _ServiceState, view: ServiceView, renewable_until_ms: float
+        self, keymap: KeyMap, view: ServiceView, renewable_until_ms: float
     ) -> KeyMap:
         """Return the map with each range moving from every server to its holder."""
         holders = {
             holder.server_id: holder
-            for item in state.keymap.ranges
+            for item in keymap.ranges
             for holder in (item.holder, *item.previous)
         }
         for record in view.records:
@@ -541,7 +570,7 @@
             lease = self._lease(holder)
             lapse_ms = self._timing.lapse_ms(renewable_until_ms)
             lease.held_until_ms = max(lease.held_until_ms, lapse_ms)
-        token = state.keymap.token + TOKEN_GAP
+        token = above_lost(keymap.token, self._restores)
         ranges = tuple(
             replace(
                 item,
@@ -549,9 +578,9 @@
                 settled=False,
                 previous=tuple(other for other in holders.values() if other != item.holder),
             )
-            for item in state.keymap.ranges
+            for item in keymap.ranges
         )
-        return merge_neighbours(replace(state.keymap, ranges=ranges, token=token))
+        return merge_neighbours(replace(keymap, ranges=ranges, token=token))
 
     def map_outdated(self, service: str) -> None:
         """The store was restored with an older map of a service than is known here."""
--- a/ploverhatch/store/revisions.py
+++ b/ploverhatch/store/revisions.py
@@ -13,9 +13,14 @@
     return (era << STORE_BITS) | (revision & _STORE_MASK)
 
 
+def era_of(revision: int) -> int:
+    """Return the era of a joined revision."""
+    return divided(revision)[0]
+
+
 def same_era(revision: int, other: int) -> bool:
     """Whether the store wasn't restored from a snapshot between two revisions."""
-    return divided(revision)[0] == divided(other)[0]
+    return era_of(revision) == era_of(other)
 
 
 def divided(revision: int) -> tuple[int, int]:
--- a/tests/functional/test_store_from_a_copy.py
+++ b/tests/functional/test_store_from_a_copy.py
@@ -10,7 +10,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.simulation.keys.judge import judge as judge_holds
 from tests.standin.callers import Caller
-from tests.standin.drills import come_back
+from tests.standin.drills import OWN_KINDS, come_back
 from tests.standin.play import Play
 from tests.standin.site import KEYED, PLAIN, StandinSite, configuration, route
 
@@ -169,3 +169,38 @@
         gateway.start()
     gevent.sleep(9.0)
     judge(play, leaving, now_s() - IN_FORCE_S)
+
+
+def start_from(play, copy):
+    """Kill each node, and start it from what the store comes back as."""
+    for gateway in play.site.gateways:
+        gateway.life.kill()
+    come_back(play.site.store, copy)
+    for gateway in play.site.gateways:
+        gateway.start()
+    gevent.sleep(9.0)
+
+
+# Servers refuse the tokens of a leader that starts from a copy which predates two restores.
+def test_a_second_restore_of_one_copy_leaves_no_key_unserved(play):
+    store = play.site.store
+    copy = store.copy()
+    leaving = write_news(play)
+    gevent.sleep(COPY_AGE_S / 2)
+    be_away(store, copy)
+    gevent.sleep(1.0)
+    another = next(one for one in play.upstreams(KEYED) if one not in leaving)
+    store.put("servers", another.server_id, *another.record(KEYED, "draining"))
+    gevent.sleep(COPY_AGE_S / 2)
+    start_from(play, copy)
+    judge(play, leaving, now_s() - IN_FORCE_S)
+
+
+# Servers refuse the tokens of a leader that finds no key map, since all were lost in a restore.
+def test_a_copy_from_before_the_first_key_map_leaves_no_key_unserved(play):
+    objects, revision = play.site.store.copy()
+    without = {key: item for key, item in objects.items() if key[0] not in OWN_KINDS}
+    leaving = write_news(play)
+    gevent.sleep(COPY_AGE_S / 2)
+    start_from(play, (without, revision))
+    judge(play, leaving, now_s() - IN_FORCE_S)
--- a/tests/unit/test_outdated_keymaps.py
+++ b/tests/unit/test_outdated_keymaps.py
@@ -1,7 +1,11 @@
 """Key maps that a store came back with, older than what is known."""
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment
+from ploverhatch.sharding.leader_core import above_lost
 
 
 def keymap(number, token, revision):
@@ -18,3 +22,21 @@
     known = directory.keymaps["svc"]
     assert (known.find(0).holder.server_id, known.token, known.revision) == ("s1", 8, 200)
     assert directory.outdated_keymaps == {"svc"}
+
+
+# After two restores of one copy a leader issued tokens that servers knew from the first one.
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.integers(0, 1000), st.booleans()), max_size=12),
+    st.integers(0, 1000),
+)
+def test_tokens_of_a_later_era_are_above_all_earlier_ones(restored, moves):
+    """Each restore brings back one of the latest maps; some of them find a leader's jump due."""
+    kept, highest = [moves], moves
+    for restores, (age, moves_since, starts_anew) in enumerate(restored, start=1):
+        token = kept[-1 - min(age, len(kept) - 1)]
+        if starts_anew:
+            token = 0  # from before the first map
+        issued = above_lost(token, restores)
+        assert issued > highest
+        highest = issued + moves_since
+        kept.append(highest)
