Don't take told changes again that are known, in parts least of all

Callers: a node could go on by an older version of a server's entry or of the configuration (one that drains as ready), until the object changed again or its kind was listed.

Cause: changes that a leader tells in several parts begin at its own cursor, which may be before the follower's. The follower took known changes again, since the later ones follow in order; if the rest of the parts was lost, the earlier version stayed, and the cursor said that it was current. The class: a state that is right only when a sequence ends, without a check that it does.

Change: a change up to the cursor, or older than the version that is known, is passed over; a removal bears the revision of the object that is gone, so it is compared with that alone. Kinds whose changes may be taken again by themselves (key maps) compare tokens, and stay as they are.

--- a/ploverhatch/gateway/feeds.py
+++ b/ploverhatch/gateway/feeds.py
@@ -170,6 +170,10 @@
             self._cursor = coverage.advanced(self._cursor, told)
 
     def _take_change(self, change: ToldChange) -> bool:
+        known = self._items.get(change.name)
+        revision = None if known is None else known.revision
+        if not self._feed.repeatable and coverage.is_known(self._cursor, change, revision):
+            return True
         item = VersionedObject(change.name, change.revision, change.spec, change.status)
         self._keep(item, change.gone)
         if self._feed.take_told is not None:
--- a/ploverhatch/relay/coverage.py
+++ b/ploverhatch/relay/coverage.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from ploverhatch.relay.messages import Beacon, Told
+from ploverhatch.relay.messages import Beacon, Told, ToldChange
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +74,7 @@
 def follows(cursor: Cursor, told: Told, repeatable: bool = False) -> bool:
     """Whether a message's changes join what is known without a gap.
 
-    Changes that are known already may be among them: taken again in order,
-    they end in the same state.
+    Changes that are known already may be among them (:func:`is_known`).
 
     :param repeatable: whether a change may also be taken again by itself.
     """
@@ -91,6 +90,20 @@
     return last.part == told.part - 1
 
 
+def is_known(cursor: Cursor, change: ToldChange, known: int | None) -> bool:
+    """Whether a change is known, or an object is known in a later version.
+
+    Changes that are told in parts begin before the cursor. Where the last part gets lost, what
+    was taken again of them would stay in place of what came after it.
+
+    :param known: revision of the object as it is known; ``None`` where it isn't there.
+    """
+    if known is not None and known > change.revision:
+        return True
+    # A removal bears the revision of the object that is gone.
+    return not change.gone and change.revision <= cursor.revision
+
+
 def advanced(cursor: Cursor, told: Told) -> Cursor:
     """Return the cursor after the changes of a message that follows were taken."""
     if told.part == told.parts - 1:
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from msgspec.structs import replace
 
+from ploverhatch.gateway.feeds import Feed, FeedTask
 from ploverhatch.relay import coverage, publisher
 from ploverhatch.relay.coverage import Coverage, Cursor
 from ploverhatch.relay.messages import Beacon, Claim, Told, ToldChange
@@ -113,6 +114,21 @@
     assert publisher.in_parts(KIND, 1, 9, [(change(2), 10), (change(3), 101)], 100) == []
 
 
+# A server's later word (it drains) was replaced by its earlier one, which a part told again.
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_part_of_changes_told_again_leaves_what_came_later(gone):
+    taken = {}
+    feed = Feed(KIND, lambda items: None, lambda change: taken.update({change.object.name: change}))
+    task = FeedTask(None, feed, None, lambda: None)
+    task._cursor = Cursor(0)
+    task.take_told(Told(KIND, 0, 2, [ToldChange("b", 1, "ready"), ToldChange("b", 2, "drains")]))
+    again = ToldChange("b", 1, "ready", gone=gone)
+    task.take_told(Told(KIND, 0, 3, [again], part=0, parts=2))
+    assert taken["b"].object.spec == "drains" and not taken["b"].gone
+    task.take_told(Told(KIND, 0, 3, [ToldChange("b", 2, "drains", gone=True)], part=1, parts=2))
+    assert taken["b"].gone
+
+
 class RelayedStore(RuleBasedStateMachine):
     """A store, a leader that reads it, and a follower that is told; time in milliseconds.
 
@@ -198,6 +214,8 @@
             self.cursor = coverage.advanced(self.cursor, message)
 
     def take(self, item):
+        if coverage.is_known(self.cursor, item, self.objects.get(item.name)):
+            return
         self.objects.pop(item.name, None)
         if not item.gone:
             self.objects[item.name] = item.revision
