--- a/tests/functional/test_store_from_a_copy.py
+++ b/tests/functional/test_store_from_a_copy.py
@@ -80,7 +80,7 @@
         late = [request for request in upstream.ran if request.received_ms / 1000 > start_s]
         assert late == [], f"{len(late)} reached {upstream.server_id}"
     for service in (PLAIN, KEYED):
-        assert play.served(service, start_s, end_s) >= SERVED
+        assert play.served(service, start_s, end_s) >= SERVED, play.unserved(service, start_s)
     assert judge_holds(play.site.journal.holds) == []
 
 
--- a/tests/standin/play.py
+++ b/tests/standin/play.py
@@ -1,11 +1,15 @@
 """A site and callers that ask at every node, some for keys and some without."""
 
+import re
+from collections import Counter
+
 import gevent
 
 from ploverhatch.simulation.keys.server import SAMPLE_KEYS
 from tests.standin.callers import Caller
 from tests.standin.site import KEYED, PLAIN
 
+RESULT = re.compile(rb"ploverhatch-result: ([^\r]*)")
 KEYS = SAMPLE_KEYS[::4]
 PLAIN_CALLERS = 8
 START_LIMIT_S = 20.0
@@ -51,6 +55,12 @@
         asked = self.asked(service, start_s, end_s)
         return sum(one.status == 200 for one in asked) / len(asked)
 
+    def unserved(self, service, start_s, end_s=float("inf")):
+        """Return what the others got: how often each status, with the gateway's result."""
+        lost = [one for one in self.asked(service, start_s, end_s) if one.status != 200]
+        results = [RESULT.search(one.head) for one in lost]
+        return Counter((one.status, r and r[1]) for one, r in zip(lost, results, strict=True))
+
     def upstreams(self, service):
         return [u for u in self.site.upstreams.values() if u.service == service]
 
