Keep what a restore does to key maps in a module of its own

The planner asked in two places for the servers that no key fills; the leader's look for lost maps sorted them twice. No behaviour changes.

Measured: unit tests and those of restores and rate limits pass.

--- a/ploverhatch/admission/request_rate.py
+++ b/ploverhatch/admission/request_rate.py
@@ -19,7 +19,7 @@
 from ploverhatch.state.standing import LEAST_LIMIT_PER_S
 
 MOST_SAVED = 1.0  # requests that may be given at once: the rate holds in each second
-# Waiting requests are given what has come free at a steady tick, which no rate may outrun.
+# Queued requests are served at a fixed tick: a smaller burst would cap rates at one a tick.
 SAVED_S = 0.02
 NO_BOUND = math.inf
 
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -144,11 +144,10 @@
                 self._directory.put_keymap(keymap)
                 known = self._directory.keymaps[keymap.service]
                 self._core.inherit(known, renewable_ms, elapsed_ms(), same_lives=False)
-            read = {keymap.service for keymap in keymaps}
-            found = [item for item in items if item.name in read]
-            for service in [item.name for item in found if keymap_codec.predates_restore(item)]:
-                LOG.warning("Later key maps may be lost.", service=service)
-                self._core.distrust(service, others_until_ms)
+            for item in items:
+                if item.name not in self._unreadable and keymap_codec.predates_restore(item):
+                    LOG.warning("Later key maps may be lost.", service=item.name)
+                    self._core.distrust(item.name, others_until_ms)
             return
 
     def _read_maps(self, items: Sequence[VersionedObject]) -> list[KeyMap]:
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -38,6 +38,7 @@
     StoreMap,
     range_id,
 )
+from ploverhatch.sharding.restored import above_lost, possible_holders, revoked_everywhere
 from ploverhatch.sharding.transfer import Transfer
 from ploverhatch.state.lives import is_later_life, registered_name
 from ploverhatch.state.servers import ServerRecord
@@ -48,22 +49,9 @@
 FIRST_SERVERS_MS = 1000.0  # the set of servers is stable for so long before the first deal
 DOMINANT_REST_MS = 3000.0  # a key that was moved by itself stays where it is for so long
 STEADY_MS = 2000.0  # a server with new keys is not judged by what it completes for so long
-# Above the tokens that maps lost in a restore may have issued: in the era of the map that is
-# left, and in each of those since, where the store was restored more than once.
-TOKEN_GAP = 100_000
-TOKENS_PER_ERA = 1 << 24
 CUT_OFF_MS = 1000.0  # most servers unreachable for so long: this node is cut off
 
 
-def above_lost(token: int, restores: int) -> int:
-    """Return a token above all that maps lost in restores may have issued.
-
-    :param token: the highest one of a map that is left.
-    :param restores: how often the store was restored so far.
-    """
-    return max(token + TOKEN_GAP, restores * TOKENS_PER_ERA)
-
-
 @dataclass(frozen=True, slots=True)
 class _GrantedRanges:
     """A map with the ranges settled that their new holders have, and its settled ranges."""
@@ -90,9 +78,8 @@
     keymap: KeyMap
     storing: KeyMap | None = None
     outdated: bool = False  # the store has an older map than this
-    untrusted_until_ms: float | None = (
-        None  # until then other leaders may renew grants of lost maps
-    )
+    # Until when other leaders may renew grants of lost maps.
+    untrusted_until_ms: float | None = None
     granted: _GrantedRanges | None = None  # kept until the map or a transfer changes
     transfers: dict[RangeId, Transfer] = field(default_factory=dict)
     server_ids: frozenset[str] = frozenset()
@@ -558,29 +545,13 @@
         self, keymap: KeyMap, view: ServiceView, renewable_until_ms: float
     ) -> KeyMap:
         """Return the map with each range moving from every server to its holder."""
-        holders = {
-            holder.server_id: holder
-            for item in keymap.ranges
-            for holder in (item.holder, *item.previous)
-        }
-        for record in view.records:
-            holder = Holder(record.server_id, record.host, record.port)
-            holders.setdefault(record.server_id, holder)
-        for holder in holders.values():
+        servers = [Holder(item.server_id, item.host, item.port) for item in view.records]
+        holders = possible_holders(keymap, servers)
+        for holder in holders:
             lease = self._lease(holder)
             lapse_ms = self._timing.lapse_ms(renewable_until_ms)
             lease.held_until_ms = max(lease.held_until_ms, lapse_ms)
-        token = above_lost(keymap.token, self._restores)
-        ranges = tuple(
-            replace(
-                item,
-                token=token,
-                settled=False,
-                previous=tuple(other for other in holders.values() if other != item.holder),
-            )
-            for item in keymap.ranges
-        )
-        return merge_neighbours(replace(keymap, ranges=ranges, token=token))
+        return revoked_everywhere(keymap, holders, self._restores)
 
     def map_outdated(self, service: str) -> None:
         """The store was restored with an older map of a service than is known here."""
--- a/ploverhatch/sharding/planner.py
+++ b/ploverhatch/sharding/planner.py
@@ -128,6 +128,14 @@
                 share.rate += self.rate_of(item.first, item.last)
                 share.keys += item.width
 
+    def free_shares(self) -> list[_Share]:
+        """Return the shares of servers that no key fills, and that name no limit."""
+        return [
+            share
+            for name, share in self.shares.items()
+            if name not in self.dominated and not share.candidate.limited
+        ]
+
     def keys_within(self, first: int, last: int) -> list[int]:
         return self.keys[bisect_left(self.keys, first) : bisect_right(self.keys, last)]
 
@@ -256,12 +264,7 @@
 def _give_dominant(
     plan: _Plan, keymap: KeyMap, key: int, item: KeyRange, share: _Share, movable: bool
 ) -> None:
-    free = [
-        other
-        for name, other in plan.shares.items()
-        if name not in plan.dominated and not other.candidate.limited
-    ]
-    fastest = min(free, key=lambda other: other.candidate.cost_ms, default=None)
+    fastest = min(plan.free_shares(), key=lambda other: other.candidate.cost_ms, default=None)
     if movable and fastest and fastest.candidate.cost_ms < FASTER * share.candidate.cost_ms:
         plan.give(key, key, fastest, share)
         plan.dominated.add(fastest.candidate.holder.server_id)
@@ -277,11 +280,7 @@
     if item.first <= key <= item.last:
         parts = [(item.first, key - 1), (key + 1, item.last)]
     for first, last in parts:
-        free = [
-            other
-            for name, other in plan.shares.items()
-            if name not in plan.dominated and not other.candidate.limited
-        ]
+        free = plan.free_shares()
         if free and first <= last and plan.keys_within(first, last):
             plan.give(first, last, min(free, key=lambda other: other.pressure), share)
 
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -16,7 +16,6 @@
     FIRST_SERVERS_MS,
     SETTLE_MS,
     STEADY_MS,
-    TOKEN_GAP,
     LeaderCore,
 )
 from ploverhatch.sharding.messages import (
@@ -29,6 +28,7 @@
     StepDown,
     StoreMap,
 )
+from ploverhatch.sharding.restored import TOKEN_GAP
 from ploverhatch.sharding.view import unused_from_ms
 from ploverhatch.state.servers import ServerRecord
 
--- a/tests/unit/test_outdated_keymaps.py
+++ b/tests/unit/test_outdated_keymaps.py
@@ -5,7 +5,7 @@
 
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.sharding.keymap import Holder, KeyMap, Move, first_assignment
-from ploverhatch.sharding.leader_core import above_lost
+from ploverhatch.sharding.restored import above_lost
 
 
 def keymap(number, token, revision):
