Hold requests that freeze servers

Callers saw: a server that freezes under a request answers nobody any more, and the request was sent to the next one.

Cause: only ends were counted; a time-out looked like one at a slow server and taught nothing.

Change: a server that answers nothing at all to a node since a copy was sent, for four times its mean answer time, froze under it. A server counts once. An answer elsewhere since the copy was sent clears it, so that popular reads at servers that freeze by themselves go on.

Ruled out: a probe at the time-out (a full server answers it no sooner than a request).

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -442,10 +442,12 @@
             with gevent.Timeout(left_ms / 1000):
                 answer = connection.exchange(call.request.method, payload)
         except gevent.Timeout:
+            self._quarantine.timed_out(call, upstream, sent_ms)
             return AttemptResult.TIMED_OUT, None
         except AnswerCutError:
             self._quarantine.lost(call, upstream, sent_ms)
             return AttemptResult.LOST, None
+        upstream.heard_ms = elapsed_ms()
         result = self._dialect.judge(call.facts, record.server_id, answer)
         notice = self._dialect.notice(call.facts.request_id, record.server_id, answer)
         if notice != NOTHING:
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -33,6 +33,8 @@
 Send = Callable[[CrashesTold | CrashesAsk, Address], None]
 
 LOOK_S = 0.1  # a dead port refuses within a round trip; a cut link says nothing
+USUAL_ANSWER_MS = 100.0  # of a server that has answered nothing yet
+FROZEN_FACTOR = 4.0  # times its usual answer time: a server that is silent for so long
 TELL_S = 0.02  # between tellings: what is seen meanwhile is told together
 ASK_S = 1.0  # between asks of one other node
 # A node that has just started asks some others before it sends requests on: they answer
@@ -198,7 +200,7 @@
 
     def answered(self, call: Call) -> None:
         """A server has answered a request: it has not ended under it."""
-        self._first.answered(call.hint)
+        self._first.answered(call.hint, elapsed_ms())
         if not self._ledger.may_know(call.hint):
             return
         if self._ledger.note_answer(call.fingerprint, elapsed_ms()):
@@ -214,21 +216,41 @@
             return  # its end was announced
         gevent.spawn(self._look, call, upstream, sent_ms, elapsed_ms()).join(LOOK_S)
 
-    def _look(self, call: Call, upstream: Upstream, sent_ms: float, lost_ms: float) -> None:
-        if not upstream.has_ended(LOOK_S):
+    def timed_out(self, call: Call, upstream: Upstream, sent_ms: float) -> None:
+        """A server gave no answer in time: it has frozen if it answered nothing else since."""
+        now_ms = min(elapsed_ms(), self._ran_until_ms())
+        usual_ms = upstream.answer_time.mean_ms or USUAL_ANSWER_MS
+        if upstream.heard_ms >= sent_ms or now_ms - sent_ms < FROZEN_FACTOR * usual_ms:
             return
-        self.ends += 1
+        if self._first.answered_since(call.hint, sent_ms):
+            return  # another copy did no harm
+        self._note(call, upstream, sent_ms, now_ms, frozen=True)
+
+    def _look(self, call: Call, upstream: Upstream, sent_ms: float, lost_ms: float) -> None:
+        if upstream.has_ended(LOOK_S):
+            self._note(call, upstream, sent_ms, lost_ms)
+
+    def _note(
+        self,
+        call: Call,
+        upstream: Upstream,
+        sent_ms: float,
+        ended_ms: float,
+        frozen: bool = False,
+    ) -> None:
+        """A server has ended under a request, or frozen."""
+        self.ends += not frozen
         server_id = upstream.record.server_id
         LOG.warning(
-            "Server ended under a request.",
+            "Server froze under a request." if frozen else "Server ended under a request.",
             request=call.trace.request_id,
             content=call.fingerprint,
             server=server_id,
             service=call.service,
-            after_ms=round(lost_ms - sent_ms),
+            after_ms=round(ended_ms - sent_ms),
         )
         caller = call.fingerprint.caller
-        end = ServerEnd(server_id, caller, self._node, sent_ms, lost_ms)
+        end = ServerEnd(server_id, caller, self._node, sent_ms, ended_ms, frozen)
         if self._ledger.note_end(call.fingerprint.content, end):
             self._changed_here(call.fingerprint.content)
 
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -1,5 +1,6 @@
 """Connections to servers, and what this node learned of each while using it."""
 
+import math
 from collections import deque
 from collections.abc import Collection
 from contextlib import AbstractContextManager
@@ -38,6 +39,7 @@
         self._used_ms = elapsed_ms()
         self._idle: list[HttpConnection] = []
         self._recent_ms: deque[int] = deque(maxlen=MAX_TIMES)
+        self.heard_ms = -math.inf  # when it last answered this node anything
 
     @property
     def address(self) -> HostPort:
--- a/ploverhatch/quarantine/first_copies.py
+++ b/ploverhatch/quarantine/first_copies.py
@@ -6,6 +6,7 @@
 by their hints alone, since all of them pass here.
 """
 
+import math
 from collections.abc import Hashable
 from dataclasses import dataclass
 
@@ -28,7 +29,7 @@
     def __init__(self) -> None:
         self._first: dict[bytes, _First] = {}
         self._awaited: set[bytes] = set()  # hints of which other copies were told to wait
-        self._proven: dict[bytes, None] = {}  # in the order of their last answers
+        self._proven: dict[bytes, float] = {}  # when they were answered, in that order
 
     def __len__(self) -> int:
         return len(self._first)
@@ -46,13 +47,17 @@
         self._awaited.add(hint)
         return min(FIRST_MS, first.until_ms - now_ms)  # a sum of floats may be off
 
-    def answered(self, hint: bytes) -> None:
+    def answered(self, hint: bytes, now_ms: float) -> None:
         """A server has answered a copy."""
         self._proven.pop(hint, None)
-        self._proven[hint] = None
+        self._proven[hint] = now_ms
         if len(self._proven) > MOST_PROVEN:
             del self._proven[next(iter(self._proven))]
 
+    def answered_since(self, hint: bytes, sent_ms: float) -> bool:
+        """Whether a copy was answered here since a time."""
+        return self._proven.get(hint, -math.inf) >= sent_ms
+
     def over(self, hint: bytes, asker: Hashable) -> bool:
         """A request has ended; return whether others wait for it, as the one that went ahead."""
         first = self._first.get(hint)
--- a/ploverhatch/quarantine/ledger.py
+++ b/ploverhatch/quarantine/ledger.py
@@ -80,6 +80,10 @@
             return None
         if hold.by_copies and record.mean_ms >= LONG_WORK_MS:
             return None
+        if any(end.frozen for end in hold.ends):
+            # A server may have frozen by itself, and how long a copy was there tells nothing.
+            unclear_ms = UNCLEAR_HOLD_MS * 4.0**hold.over
+            return replace(hold, until_ms=min(hold.until_ms, hold.last.ended_ms + unclear_ms))
         servers = {end.server_id for end in hold.ends}
         explained = self._ends_beside(request.content, record, hold)
         explained |= self._ends_of_earlier_suspects(request.content, hold)
@@ -228,5 +232,7 @@
 def _summary(item: tuple[bytes, CrashRecord]) -> int:
     """Return a number for what is known of a content, but for its times, which differ."""
     content, record = item
-    servers = sorted(end.server_id.encode() + end.caller for end in record.ends)
+    servers = sorted(
+        b"%b%b%d" % (end.server_id.encode(), end.caller, end.frozen) for end in record.ends
+    )
     return crc32(b"".join([content, *servers, *sorted(record.answered_ms)]))
--- a/ploverhatch/quarantine/messages.py
+++ b/ploverhatch/quarantine/messages.py
@@ -20,6 +20,7 @@
     witness: str
     sent_age_ms: float
     ended_age_ms: float
+    frozen: bool = False
 
 
 class ToldRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -78,7 +79,14 @@
 def encode(content: bytes, record: CrashRecord, now_ms: float) -> ToldRecord:
     """Return a record as it is told now."""
     ends = [
-        ToldEnd(end.server_id, end.caller, end.witness, now_ms - end.sent_ms, now_ms - end.ended_ms)
+        ToldEnd(
+            end.server_id,
+            end.caller,
+            end.witness,
+            now_ms - end.sent_ms,
+            now_ms - end.ended_ms,
+            end.frozen,
+        )
         for end in record.ends
     ]
     answered = {caller: now_ms - at_ms for caller, at_ms in record.answered_ms.items()}
@@ -96,7 +104,12 @@
     """
     ends = tuple(
         ServerEnd(
-            end.server, end.caller, end.witness, now_ms - end.sent_age_ms, now_ms - end.ended_age_ms
+            end.server,
+            end.caller,
+            end.witness,
+            now_ms - end.sent_age_ms,
+            now_ms - end.ended_age_ms,
+            end.frozen,
         )
         for end in told.ends
     )
--- a/ploverhatch/quarantine/record.py
+++ b/ploverhatch/quarantine/record.py
@@ -38,13 +38,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerEnd:
-    """One server's end under a request."""
+    """One server's end under a request, or that it froze: it answered nobody any more."""
 
     server_id: str
     caller: bytes  # digest
     witness: str  # the node that sent the request
     sent_ms: float
     ended_ms: float
+    frozen: bool = False
+
+    @property
+    def judged_ms(self) -> float:
+        """Until when an answer to another copy tells nothing of this one.
+
+        When a server froze is not known, but that its copy had been sent by then.
+        """
+        return self.sent_ms if self.frozen else self.ended_ms
 
     @property
     def took_ms(self) -> float:
@@ -84,13 +93,13 @@
     def standing(self) -> tuple[ServerEnd, ...]:
         """Ends since which the caller was not answered."""
         return tuple(
-            end for end in self.ends if end.ended_ms > self.answered_ms.get(end.caller, -math.inf)
+            end for end in self.ends if end.judged_ms > self.answered_ms.get(end.caller, -math.inf)
         )
 
     @property
     def unanswered(self) -> tuple[ServerEnd, ...]:
         """Ends since which nobody was answered, whoever asked."""
-        return tuple(end for end in self.standing if end.ended_ms > self.last_answer_ms)
+        return tuple(end for end in self.standing if end.judged_ms > self.last_answer_ms)
 
     @property
     def expires_ms(self) -> float:
@@ -106,7 +115,7 @@
     def tells_of(self, caller: bytes) -> bool:
         """Whether an answer to a caller would change what follows from the record."""
         standing = any(end.caller == caller for end in self.standing)
-        return standing or any(end.ended_ms > self.last_answer_ms for end in self.ends)
+        return standing or any(end.judged_ms > self.last_answer_ms for end in self.ends)
 
     def with_answer(self, caller: bytes, now_ms: float) -> "CrashRecord":
         """A server has answered a caller."""
@@ -116,7 +125,8 @@
         """Add what another node knows.
 
         The same in whatever order it is told, and however often: of each end the earliest
-        time counts, since a telling that was held up makes it look later than it was.
+        time counts, since a telling that was held up makes it look later than it was. That a
+        server ended says more than that it froze.
         """
         answered = dict(self.answered_ms)
         for caller, at_ms in other.answered_ms.items():
@@ -125,7 +135,7 @@
         ends: dict[tuple[str, bytes], ServerEnd] = {}
         for end in (*self.ends, *other.ends):
             known = ends.get((end.server_id, end.caller))
-            if known is None or _order(end) < _order(known):
+            if known is None or (end.frozen, _order(end)) < (known.frozen, _order(known)):
                 ends[end.server_id, end.caller] = end
         kept = _kept(ends.values())
         last_ms = max(self.last_answer_ms, other.last_answer_ms)
@@ -148,6 +158,8 @@
         """Return the hold that follows from copies of several callers at few servers."""
         if self.last_answer_ms > -math.inf:
             return None
+        # Copies of what is popular are under way at each server that freezes by itself.
+        unanswered = tuple(end for end in unanswered if not end.frozen)
         ends = one_after_the_other(unanswered)
         servers = {end.server_id for end in ends}
         callers = {end.caller for end in unanswered if end.server_id in servers}
@@ -215,10 +227,11 @@
 
 
 def one_after_the_other(ends: Iterable[ServerEnd]) -> tuple[ServerEnd, ...]:
-    """Return ends of which each one's request was sent after the one before."""
+    """Return ends of different servers, each one's request sent after the one before."""
     found: list[ServerEnd] = []
     for end in sorted(ends, key=_order):
-        if not found or end.sent_ms >= found[-1].ended_ms:
+        after = not found or end.sent_ms >= found[-1].ended_ms
+        if after and end.server_id not in {known.server_id for known in found}:
             found.append(end)
     return tuple(found)
 
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -423,11 +423,7 @@
 
 
 def test_a_request_that_freezes_servers_is_sent_to_three_of_them(bench):
-    """As one that ends them is: each frozen server is lost to all callers until it is repaired.
-
-    Known of it: a copy that gets no answer in time looks like one at a slow server, and tells
-    nothing here; nothing is counted but ends.
-    """
+    """Time-outs were not counted, and each try froze another server."""
     servers = [bench.add_life() for _ in range(6)]
     for upstream in servers:
         upstream.behaviour.hang = True
--- a/tests/unit/test_first_copies.py
+++ b/tests/unit/test_first_copies.py
@@ -20,7 +20,7 @@
 def test_once_one_was_answered_none_waits():
     copies = FirstCopies()
     copies.ask(HINT, "a", 0.0)
-    copies.answered(HINT)
+    copies.answered(HINT, 0.0)
     assert copies.ask(HINT, "b", 1.0) == 0.0
     copies.over(HINT, "a")
     for asker in "cde":
@@ -51,8 +51,8 @@
 def test_what_is_popular_stays_known_among_many_others():
     copies = FirstCopies()
     for number in range(3 * MOST_PROVEN):
-        copies.answered(HINT)
-        copies.answered(b"%d" % number)
+        copies.answered(HINT, 0.0)
+        copies.answered(b"%d" % number, 0.0)
     assert copies.ask(HINT, "a", 0.0) == 0.0
     assert copies.ask(HINT, "b", 0.0) == 0.0
     assert len(copies._proven) == MOST_PROVEN
@@ -75,7 +75,7 @@
             assert 0.0 <= wait_ms <= FIRST_MS
             assert wait_ms == 0.0 or len(copies) == 1
         elif kind == "answer":
-            copies.answered(HINT)
+            copies.answered(HINT, 0.0)
             assert copies.ask(HINT, asker, now_ms) == 0.0
         else:
             copies.over(HINT, asker)
