Have a new dispatcher learn which slots are in use

Callers saw: with each planned stop, loss and return of a dispatcher, full servers got more than they have room for, and some of these requests timed out.

Cause: leases of slots were known to the dispatcher that gave them. The next one in rank began with none; one that came back was asked by some nodes while others passed it over; one that stopped went on giving what came back to it; with a silent one each request chose by itself.

Change: each node tells a dispatcher that begins to keep a queue which slots its requests have, and none is given before, for 25 ms at most. The question tells all nodes who keeps the queue, and a dispatcher of a later rank leaves it. Slots go back to all who count them. Those who wait at one that stops ask the next one at once, and so does a request whose dispatcher is silent.

Ruled out: a hand-over by the one that stops, since it does nothing at a loss.

Two tests asserted that a request whose dispatcher is silent gets no slot, which happened to be so: they assert now that it gets one from another node.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -163,6 +163,8 @@
     _servers: dict[str, _Server] = field(default_factory=dict)
     _leases: dict[Asker, _Lease] = field(default_factory=dict)
     _waiting: list[Wish] = field(default_factory=list)  # in the order in which slots are given
+    # Until when the slots that other dispatchers gave are asked for; none is given before.
+    _learning_until_ms: float = -math.inf
     # By server; shared with other groups that this node keeps of the same servers.
     rates: dict[str, RequestRate] = field(default_factory=dict)
 
@@ -214,6 +216,8 @@
         if server_id is not None:
             return [*answers, self._give(wish, server_id, now_ms)]
         wait_ms = self._expected_wait_ms(ahead, now_ms)
+        if now_ms < self._learning_until_ms:
+            wait_ms = 0.0  # how many slots are in use is told before
         if wait_ms > wish.until_ms - now_ms or len(self._waiting) >= self._capacity:
             return [*answers, TurnedAway(wish.asker, max(wait_ms, LEAST_AFTER_MS))]
         self._waiting.insert(ahead, wish)
@@ -239,6 +243,35 @@
                 server.work_ms = before_ms + WORK_WEIGHT * (took_ms - before_ms)
         return self.expire(now_ms)
 
+    @property
+    def is_learning(self) -> bool:
+        """Whether nothing is given until other dispatchers' slots are known."""
+        return self._learning_until_ms > -math.inf
+
+    def learn(self, until_ms: float) -> None:
+        """Give nothing until the slots are known that other dispatchers gave, or a time."""
+        self._learning_until_ms = until_ms
+
+    def adopt(self, asker: Asker, server_id: str, left_ms: float, now_ms: float) -> None:
+        """Count a slot that another dispatcher gave."""
+        server = self._servers.get(server_id)
+        if server is None or asker in self._leases:
+            return
+        queued = server.in_use >= server.slots
+        self._leases[asker] = _Lease(server_id, now_ms + left_ms, queued)
+        server.in_use += 1
+
+    def learned(self, now_ms: float) -> list[Answer]:
+        """Give what is free, and turn away those who waited and can't be in time."""
+        self._learning_until_ms = -math.inf
+        answers = self.expire(now_ms)
+        hopeless = [
+            wish
+            for ahead, wish in enumerate(self._waiting)
+            if self._expected_wait_ms(ahead, now_ms) > wish.until_ms - now_ms
+        ]
+        return answers + self._turn_away(hopeless, now_ms)
+
     def bind(self, bounds: ServerBounds) -> None:
         """Take what bounds the servers from now on."""
         for server in self._servers.values():
@@ -256,6 +289,8 @@
 
     def expire(self, now_ms: float) -> list[Answer]:
         """Take back slots whose time is over, and give what is free to those who wait."""
+        if -math.inf < self._learning_until_ms <= now_ms:
+            return self.learned(now_ms)
         for asker in [asker for asker, held in self._leases.items() if held.until_ms <= now_ms]:
             server = self._servers.get(self._leases.pop(asker).server_id)
             if server is not None:
@@ -272,6 +307,8 @@
     def _give_free(self, now_ms: float) -> list[Answer]:
         """Give free slots in order; one that may not use what is free holds nobody up."""
         answers: list[Answer] = []
+        if now_ms < self._learning_until_ms:
+            return answers
         self._waiting.sort(key=lambda wish: (wish.priority, wish.useful_ms <= now_ms))
         for wish in list(self._waiting):
             server_id = self._choose(wish, now_ms)
@@ -299,6 +336,8 @@
 
     def _choose(self, wish: Wish, now_ms: float) -> str | None:
         """Return the server that will answer first, of those with room."""
+        if now_ms < self._learning_until_ms:
+            return None
         usual_ms = self._usual_ms
         free = [
             (server_id, server)
--- a/ploverhatch/admission/dispatcher_choice.py
+++ b/ploverhatch/admission/dispatcher_choice.py
@@ -53,6 +53,11 @@
         """A node gave an answer."""
         self._silent_since_ms.pop(node, None)
 
+    def returned(self, node: str) -> None:
+        """A node keeps its queues again."""
+        self._passed_ms.pop(node, None)
+        self._silent_since_ms.pop(node, None)
+
     def not_answered(self, node: str, now_ms: float) -> bool:
         """A node gave no answer in time; true if it is passed over from now on."""
         is_news = node not in self.passed(now_ms)
--- a/ploverhatch/admission/messages.py
+++ b/ploverhatch/admission/messages.py
@@ -20,6 +20,8 @@
     are those whose servers may run it; empty for all. ``barred`` are servers that the
     sender may not use now, whatever others may. ``limits`` are the words of the group's
     servers on the rate that they take, so that a new dispatcher knows them from the first.
+    ``elsewhere`` says that another node gave the sender slots of the group lately, or did not
+    answer: that one's slots are not known to this dispatcher.
     """
 
     number: int
@@ -35,6 +37,7 @@
     regions: tuple[str, ...] = ()
     barred: tuple[str, ...] = ()
     limits: ToldLimits = {}
+    elsewhere: bool = False
 
 
 class SlotWord(msgspec.Struct, array_like=True, frozen=True, tag=6):
@@ -70,3 +73,22 @@
     unanswered: bool = False
     regions: tuple[str, ...] = ()
     limits: ToldLimits = {}
+
+
+class HeldAsk(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """Asks a node which slots of a group it holds, whoever gave them."""
+
+    service: str
+    group_zone: str
+    holder: str
+    regions: tuple[str, ...] = ()
+
+
+class HeldWord(msgspec.Struct, array_like=True, frozen=True, tag=14):
+    """The answer: of each slot its request's number, its server and the milliseconds left."""
+
+    service: str
+    group_zone: str
+    holder: str
+    regions: tuple[str, ...] = ()
+    held: list[tuple[int, str, float]] = []
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -14,7 +14,14 @@
 from gevent import socket
 from msgspec.structs import replace
 
-from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord, ToldLimits
+from ploverhatch.admission.messages import (
+    HeldAsk,
+    HeldWord,
+    SlotAsk,
+    SlotReturn,
+    SlotWord,
+    ToldLimits,
+)
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.signal import Signal
@@ -55,7 +62,7 @@
     limits: ToldLimits = {}
 
 
-SlotMessage = SlotAsk | SlotWord | SlotReturn
+SlotMessage = SlotAsk | SlotWord | SlotReturn | HeldAsk | HeldWord
 CrashMessage = CrashesTold | CrashesAsk | TrialMessage
 Message = LoadReport | Told | Beacon | Fragment | SlotMessage | CrashMessage
 Address = tuple[str, int]
@@ -111,7 +118,7 @@
 
     def take_slots(self, taker: Callable[[SlotMessage, Address], None]) -> None:
         """Have messages about slots taken by ``taker``, with their senders' addresses."""
-        for form in (SlotAsk, SlotWord, SlotReturn):
+        for form in (SlotAsk, SlotWord, SlotReturn, HeldAsk, HeldWord):
             self.take_from(form, taker)
 
     def send(self, message: SlotMessage | CrashMessage, to: Address) -> None:
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -8,9 +8,9 @@
 
 import itertools
 import random
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import gevent
 from gevent.event import Event
@@ -27,7 +27,7 @@
 )
 from ploverhatch.admission.dispatcher_choice import UNREACHABLE_MS, DispatcherChoice
 from ploverhatch.admission.groups import GroupName
-from ploverhatch.admission.messages import SlotAsk, SlotReturn, SlotWord
+from ploverhatch.admission.messages import HeldAsk, HeldWord, SlotAsk, SlotReturn, SlotWord
 from ploverhatch.admission.request_rate import RequestRate, ServerBounds
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
@@ -41,6 +41,13 @@
 ANSWER_S = 0.025  # a dispatcher is asked again after it, and twice before it is passed over
 ASKED_TIMES = 2
 ASKED_NODES = 4  # where the first ones are about to stop, as in a restart of all in turn
+SILENT_NODES = 2  # of these, that give no answer: each one costs the time of two answers
+LEARN_MS = 25.0  # a new dispatcher asks all nodes for the slots they hold, and waits so long
+LONGEST_LEARN_MS = 500.0  # ... where the process stands still meanwhile
+MOST_HELD = 200  # slots that one message tells
+CEDED_MS = 250.0  # until all nodes ask the one that a group was left to
+RELEARN_MS = 1000.0  # between these questions
+ELSEWHERE_MS = 10_000.0  # slots are held for less: who gave some before then says nothing
 LATE_S = 0.02  # the way of an answer to one that waits
 NEAR_PART = 0.3  # of the time that a request waits in its own zone, if there are others
 REFRESH_MS = 100.0  # how old the members of a group may be at its dispatcher
@@ -106,6 +113,16 @@
     unanswered: bool = False
 
 
+@dataclass(slots=True)
+class _Held:
+    """A slot that a request of this node has."""
+
+    name: GroupName
+    server_id: str
+    until_ms: float
+    keepers: set[Address]  # dispatchers that count it
+
+
 class _Pending:
     """A request that waits for its dispatcher's word."""
 
@@ -139,6 +156,8 @@
     group: Group
     refreshed_ms: float = -1e12  # when its members were last looked up
     used_ms: float = 0.0
+    asked_ms: float = -1e12  # when the nodes were asked what they hold
+    awaited: set[Address] = field(default_factory=set)  # nodes that have not said it yet
 
 
 class SharedSlots:
@@ -166,9 +185,19 @@
         self._send = send
         self._numbers = itertools.count(random.getrandbits(32))
         self._pending: dict[int, _Pending] = {}
+        self._held: dict[int, _Held] = {}
+        self._ceded_ms: dict[GroupName, float] = {}  # groups left to a node that is back
+        self._served_by: dict[GroupName, tuple[str, float]] = {}  # dispatcher, and when
         self._choice = DispatcherChoice()
         self._kept: dict[GroupName, _Kept] = {}
         self._rates: dict[str, RequestRate] = {}  # by server, of all queues that are kept
+        self._handlers: dict[type, Callable[..., None]] = {
+            SlotAsk: self._take_ask,
+            SlotWord: self._take_word,
+            SlotReturn: self._take_return,
+            HeldAsk: self._take_held_ask,
+            HeldWord: self._take_held_word,
+        }
         self.leaving = False  # this node is about to stop: others keep the queues
 
     @property
@@ -222,47 +251,85 @@
         self, name: GroupName, wish: SlotWish, wait_ms: float
     ) -> Iterator[SharedSlot | None]:
         number = next(self._numbers)
-        start_ms = elapsed_ms()
         slot = SharedSlot()
-        pending = self._pending[number] = _Pending()
-        asked = ""
+        asked: list[str] = []
+        self._pending[number] = _Pending()
         try:
-            for _ in range(ASKED_NODES):
-                spent_ms = elapsed_ms() - start_ms
-                left = wish.after(spent_ms)
-                asked = self._choice.asked(name, self._members(), elapsed_ms())
-                if asked and not self._enforces_limits(name, asked):
-                    left = self._without_limited(name, left)
-                ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms))
-                word = self._ask(ask, pending, asked) if asked else None
-                if word is not None and word.queued:
-                    word = self._await_turn(pending, word, ask.wait_ms)
-                if word is None or not word.leaving:
-                    break
-                self._choice.stops(asked, elapsed_ms())
-                pending.word = None
-            if word is not None and not word.server and word.after_ms > 0:
-                raise TurnedAwayError(word.after_ms, asked)
-            slot.server_id = word.server if word else ""
-            slot.dispatcher = asked
+            word = self._await_word(number, name, wish, wait_ms, asked)
+            if word is not None and word.server:
+                slot.server_id, slot.dispatcher = word.server, asked[-1]
+                self._note_given(number, name, slot, wish.hold_ms)
+            elif word is not None and word.after_ms > 0:
+                raise TurnedAwayError(word.after_ms, asked[-1])
             yield slot if slot.server_id else None
         finally:
             del self._pending[number]
-            if asked:
-                back = SlotReturn(
-                    number,
-                    name.service,
-                    name.zone,
-                    name.holder,
-                    slot.took_ms,
-                    slot.failed,
-                    slot.unanswered,
-                    name.regions,
-                    self._directory.limits_of([slot.server_id]),
-                )
-                self._send(back, HostPort.parse(asked))
-
-    def _ask_for(self, number: int, name: GroupName, wish: SlotWish, wait_ms: float) -> SlotAsk:
+            self._give_back(number, name, slot, asked)
+
+    def _await_word(
+        self, number: int, name: GroupName, wish: SlotWish, wait_ms: float, asked: list[str]
+    ) -> SlotWord | None:
+        """Return a dispatcher's last word, asking the next one where one stops or is silent.
+
+        :param asked: takes the nodes that may have given a slot; the last one gave the word.
+        """
+        pending, start_ms, silent = self._pending[number], elapsed_ms(), 0
+        for _ in range(ASKED_NODES):
+            spent_ms = elapsed_ms() - start_ms
+            node = self._choice.asked(name, self._members(), elapsed_ms())
+            if not node or (silent and (spent_ms >= wait_ms or self._is_in_doubt(name, node))):
+                return None
+            left = wish.after(spent_ms)
+            if not self._enforces_limits(name, node):
+                left = self._without_limited(name, left)
+            asked.append(node)
+            ask = self._ask_for(number, name, left, max(0.0, wait_ms - spent_ms), node)
+            word = self._ask(ask, pending, node)
+            if word is not None and word.queued:
+                word = self._await_turn(pending, word, ask.wait_ms)
+            if word is not None and not word.leaving:
+                return word
+            silent += word is None
+            if silent >= SILENT_NODES:
+                return None
+            if word is not None:
+                self._choice.stops(node, elapsed_ms())
+                pending.word = None
+        return None
+
+    def _is_in_doubt(self, name: GroupName, node: str) -> bool:
+        """Whether a node enforces no limits of a group that has some."""
+        return bool(self._limited(name)) and not self._enforces_limits(name, node)
+
+    def _note_given(self, number: int, name: GroupName, slot: SharedSlot, hold_ms: float) -> None:
+        now_ms = elapsed_ms()
+        keepers: set[Address] = {HostPort.parse(slot.dispatcher)}
+        self._held[number] = _Held(name, slot.server_id, now_ms + hold_ms, keepers)
+        self._served_by[name] = slot.dispatcher, now_ms
+
+    def _give_back(
+        self, number: int, name: GroupName, slot: SharedSlot, asked: Sequence[str]
+    ) -> None:
+        """Return a slot, or a place in the queue, to all dispatchers that may count it."""
+        held = self._held.pop(number, None)
+        keepers: set[Address] = {HostPort.parse(node) for node in asked}
+        back = SlotReturn(
+            number,
+            name.service,
+            name.zone,
+            name.holder,
+            slot.took_ms,
+            slot.failed,
+            slot.unanswered,
+            name.regions,
+            self._directory.limits_of([slot.server_id]),
+        )
+        for keeper in keepers | (held.keepers if held else set()):
+            self._send(back, keeper)
+
+    def _ask_for(
+        self, number: int, name: GroupName, wish: SlotWish, wait_ms: float, asked: str
+    ) -> SlotAsk:
         return SlotAsk(
             number,
             name.service,
@@ -277,8 +344,16 @@
             name.regions,
             wish.barred,
             self._directory.limits_of(self._limited(name)),
+            self._had_others(name, asked),
         )
 
+    def _had_others(self, name: GroupName, asked: str) -> bool:
+        """Whether another node than the one that is asked may have given slots lately."""
+        node, at_ms = self._served_by.get(name, ("", 0.0))
+        if node and elapsed_ms() - at_ms < ELSEWHERE_MS:
+            return node != asked
+        return asked != groups.dispatcher(name, self._members(), ())
+
     def _limited(self, name: GroupName) -> list[str]:
         """Return the servers of a group that named a limit."""
         limits = self._directory.servers.standings.limits
@@ -324,12 +399,7 @@
 
     def take(self, message: SlotMessage, peer: Address) -> None:
         """Take a message of another node, or of this one."""
-        if isinstance(message, SlotWord):
-            self._take_word(message, peer)
-        elif isinstance(message, SlotAsk):
-            self._take_ask(message, peer)
-        else:
-            self._take_return(message, peer)
+        self._handlers[type(message)](message, peer)
 
     def _take_word(self, word: SlotWord, peer: Address) -> None:
         if not word.leaving:
@@ -342,14 +412,18 @@
         pending.take(word)
 
     def _take_ask(self, ask: SlotAsk, peer: Address) -> None:
-        if self.leaving:
+        name = GroupName(ask.service, ask.group_zone, ask.holder, ask.regions)
+        ceded_ms = self._ceded_ms.get(name, -1e12)
+        if self.leaving or elapsed_ms() - ceded_ms < CEDED_MS:
             self._send(SlotWord(ask.number, leaving=True), peer)
             return
         self._directory.hear_limits(ask.limits, BY_ASKER)
         now_ms = elapsed_ms()
-        name = GroupName(ask.service, ask.group_zone, ask.holder, ask.regions)
+        is_new = name not in self._kept
         kept = self._kept.setdefault(name, _Kept(Group(rates=self._rates)))
         kept.used_ms = now_ms
+        if is_new or (ask.elsewhere and now_ms - kept.asked_ms >= RELEARN_MS):
+            self._learn_held(name, kept, now_ms)
         if now_ms - kept.refreshed_ms > REFRESH_MS:
             servers = self._directory.servers
             bounds = self._bounds(name)
@@ -368,6 +442,56 @@
         )
         self._answer(kept.group.ask(wish, now_ms))
 
+    def _learn_held(self, name: GroupName, kept: _Kept, now_ms: float) -> None:
+        """Ask all nodes which slots they hold: another dispatcher may have given them."""
+        kept.asked_ms = now_ms
+        kept.awaited = {HostPort.parse(member) for member in self._members()}
+        if not kept.awaited:
+            return
+        kept.group.learn(now_ms + LONGEST_LEARN_MS)
+        ask = HeldAsk(name.service, name.zone, name.holder, name.regions)
+        for address in kept.awaited:
+            self._send(ask, address)
+
+    def _take_held_ask(self, ask: HeldAsk, peer: Address) -> None:
+        name = GroupName(ask.service, ask.group_zone, ask.holder, ask.regions)
+        now_ms = elapsed_ms()
+        self._make_way(name, f"{peer[0]}:{peer[1]}", now_ms)
+        told = []
+        for number, held in self._held.items():
+            if held.name == name:
+                held.keepers.add(peer)
+                told.append((number, held.server_id, held.until_ms - now_ms))
+        word = HeldWord(ask.service, ask.group_zone, ask.holder, ask.regions, told[:MOST_HELD])
+        self._send(word, peer)
+
+    def _make_way(self, name: GroupName, keeper: str, now_ms: float) -> None:
+        """Leave a group to a node that keeps its queue again and ranks before this one.
+
+        Else both would give the same slots, each to the nodes that have it for the dispatcher.
+        """
+        self._choice.returned(keeper)
+        members = self._members()
+        both = {node: members[node] for node in (keeper, self._own) if node in members}
+        if len(both) < 2 or groups.dispatcher(name, both, ()) != keeper:
+            return
+        self._ceded_ms[name] = now_ms
+        kept = self._kept.pop(name, None)
+        if kept is not None:
+            self._dismiss(kept)
+
+    def _take_held_word(self, word: HeldWord, peer: Address) -> None:
+        name = GroupName(word.service, word.group_zone, word.holder, word.regions)
+        kept = self._kept.get(name)
+        if kept is None or peer not in kept.awaited:
+            return
+        now_ms = elapsed_ms()
+        for number, server_id, left_ms in word.held:
+            kept.group.adopt(Asker(peer, number), server_id, left_ms, now_ms)
+        kept.awaited.discard(peer)
+        if not kept.awaited:
+            self._answer(kept.group.learned(now_ms))
+
     def _bounds(self, name: GroupName) -> ServerBounds:
         """Return what bounds the servers of a group whose queue this node keeps.
 
@@ -405,18 +529,11 @@
     def dismiss_waiting(self) -> None:
         """Send those who wait here to the nodes that keep the queues from now on.
 
-        Not before this node is about to end: until then it gives them the slots that
-        come back to it, of which the other nodes don't know.
+        These learn from all nodes which slots are in use.
         """
         for kept in self._kept.values():
             self._dismiss(kept)
 
-    def _hand_over_limited(self, name: GroupName, kept: _Kept, now_ms: float) -> None:
-        """Leave rate-limited servers to the dispatcher that takes over."""
-        kept.group.bind(self._bounds(name))
-        if kept.group.waiting and kept.group.gives_nothing(now_ms):
-            self._dismiss(kept)
-
     def _dismiss(self, kept: _Kept) -> None:
         for asker in kept.group.dismiss():
             self._send(SlotWord(asker.number, leaving=True), asker.node)
@@ -430,10 +547,13 @@
         """Take back slots whose time is over."""
         while True:
             gevent.sleep(TICK_S)
+            gevent.sleep(0)  # what came while the process stood still is read first
             now_ms = elapsed_ms()
             for name, kept in list(self._kept.items()):
-                if self.leaving:
-                    self._hand_over_limited(name, kept, now_ms)
+                if self.leaving or (kept.group.waiting and kept.group.gives_nothing(now_ms)):
+                    self._dismiss(kept)
+                if kept.group.is_learning and now_ms - kept.asked_ms >= LEARN_MS:
+                    self._answer(kept.group.learned(now_ms))
                 if kept.group.waiting:
                     self._answer(kept.group.expire(now_ms))
                 elif now_ms - kept.used_ms > FORGET_MS:
--- a/ploverhatch/gateway/stop_sequence.py
+++ b/ploverhatch/gateway/stop_sequence.py
@@ -42,10 +42,10 @@
         self._forwarder.planned_stop = self._plan
         callers.draining = True
         self._slots.leaving = True
+        self._slots.dismiss_waiting()
         LOG.info("Stopping.", busy=callers.busy, connections=callers.open_connections)
         leaving = gevent.spawn(self._leave)
         self._sleep_until(self._plan.last_call_ms)
-        self._slots.dismiss_waiting()
         self._await_empty(self._plan.listening_until_ms)
         # While new connections come the process is never empty, and it would end
         # with requests under way.
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -15,6 +15,8 @@
 from ploverhatch.gateway.shared_slots import (
     ANSWER_S,
     ASKED_TIMES,
+    LEARN_MS,
+    RELEARN_MS,
     SharedSlots,
     SlotWish,
     TurnedAwayError,
@@ -144,10 +146,10 @@
     keeper = next(node for node in cluster.nodes if node.slots._kept)
     asker = next(node for node in cluster.nodes if node is not keeper)
     keeper.lost = lambda message: True
-    with asker.slots.hold(wish(holder=record(0))) as slot:
-        assert slot is None
-    with asker.slots.hold(wish(holder=record(0))) as slot:
-        assert slot is not None
+    for _ in range(2):
+        with asker.slots.hold(wish(holder=record(0))) as slot:
+            assert slot is not None
+            assert slot.dispatcher != keeper.name
 
 
 def test_a_node_that_is_about_to_stop_leaves_its_queues_to_another(start):
@@ -203,7 +205,8 @@
     asker = next(node for node in nodes if node is not keeper)
     keeper.lost = lambda message: type(message).__name__ == "SlotWord"
     with asker.slots.hold(wish(holder=record(0))) as slot:
-        assert slot is None
+        assert slot is not None
+        assert slot.dispatcher != keeper.name
     keeper.lost = lambda message: False
     gevent.sleep(2 * ANSWER_S)
     assert keeper.slots._kept[HOLDER].group.in_use == 0
@@ -320,11 +323,7 @@
 
 
 def test_slots_that_a_dispatcher_gave_are_known_to_the_next_one(start):
-    """A server gets no more than it has room for, whoever keeps its queue.
-
-    Known of it: leases are kept by the node that gave them. The next one in rank begins with none,
-    and gives the same slots again until the first ones end, about a second later.
-    """
+    """The next dispatcher gave a full server's slots again until the first ones ended."""
     cluster = start([record(0)])
     with ExitStack() as held:
         given = cluster.hold_all(held, 3, 0, holder=record(0))
@@ -333,3 +332,46 @@
         asking = next(number for number, node in enumerate(cluster.nodes) if node is not keeper)
         with pytest.raises(TurnedAwayError):
             cluster.hold_all(held, 1, asking, holder=record(0), wait_ms=30.0)
+
+
+def test_a_slot_that_two_dispatchers_count_goes_back_to_both(start):
+    """The next dispatcher would keep it in use until its time is over."""
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    first, second, third = in_order(cluster)
+    with ExitStack() as held:
+        for _ in range(3):
+            held.enter_context(third.slots.hold(wish(holder=record(0), hold_ms=9000.0)))
+        first.slots.leaving = True
+        with pytest.raises(TurnedAwayError):
+            held.enter_context(third.slots.hold(wish(holder=record(0), wait_ms=30.0)))
+        assert second.slots.in_use == 3
+    gevent.sleep(0.05)
+    assert second.slots.in_use == first.slots.in_use == 0
+
+
+def test_a_dispatcher_that_stood_still_learns_what_another_one_gave(start):
+    """Its own leases ended meanwhile, and it gave the slots of its substitute again."""
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    first, second, third = in_order(cluster)
+    with third.slots.hold(wish(holder=record(0))) as slot:
+        assert slot.dispatcher == first.name
+    first.lost = lambda message: True
+    with ExitStack() as held:
+        for _ in range(3):
+            held.enter_context(third.slots.hold(wish(holder=record(0), hold_ms=9000.0)))
+        assert second.slots.in_use == 3
+        first.lost = lambda message: False
+        gevent.sleep(RELEARN_MS / 1000 + 0.1)  # it is asked again from then on
+        with pytest.raises(TurnedAwayError) as caught:
+            held.enter_context(third.slots.hold(wish(holder=record(0), wait_ms=30.0)))
+        assert caught.value.dispatcher == first.name
+
+
+def test_a_dispatcher_that_learns_waits_for_no_node_that_is_gone(start):
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    first, second, third = in_order(cluster)
+    second.stop()
+    started_ms = elapsed_ms()
+    with third.slots.hold(wish(holder=record(0))) as slot:
+        assert slot.dispatcher == first.name
+    assert elapsed_ms() - started_ms < 2 * LEARN_MS + 100.0
--- /dev/null
+++ b/tests/functional/test_slots_at_restarts.py
@@ -0,0 +1,90 @@
+"""What servers get while the gateways that give their slots are stopped or killed in turn."""
+
+import signal
+from math import inf
+
+import gevent
+import pytest
+
+from ploverhatch.common.clock import elapsed_ms
+from tests.standin.callers import Caller
+from tests.standin.site import PLAIN, StandinSite, request_id
+
+GATEWAYS = 4
+SERVERS = 3
+SLOTS = 4
+ROOM = 6  # of a server: its slots and half as many that wait there
+WORK_S = 0.9
+CALLERS = 30
+KNOWN_S = 6.0  # until all nodes know each other
+EACH_S = 4.0
+SERVED_PART = 0.8  # of what the servers' slots can do
+LINK_S = 0.005
+
+
+@pytest.fixture
+def site():
+    made = StandinSite(GATEWAYS, keyed=1, plain=SERVERS)
+    yield made
+    made.close()
+
+
+def beyond_room(upstream, sent, from_s):
+    """Return how many requests arrived while as many as the server has room for were there.
+
+    One is there until its work ends, its caller has an answer, or its gateway is killed.
+    """
+    ends = {request_id(work.request): work.end_s for work in upstream.work}
+    spans = []
+    for request in upstream.arrived:
+        one = sent[request_id(request)]
+        killed = [start for start, end in one.life.faults if end == inf]
+        answered_s = one.sent_s + one.took_s if one.took_s else inf
+        end_s = min(ends.get(one.name) or inf, answered_s, *killed, inf)
+        spans.append((request.received_ms / 1000, end_s))
+    return sum(
+        sum(start < at and end > at + LINK_S for start, end in spans) >= ROOM
+        for at, _ in spans
+        if at >= from_s
+    )
+
+
+@pytest.mark.parametrize("number", [None, signal.SIGTERM, signal.SIGKILL])
+def test_a_full_server_gets_no_more_while_dispatchers_change(site, number):
+    """Each planned stop and each loss of a dispatcher had a full server's slots given again."""
+    callers = [Caller(f"p{n}", "/p/a") for n in range(CALLERS)]
+    with gevent.Timeout(20.0):
+        for gateway in site.gateways:
+            while callers[0].ask(gateway).status != 200:
+                gevent.sleep(0.05)
+    for upstream in site.upstreams.values():
+        upstream.behaviour.work_s = WORK_S
+        upstream.arrived.clear()
+        upstream.work.clear()
+    tasks = []
+    for index, caller in enumerate(callers):
+        first = index % GATEWAYS
+        order = site.gateways[first:] + site.gateways[:first]
+        tasks.append(gevent.spawn(caller.ask_forever, order))
+    gevent.sleep(KNOWN_S)
+    start_s = elapsed_ms() / 1000
+    for gateway in site.gateways:
+        if number == signal.SIGTERM:
+            gateway.life.stop()
+            gevent.spawn(restart, gateway)
+        elif number == signal.SIGKILL:
+            gateway.life.kill()
+            gateway.start()
+        gevent.sleep(EACH_S)
+    gevent.killall(tasks)
+    sent = {one.name: one for caller in callers for one in caller.asked}
+    servers = [upstream for upstream in site.upstreams.values() if upstream.service == PLAIN]
+    beyond = {upstream.server_id: beyond_room(upstream, sent, start_s) for upstream in servers}
+    assert beyond == dict.fromkeys(beyond, 0)
+    served = sum(one.status == 200 for one in sent.values() if one.sent_s >= start_s)
+    assert served > SERVERS * SLOTS * GATEWAYS * EACH_S / WORK_S * SERVED_PART
+
+
+def restart(gateway):
+    gateway.life.finish()
+    gateway.start()
