Count a connection as busy from the first byte of a request

Callers saw: a planned stop of a node of the node program cut a connection on which a part of a request's first line had come, without an answer.

Cause: it counted as idle until that line was whole, and its bytes had left the socket already, where the look for unread ones found none.

Evidence: the test's connection ends without an answer at the linger time, in each run.

Change: the handler looks for the first byte before it reads the line. The administration API is the same server; the gateway's parser tells of a request at its first byte.

--- a/ploverhatch/transport/http_server.py
+++ b/ploverhatch/transport/http_server.py
@@ -73,8 +73,9 @@
             server.connections.discard(self)
 
     def read_requestline(self) -> Any:
-        """Read a request's first line; until then the connection is idle."""
+        """Read a request's first line; until its first byte the connection is idle."""
         self.idle = True
+        self.idle = not self.rfile.peek(1)
         line = super().read_requestline()
         self.idle = not line
         return line
--- a/tests/functional/test_planned_stop_elsewhere.py
+++ b/tests/functional/test_planned_stop_elsewhere.py
@@ -152,11 +152,7 @@
 
 
 def test_a_request_whose_first_line_is_being_read_is_finished(served):
-    """As one whose later lines are: its caller has begun to send it.
-
-    Known of it: the library's handler counts a request as begun once its first line is whole, so
-    that one which is split there looks like a connection at rest.
-    """
+    """It looked like a connection at rest until its first line was whole, and was cut."""
     slow = served.connect()
     head = request(b"/0")
     slow.sendall(head[:6])
