Read pages that hold deep nesting beside a number that is none

Callers saw: nothing yet; a page with an entry of 3,000 levels and another one's NaN was refused as a whole, so that a node would have learned of no server.

Cause: the parser that doesn't recurse refuses NaN, which the strict one's fallback takes.

Change: numbers that are none are replaced outside strings, before that parser reads, by one too large for a float. Their entry is unreadable then, and no other one is.

The listed test failed before, its check is unchanged. Its page, and a new test with such words inside strings, pass.

--- a/ploverhatch/platform/pages.py
+++ b/ploverhatch/platform/pages.py
@@ -7,6 +7,7 @@
 import io
 import json
 import math
+import re
 from dataclasses import dataclass
 from decimal import Decimal
 from typing import Any, TypeVar
@@ -191,7 +192,7 @@
     import ijson  # noqa: PLC0415
 
     builder, level = ijson.ObjectBuilder(), 0
-    text = body.decode("utf-8", "replace").encode()
+    text = _NO_NUMBER.sub(_infinite, body.decode("utf-8", "replace").encode())
     try:
         for event, value in ijson.basic_parse(io.BytesIO(text)):
             level -= event in _ENDS
@@ -205,5 +206,11 @@
     return builder.value
 
 
+def _infinite(found: re.Match[bytes]) -> bytes:
+    """Return what the parser takes in place of a number that is none; strings stay."""
+    return found[0] if found[0].startswith(b'"') else b"1e999"
+
+
+_NO_NUMBER = re.compile(rb'"(?:[^"\\]|\\.)*"|-?(?:NaN|Infinity)', re.DOTALL)
 _STARTS = frozenset({"start_map", "start_array"})
 _ENDS = frozenset({"end_map", "end_array"})
--- a/tests/unit/test_store_pages.py
+++ b/tests/unit/test_store_pages.py
@@ -91,12 +91,19 @@
 
 
 def test_a_nested_object_and_a_number_that_is_none_leave_the_others():
-    """Each alone leaves them; together the page is refused, as no parser here takes both."""
+    """The parser that takes the one refuses the other, and the whole page was refused."""
     deep = odd(b"[" * 3000 + b"]" * 3000)
     page = pages.read_page(b'{"items":[%s,%s,%s],"at":9}' % (deep, odd(b"NaN"), SOUND))
     assert page.items[2].spec == {"x": 1}
 
 
+def test_text_that_looks_like_a_number_that_is_none_stays():
+    deep = odd(b"[" * 3000 + b"]" * 3000)
+    named = b'{"metadata":{"name":"NaN","revision":2},"spec":{"x":"a \\" -Infinity"}}'
+    page = pages.read_page(b'{"items":[%s,%s],"at":9}' % (deep, named))
+    assert (page.items[1].name, page.items[1].spec) == ("NaN", {"x": 'a " -Infinity'})
+
+
 @pytest.mark.parametrize("item", [b"{}", b"[]", b"7", b'{"metadata":{"name":7}}', b"null"])
 def test_an_object_without_a_name_is_left_out(item):
     page = pages.read_page(b'{"items":[%s,%s],"at":9}' % (item, SOUND))
