--- a/tests/functional/test_servers_that_leave_or_rest.py
+++ b/tests/functional/test_servers_that_leave_or_rest.py
@@ -125,12 +125,11 @@
     assert play.served(PLAIN, start_s) == play.served(KEYED, start_s) == 1.0
 
 
-def test_where_all_holders_leave_while_the_store_is_away_callers_are_told_at_once(play):
-    """Their keys can go nowhere; the store's return brings them back."""
+def leave_without_the_store(play, leaving):
+    """Have servers leave while the store is away; return when, after 5 s with callers."""
     play.site.store.faults.silent = True
     play.site.store.wake()
     gevent.sleep(0.5)
-    leaving = [play.busiest()[0], *play.upstreams(KEYED)]
     for upstream in leaving:
         upstream.behaviour.leaving = True
     start_s = now_s()
@@ -138,40 +137,34 @@
     play.stop_callers()
     assert late_to_leaving(play.site, play.sent) == []
     assert play.served(PLAIN, start_s) >= SERVED
+    return start_s
+
+
+def assert_served_with_the_store(play):
+    play.site.store.faults.silent = False
+    gevent.sleep(6.0)
+    callers = play.callers[KEYED]
+    for gateway in play.site.gateways:
+        assert [caller.ask(gateway).status for caller in callers] == [200] * len(callers)
+
+
+def test_where_all_holders_leave_while_the_store_is_away_callers_are_told_at_once(play):
+    """Their keys can go nowhere; the store's return brings them back."""
+    start_s = leave_without_the_store(play, [play.busiest()[0], *play.upstreams(KEYED)])
     refused = [one for one in play.asked(KEYED, start_s + DRAIN_S) if one.status != 200]
     assert {one.status for one in refused} == {503}
     assert sorted(one.took_s for one in refused)[len(refused) * 9 // 10] < AT_ONCE_S
     for _ in range(KEYED_UPSTREAMS):
         play.site.start_upstream(KEYED)
-    play.site.store.faults.silent = False
-    gevent.sleep(6.0)
-    for gateway in play.site.gateways:
-        assert [caller.ask(gateway).status for caller in play.callers[KEYED]] == [200] * len(
-            play.callers[KEYED]
-        )
+    assert_served_with_the_store(play)
 
 
 def test_one_that_leaves_while_the_store_is_away_gets_nothing_more(play):
-    play.site.store.faults.silent = True
-    play.site.store.wake()
-    gevent.sleep(0.5)
-    leaving = play.busiest()
-    for upstream in leaving:
-        upstream.behaviour.leaving = True
-    start_s = now_s()
-    gevent.sleep(5.0)
-    play.stop_callers()
-    assert late_to_leaving(play.site, play.sent) == []
-    assert play.served(PLAIN, start_s) >= SERVED
+    start_s = leave_without_the_store(play, play.busiest())
     assert play.served(KEYED, start_s + DRAIN_S) >= SERVED
     refused = [one for one in play.asked(KEYED, start_s) if one.status != 200]
     assert {one.status for one in refused} <= {503}
-    play.site.store.faults.silent = False
-    gevent.sleep(6.0)
-    for gateway in play.site.gateways:
-        assert [caller.ask(gateway).status for caller in play.callers[KEYED]] == [200] * len(
-            play.callers[KEYED]
-        )
+    assert_served_with_the_store(play)
 
 
 def test_keys_of_one_that_leaves_are_served_while_the_store_is_away(play):
