Take a leader's term before its maps are read

Found by reading the diff. A leader that lost its lease while it read the key maps, and won it again, would have gone on with maps of before: the term that its loop compares was taken after the read, which waits for the store. No test shows it.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -103,9 +103,9 @@
     def run(self) -> None:
         """Lead until the lease is lost."""
         try:
+            term = self._elector.state.seen.term
             self._load_maps()
             next_forget_ms = elapsed_ms() + FORGET_EVERY_MS
-            term = self._elector.state.seen.term
             # Authority may lapse while the store is away. The term goes on once the lease is
             # renewed: no other node has led meanwhile.
             while self._elector.state.leading and self._elector.state.seen.term == term:
