--- /dev/null
+++ b/tests/functional/test_key_leader_terms.py
@@ -0,0 +1,47 @@
+"""A leader of keys acts by the maps of its own term only."""
+
+from types import SimpleNamespace
+
+from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.key_leader import KeyLeader
+from ploverhatch.platform.dialect import PlatformDialect
+from ploverhatch.store.objects import Listing
+
+
+class Elector:
+    """A node that leads; its term ends and another of its own begins while the store reads."""
+
+    def __init__(self):
+        seen = SimpleNamespace(term=1)
+        self.state = SimpleNamespace(
+            leading=True, seen=seen, inherited_until_ms=0.0, renewed_ms=0.0
+        )
+        self.has_authority = self.may_change = True
+
+
+# Maps read in one term were used in the next one, in which another leader may have changed them.
+def test_maps_that_were_read_in_an_earlier_term_are_not_used():
+    elector, ticks = Elector(), []
+
+    def list_all(kind):
+        elector.state.seen.term = 3
+        return Listing((), 1)
+
+    leader = KeyLeader(
+        SimpleNamespace(list_all=list_all),
+        Directory(),
+        elector,
+        PlatformDialect(),
+        4000.0,
+        lambda keymap: None,
+        lambda service, token: None,
+        lambda service, revision, tokens: None,
+    )
+
+    def tick():
+        ticks.append(elector.state.seen.term)
+        elector.state.leading = False
+
+    leader._tick = tick
+    leader.run()
+    assert ticks == []
