--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -538,10 +538,12 @@
         for asker in kept.group.dismiss():
             self._send(SlotWord(asker.number, leaving=True), asker.node)
 
-    def _forget_ceded(self, now_ms: float) -> None:
-        over = [name for name, at_ms in self._ceded_ms.items() if now_ms - at_ms >= CEDED_MS]
-        for name in over:
-            del self._ceded_ms[name]
+    def _forget_old(self, now_ms: float) -> None:
+        ceded, served_by = self._ceded_ms, self._served_by
+        for name in [known for known, at_ms in ceded.items() if now_ms - at_ms >= CEDED_MS]:
+            del ceded[name]
+        for name in [known for known, row in served_by.items() if now_ms - row[1] >= ELSEWHERE_MS]:
+            del served_by[name]
 
     def _forget_rates(self) -> None:
         known = self._directory.servers.records
@@ -554,7 +556,7 @@
             gevent.sleep(TICK_S)
             gevent.sleep(0)  # what came while the process stood still is read first
             now_ms = elapsed_ms()
-            self._forget_ceded(now_ms)
+            self._forget_old(now_ms)
             for name, kept in list(self._kept.items()):
                 if self.leaving or (kept.group.waiting and kept.group.gives_nothing(now_ms)):
                     self._dismiss(kept)
