Hold requests of a full server through a moment's silence

What callers saw: a server whose slots were all in use and that stood still for a moment had its requests refused at once, with 503, result 2103 and a Retry-After of 2 s, though their time limit was 2 s.

Cause: a server whose slots are all in use and that hasn't answered for 4 times its mean service time is unresponsive, and an unresponsive server counted as one that completes nothing. Where all servers of a group are unresponsive (a holder of keys is a group of one) the expected wait was infinite: whoever waited was rejected, and so was whoever came. With a service time of 10 ms a pause of 40 ms was enough.

Evidence: each refused request has the line `status=503 result=2103 slot=turned-away:inf@NODE attempts=-` in the gateway's log.

Change: an unresponsive server is expected to stay silent for as long again as it has been, and to go on at its pace then. A request is rejected once that outlasts its time limit, and those that wait are when it does. So one that came at the start of a silence waits for half of its time, one that comes after a silence as long as its time is told at once. As many as before may wait for a server (32 for each slot), and an unresponsive one still gets one request at a time. A probe without an answer doesn't end the silence. The same rule holds where some servers of a group are silent; a rate of 0 still gives an infinite wait, as no request may be sent.

Why it works: silences of 60 and 250 ms are over before half of the time limit is. The rule that came with guards against servers that are gone; it still does after a silence of the length of the time limit.

test_requests_waiting_for_an_unresponsive_server_are_rejected_before_its_requests_time_out took a rejection after 4 service times for granted, whatever time the request had left; that is the fault. It asks for the rejection at the moment after which the request can't be served, before the server's requests time out, and for the Retry-After.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ploverhatch.admission.expected_wait import ServerPace, expected_wait_ms
 from ploverhatch.admission.request_rate import NO_BOUND, RequestRate, ServerBounds
 from ploverhatch.state.servers import ServerRecord
 
@@ -102,11 +103,11 @@
     zone: str
     rate: RequestRate
     bounds: ServerBounds
+    last_answer_ms: float  # last answer, or the first request after an idle time
     service_ms: float = 0.0  # 0: unknown
     failing_until_ms: float = 0.0
     in_use: int = 0
     unanswered: int = 0  # requests in a row that got no answer
-    last_answer_ms: float = -math.inf  # last answer, or the first request after an idle time
 
     @property
     def capacity(self) -> int:
@@ -135,6 +136,12 @@
         full = self.service_ms > 0 and self.in_use >= self.slots
         return full and now_ms - self.last_answer_ms > UNRESPONSIVE_FACTOR * self.service_ms
 
+    def pace(self, mean_ms: float, now_ms: float) -> ServerPace:
+        """Return what to expect of it, with a service time to assume while its own is unknown."""
+        silence_ms = now_ms - self.last_answer_ms if self.is_unresponsive(now_ms) else 0.0
+        per_ms = min(self.per_s(now_ms) / 1000, self.slots / (self.service_ms or mean_ms))
+        return ServerPace(silence_ms, per_ms)
+
     def accepts_request(self, now_ms: float) -> bool:
         """Return whether a request may be sent to it now."""
         capacity = 1 if self.is_unresponsive(now_ms) else self.capacity
@@ -143,11 +150,15 @@
         self.rate.set_rate(self.per_s(now_ms), now_ms)
         return self.rate.per_s == NO_BOUND or self.rate.has_token(now_ms)
 
-    def note_grant(self, now_ms: float) -> None:
-        """Count a slot granted now."""
-        if not self.in_use:
+    def note_in_use(self, now_ms: float) -> None:
+        """Count a slot in use; a probe of an unresponsive server doesn't end its silence."""
+        if not self.in_use and self.unanswered < UNRESPONSIVE_AFTER_REQUESTS:
             self.last_answer_ms = now_ms
         self.in_use += 1
+
+    def note_grant(self, now_ms: float) -> None:
+        """Count a slot granted now."""
+        self.note_in_use(now_ms)
         self.rate.set_rate(self.per_s(now_ms), now_ms)
         if self.rate.per_s < NO_BOUND:
             self.rate.take_token(now_ms)
@@ -197,7 +208,7 @@
         for record in records:
             if record.server_id not in self._servers:
                 rate = self.rates.setdefault(record.server_id, RequestRate(NO_BOUND, now_ms))
-                server = _Server(record.server_id, record.slots, record.zone, rate, bounds)
+                server = _Server(record.server_id, record.slots, record.zone, rate, bounds, now_ms)
                 server.in_use = sum(
                     lease.server_id == record.server_id for lease in self._leases.values()
                 )
@@ -277,18 +288,13 @@
             return
         queued = server.in_use >= server.slots
         self._leases[requester] = _Lease(server_id, now_ms + left_ms, queued)
-        server.in_use += 1
+        server.note_in_use(now_ms)
 
     def finish_learning(self, now_ms: float) -> list[SlotResult]:
         """Grant free slots, and reject waiting requests that can't get one in time."""
         self._learning_until_ms = -math.inf
         results = self.expire(now_ms)
-        unservable = [
-            request
-            for ahead, request in enumerate(self._waiting)
-            if self._expected_wait_ms(ahead, now_ms) > request.expires_ms - now_ms
-        ]
-        return results + self._reject(unservable, now_ms)
+        return results + self._reject(self._unservable(now_ms), now_ms)
 
     def set_bounds(self, bounds: ServerBounds) -> None:
         """Replace the rate bounds of all servers."""
@@ -315,8 +321,9 @@
             server = self._servers.get(self._leases.pop(requester).server_id)
             if server is not None:
                 server.in_use -= 1
-        unservable = self._all_are_unresponsive(now_ms)
-        over = [request for request in self._waiting if unservable or request.expires_ms <= now_ms]
+        over = [request for request in self._waiting if request.expires_ms <= now_ms]
+        if self._all_are_unresponsive(now_ms):
+            over = self._unservable(now_ms)
         results = self._reject(over, now_ms)
         results += self._grant_free_slots(now_ms)
         if any(request.useful_until_ms > now_ms for request in self._waiting):
@@ -386,23 +393,27 @@
         return QUEUE_PLACES_PER_SLOT * sum(server.slots for server in self._servers.values())
 
     def _all_are_unresponsive(self, now_ms: float) -> bool:
-        """Return whether all servers are unresponsive, so that waiting requests are rejected."""
+        """Return whether all servers are unresponsive and none gets another request."""
         return all(
             server.is_unresponsive(now_ms) and server.in_use for server in self._servers.values()
         )
 
+    def _unservable(self, now_ms: float) -> list[SlotRequest]:
+        """Return the waiting requests that can't expect a slot in time."""
+        paces = self._paces(now_ms)
+        return [
+            request
+            for ahead, request in enumerate(self._waiting)
+            if expected_wait_ms(paces, ahead) > request.expires_ms - now_ms
+        ]
+
     def _expected_wait_ms(self, ahead: int, now_ms: float) -> float:
         """Return the expected wait of a request that has so many ahead of it in the queue."""
-        mean_ms = self._mean_service_ms
-        per_ms = sum(_per_ms(server, mean_ms, now_ms) for server in self._servers.values())
-        return (ahead + 1) / per_ms if per_ms else math.inf
+        return expected_wait_ms(self._paces(now_ms), ahead)
 
-
-def _per_ms(server: _Server, mean_ms: float, now_ms: float) -> float:
-    """Return how many requests a server completes per millisecond."""
-    if server.is_unresponsive(now_ms):
-        return 0.0
-    return min(server.per_s(now_ms) / 1000, server.slots / (server.service_ms or mean_ms))
+    def _paces(self, now_ms: float) -> list[ServerPace]:
+        mean_ms = self._mean_service_ms
+        return [server.pace(mean_ms, now_ms) for server in self._servers.values()]
 
 
 def _expected_ms(server: _Server, zone: str, mean_ms: float, now_ms: float) -> float:
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -34,6 +34,7 @@
     leaving: bool = False  # announced in all answers
     backoff_s: float = 0.0  # nonzero: each request is rejected with this Retry-After
     limit: str = ""  # requests a second from all callers, announced in all answers; empty: none
+    paused_until_s: float = 0.0  # elapsed seconds until which nothing is read, run or answered
 
 
 @dataclass
@@ -99,8 +100,18 @@
             {"state": state, "call_seq": 1, "cold_remaining_ms": 0},
         )
 
+    def pause(self, duration_s):
+        """Stand still for a time, as in a garbage collection or a suspension of the machine."""
+        self.behaviour.paused_until_s = elapsed_ms() / 1000 + duration_s
+
+    def _await_end_of_pause(self):
+        while (left_s := self.behaviour.paused_until_s - elapsed_ms() / 1000) > 0:
+            gevent.sleep(left_s)
+
     def handle(self, request):
+        self._await_end_of_pause()
         reply = self._handle(request)
+        self._await_end_of_pause()
         if self.behaviour.leaving:
             reply.headers.append((b"Server-Leaving", b"1"))
         if self.behaviour.limit:
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -11,6 +11,7 @@
 from ploverhatch.admission import groups
 from ploverhatch.admission.dispatcher import (
     FAILING_MS,
+    QUEUE_PLACES_PER_SLOT,
     UNRESPONSIVE_FACTOR,
     Group,
     NoKnownServer,
@@ -399,12 +400,53 @@
 def test_requests_waiting_for_an_unresponsive_server_are_rejected_before_its_requests_time_out():
     group = unresponsive_group()
     group.request_slot(slot_request(8, until_ms=5000.0), 150.0)
-    group.request_slot(slot_request(9, until_ms=5000.0), 150.0)
+    group.request_slot(slot_request(9, until_ms=2900.0), 150.0)
+    group.request_slot(slot_request(10, until_ms=5000.0), 150.0)
     assert group.in_use == 3  # one of them is queued at the server
-    assert group.expire(400.0) == []
-    (result,) = group.expire(100.0 + 100.0 * UNRESPONSIVE_FACTOR + 1)
+    assert group.expire(1400.0) == []  # the silence of 1300 ms may end in time
+    (result,) = group.expire(1500.0)
     assert isinstance(result, SlotRejected)
     assert result.requester.number == 9
+    assert 1400.0 < result.retry_after_ms < 1600.0
+    (result,) = group.expire(2600.0)
+    assert isinstance(result, SlotRejected)
+    assert result.requester.number == 10
+
+
+def test_a_short_silence_of_a_full_server_rejects_only_what_it_may_outlast():
+    """Guards against rejecting at once what a full server serves after a pause."""
+    group = unresponsive_group()
+    group.request_slot(slot_request(8, until_ms=5000.0), 150.0)
+    now_ms = 100.0 + 100.0 * UNRESPONSIVE_FACTOR + 50.0
+    assert isinstance(group.request_slot(slot_request(9, until_ms=1600.0), now_ms)[0], SlotQueued)
+    (result,) = group.request_slot(slot_request(10, until_ms=1000.0), now_ms)
+    assert isinstance(result, SlotRejected)
+    assert 450.0 < result.retry_after_ms < 700.0
+    results = group.release(Requester(NODE, 2), 500.0, False, now_ms + 50.0)
+    assert granted_numbers(results) == [9]
+
+
+def test_a_probe_does_not_end_the_silence_of_a_server():
+    group = unresponsive_group()
+    for number in (2, 3):
+        group.release(Requester(NODE, number), 0.0, True, 3000.0, unanswered=True)
+    for number, now_ms in ((10, 3000.0), (20, 4000.0)):
+        probe = slot_request(number, until_ms=now_ms + 900.0)
+        assert isinstance(group.request_slot(probe, now_ms)[0], SlotGranted)
+        other = slot_request(number + 1, until_ms=now_ms + 900.0)
+        assert isinstance(group.request_slot(other, now_ms + 1.0)[0], SlotRejected)
+        group.release(Requester(NODE, number), 0.0, True, now_ms + 900.0, unanswered=True)
+
+
+def test_few_requests_wait_for_an_unresponsive_server():
+    group = unresponsive_group()
+    results = [
+        group.request_slot(slot_request(number, until_ms=9000.0), 600.0)[0]
+        for number in range(10, 1000)
+    ]
+    waiting = sum(isinstance(result, SlotQueued) for result in results)
+    assert waiting <= 2 * QUEUE_PLACES_PER_SLOT
+    assert sum(isinstance(result, SlotRejected) for result in results) == len(results) - waiting
 
 
 def test_an_unresponsive_server_gets_one_request_at_a_time():
