Queue a request at a full server only if it can end in time there

Cause: a dispatcher grants half as many requests as a server has slots beyond these, to hide the time from a release to the next arrival. It did so whatever time a request had left: a slot is of use for 0.55 of the time limit, then up to two service times followed. A server doesn't notice that a request that waits there has ended.

Change: the dispatcher records when requests began to run at a server, and grants a place behind full slots only where the end of the one before and a service time come before the deadline. A request for which they don't waits at the dispatcher, in its order, for a free slot, where it is told in time if there is none.

Ruled out: rejecting by the estimate where a slot is free, and passing over the one in front: the mean service time is over all routes of a service, so a short request behind long ones would starve.

Tests: four in test_dispatcher.py; the first and the last two fail without the check.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -59,6 +59,7 @@
     avoid: str = ""  # the server that failed the request before
     zone: str = ""  # of the node that sent the request
     excluded: frozenset[str] = frozenset()  # servers that the node may not use
+    deadline_ms: float = math.inf  # a later answer is of no use
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +107,16 @@
     last_answer_ms: float  # last answer, or the first request after an idle time
     service_ms: float = 0.0  # 0: unknown
     failing_until_ms: float = 0.0
-    in_use: int = 0
+    # When the requests there began to run, in the order of their grants; infinite while one waits
+    # at the server.
+    started_ms: dict[Requester, float] = field(default_factory=dict)
     unanswered: int = 0  # requests in a row that got no answer
 
+    @property
+    def in_use(self) -> int:
+        """Number of slots granted and not released."""
+        return len(self.started_ms)
+
     @property
     def capacity(self) -> int:
         """Maximum of slots granted at the same time."""
@@ -150,15 +158,34 @@
         self.rate.set_rate(self.per_s(now_ms), now_ms)
         return self.rate.per_s == NO_BOUND or self.rate.has_token(now_ms)
 
-    def note_in_use(self, now_ms: float) -> None:
+    def expected_end_ms(self, mean_ms: float, now_ms: float) -> float:
+        """Return when a request that is sent now is expected to be answered, at the earliest.
+
+        :param mean_ms: the service time to assume while its own is unknown.
+        """
+        service_ms = self.service_ms or mean_ms
+        ahead = self.in_use - self.slots
+        if ahead < 0:
+            return now_ms + service_ms
+        ends_ms = sorted(max(now_ms, at_ms + service_ms) for at_ms in self.started_ms.values())
+        return ends_ms[ahead] + service_ms
+
+    def note_in_use(self, requester: Requester, now_ms: float) -> None:
         """Count a slot in use; a probe of an unresponsive server doesn't end its silence."""
         if not self.in_use and self.unanswered < UNRESPONSIVE_AFTER_REQUESTS:
             self.last_answer_ms = now_ms
-        self.in_use += 1
+        self.started_ms[requester] = now_ms if self.in_use < self.slots else math.inf
+
+    def note_free(self, requester: Requester, now_ms: float) -> None:
+        """Count a slot as free; the next request that waits at the server begins to run."""
+        del self.started_ms[requester]
+        waiting = [other for other, at_ms in self.started_ms.items() if at_ms == math.inf]
+        if waiting and self.in_use - len(waiting) < self.slots:
+            self.started_ms[waiting[0]] = now_ms
 
-    def note_grant(self, now_ms: float) -> None:
+    def note_grant(self, requester: Requester, now_ms: float) -> None:
         """Count a slot granted now."""
-        self.note_in_use(now_ms)
+        self.note_in_use(requester, now_ms)
         self.rate.set_rate(self.per_s(now_ms), now_ms)
         if self.rate.per_s < NO_BOUND:
             self.rate.take_token(now_ms)
@@ -209,9 +236,9 @@
             if record.server_id not in self._servers:
                 rate = self.rates.setdefault(record.server_id, RequestRate(NO_BOUND, now_ms))
                 server = _Server(record.server_id, record.slots, record.zone, rate, bounds, now_ms)
-                server.in_use = sum(
-                    lease.server_id == record.server_id for lease in self._leases.values()
-                )
+                for requester, lease in self._leases.items():
+                    if lease.server_id == record.server_id:
+                        server.note_in_use(requester, now_ms)
                 self._servers[record.server_id] = server
             server = self._servers[record.server_id]
             server.bounds = bounds
@@ -263,7 +290,7 @@
         lease = self._leases.pop(requester, None)
         server = self._servers.get(lease.server_id) if lease else None
         if server is not None:
-            server.in_use -= 1
+            server.note_free(requester, now_ms)
             server.note_end(unanswered, service_ms > 0 or failed, now_ms)
             if failed:
                 server.failing_until_ms = now_ms + FAILING_MS
@@ -288,7 +315,7 @@
             return
         queued = server.in_use >= server.slots
         self._leases[requester] = _Lease(server_id, now_ms + left_ms, queued)
-        server.note_in_use(now_ms)
+        server.note_in_use(requester, now_ms)
 
     def finish_learning(self, now_ms: float) -> list[SlotResult]:
         """Grant free slots, and reject waiting requests that can't get one in time."""
@@ -320,7 +347,7 @@
         ]:
             server = self._servers.get(self._leases.pop(requester).server_id)
             if server is not None:
-                server.in_use -= 1
+                server.note_free(requester, now_ms)
         over = [request for request in self._waiting if request.expires_ms <= now_ms]
         if self._all_are_unresponsive(now_ms):
             over = self._unservable(now_ms)
@@ -360,7 +387,7 @@
         server = self._servers[server_id]
         queued = server.in_use >= server.slots
         self._leases[request.requester] = _Lease(server_id, now_ms + request.lease_ms, queued)
-        server.note_grant(now_ms)
+        server.note_grant(request.requester, now_ms)
         return SlotGranted(request.requester, server_id)
 
     def _choose_server(self, request: SlotRequest, now_ms: float) -> str | None:
@@ -371,7 +398,9 @@
         free = [
             (server_id, server)
             for server_id, server in self._servers.items()
-            if server_id not in request.excluded and server.accepts_request(now_ms)
+            if server_id not in request.excluded
+            and server.accepts_request(now_ms)
+            and not _is_too_late(server, request, mean_ms, now_ms)
         ]
         sound = [
             item for item in free if item[1].failing_until_ms <= now_ms and item[0] != request.avoid
@@ -416,6 +445,16 @@
         return [server.pace(mean_ms, now_ms) for server in self._servers.values()]
 
 
+def _is_too_late(server: _Server, request: SlotRequest, mean_ms: float, now_ms: float) -> bool:
+    """Return whether a request that would wait at a full server misses its deadline there.
+
+    It then waits for a slot that is free instead, and is rejected if it gets none in time. A
+    server doesn't notice that a request that waits there has ended, and runs it for nobody.
+    """
+    full = server.in_use >= server.slots
+    return full and server.expected_end_ms(mean_ms, now_ms) > request.deadline_ms
+
+
 def _expected_ms(server: _Server, zone: str, mean_ms: float, now_ms: float) -> float:
     """Return the expected time of a request there, weighted in favor of its own zone."""
     service_ms = server.service_ms or mean_ms
--- a/ploverhatch/experiment/keys_world.py
+++ b/ploverhatch/experiment/keys_world.py
@@ -24,12 +24,8 @@
     SlotRequest,
     SlotResult,
 )
-from ploverhatch.gateway.forwarder import (
-    LEASE_MARGIN_MS,
-    MOVE_FRACTION,
-    USEFUL_FRACTION,
-    WAIT_FRACTION,
-)
+from ploverhatch.gateway.forwarder import MOVE_FRACTION, USEFUL_FRACTION, WAIT_FRACTION
+from ploverhatch.gateway.shared_slots import LEASE_MARGIN_MS
 from ploverhatch.sharding import load_estimate
 from ploverhatch.sharding.keymap import KEY_COUNT, KeyMap
 from ploverhatch.sharding.leader_core import LeaderCore
@@ -284,6 +280,7 @@
             start_ms + scenario.deadline_ms * WAIT_FRACTION,
             start_ms + scenario.deadline_ms - self.now_ms + LEASE_MARGIN_MS,
             zone="zone",
+            deadline_ms=start_ms + scenario.deadline_ms,
         )
         self._requested[request.number] = request
         self._handle_results(server, server.group.request_slot(slot_request, self.now_ms))
--- a/ploverhatch/experiment/slots_policies.py
+++ b/ploverhatch/experiment/slots_policies.py
@@ -25,8 +25,8 @@
 )
 from ploverhatch.admission.groups import GroupName
 from ploverhatch.experiment.slots_world import SERVICE, Request, World
-from ploverhatch.gateway.forwarder import LEASE_MARGIN_MS, USEFUL_FRACTION, WAIT_FRACTION
-from ploverhatch.gateway.shared_slots import OWN_ZONE_WAIT_FRACTION
+from ploverhatch.gateway.forwarder import USEFUL_FRACTION, WAIT_FRACTION
+from ploverhatch.gateway.shared_slots import LEASE_MARGIN_MS, OWN_ZONE_WAIT_FRACTION
 from ploverhatch.routing import balancer
 from ploverhatch.routing.answer_time import AnswerTime
 from ploverhatch.routing.balancer import ServerLoad
@@ -170,6 +170,7 @@
             expires_ms=request.arrived_ms + scenario.deadline_ms * WAIT_FRACTION,
             lease_ms=scenario.deadline_ms + LEASE_MARGIN_MS,
             zone=zone,
+            deadline_ms=request.arrived_ms + scenario.deadline_ms,
         )
         self._request_slot(request, slot_request, candidates)
 
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -30,6 +30,7 @@
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
 from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
 from ploverhatch.gateway.shared_slots import (
+    LEASE_MARGIN_MS,
     SharedSlot,
     SharedSlots,
     SlotRequirements,
@@ -63,7 +64,6 @@
 USEFUL_FRACTION = 0.5
 # The share of the request's time limit after which a granted slot comes too late for an answer.
 WAIT_FRACTION = 0.55
-LEASE_MARGIN_MS = 100.0  # A shared slot's lease must outlast the request that uses it.
 MAX_RETRY_AFTER_S = 2.0  # Callers' deadlines are seconds, so a longer delay is of no use to them.
 MOVE_FRACTION = 0.6  # The share of the objective spent waiting for keys that change holders.
 MIN_ATTEMPT_FRACTION = 0.1  # With less of the objective left, another attempt is not made.
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -61,6 +61,7 @@
 RELEARN_MS = 1000.0  # The least time between two queries for the slots in use of one group.
 # Slots are held for less than this, so a dispatcher that granted none for so long has none in use.
 OTHER_DISPATCHER_MS = 10_000.0
+LEASE_MARGIN_MS = 100.0  # A slot's lease must outlast the request that uses it.
 REPLY_MARGIN_S = 0.02  # The time that a reply takes to reach a node that waits for a slot.
 # The share of a request's wait that is spent on its own zone if other zones have servers.
 OWN_ZONE_WAIT_FRACTION = 0.3
@@ -492,6 +493,7 @@
             message.avoid,
             message.zone,
             frozenset(message.excluded),
+            now_ms + message.lease_ms - LEASE_MARGIN_MS,
         )
         self._send_results(queue.group.request_slot(request, now_ms))
 
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -381,6 +381,54 @@
 )
 
 
+# ---- requests that would wait at a full server ---------------------------------------------
+
+
+def busy_group(slots=2):
+    """Return a group of one server, which answers in 100 ms and runs a request in each slot."""
+    group = make_group(record(0, slots=slots))
+    group.request_slot(slot_request(1), 0.0)
+    group.release(Requester(NODE, 1), 100.0, False, 100.0)
+    for number in range(2, 2 + slots):
+        group.request_slot(slot_request(number), 100.0 + 20.0 * number)
+    return group
+
+
+def request_with_deadline(number, deadline_ms):
+    return replace(slot_request(number, until_ms=1000.0), deadline_ms=deadline_ms)
+
+
+def test_a_request_that_would_miss_its_deadline_at_a_full_server_waits_for_a_free_slot():
+    """Guards against sending requests that a server runs after their callers were told 504."""
+    group = busy_group()  # The first of its requests is expected to end at 240 ms.
+    assert isinstance(group.request_slot(request_with_deadline(10, 339.0), 170.0)[0], SlotQueued)
+    results = group.release(Requester(NODE, 2), 60.0, False, 200.0)
+    assert granted_numbers(results) == [10]
+
+
+def test_a_request_that_can_meet_its_deadline_waits_at_the_server():
+    group = busy_group()
+    assert isinstance(group.request_slot(request_with_deadline(10, 341.0), 170.0)[0], SlotGranted)
+
+
+def test_each_place_at_a_full_server_starts_with_the_end_of_another_request():
+    group = busy_group(slots=4)  # They are expected to end at 240, 260, 280 and 300 ms.
+    assert isinstance(group.request_slot(request_with_deadline(10, 341.0), 190.0)[0], SlotGranted)
+    assert isinstance(group.request_slot(request_with_deadline(11, 359.0), 190.0)[0], SlotQueued)
+    assert granted_numbers(group.release(Requester(NODE, 3), 0.0, False, 195.0)) == [11]
+
+
+def test_a_request_that_waits_at_the_server_starts_when_another_one_ends():
+    group = busy_group()
+    group.request_slot(request_with_deadline(10, 900.0), 170.0)
+    group.release(Requester(NODE, 2), 0.0, False, 210.0)  # number 10 runs until 310
+    group.release(Requester(NODE, 3), 0.0, False, 220.0)
+    group.request_slot(request_with_deadline(11, 900.0), 220.0)
+    assert isinstance(group.request_slot(request_with_deadline(12, 409.0), 230.0)[0], SlotQueued)
+    assert isinstance(group.request_slot(request_with_deadline(13, 411.0), 230.0)[0], SlotQueued)
+    assert granted_numbers(group.release(Requester(NODE, 12), 0.0, False, 230.0)) == [13]
+
+
 # ---- unresponsive servers ------------------------------------------------------------------
 
 
