Tell a group's other dispatchers which slots one of them has granted

What callers saw: a full server got more requests than its slots and the places behind them though no dispatcher had changed: 7 at a server of four slots, 1 to 11 such arrivals a server in 16 s on a busy machine. They wait there for longer than planned, and some end with 504.

Cause: a node whose dispatcher doesn't answer within two time-outs of 25 ms skips it for 1 s and asks the next one in rank, which learns what is in use and grants. The others still ask the first one, which knows nothing of that grant, and the second one knows nothing of what the first grants from then on. So both count room that is used. The decision record had this as a limit ("two dispatchers may give beside each other").

Evidence: a play of test_a_full_server_gets_no_more_while_dispatchers_change[None] with the log line of each request: the arrival that came too many and five of the six that it found were granted by the same node, the sixth by another one (`slot=given@`), 0.06 s after its node had logged "Dispatcher does not answer".

Change: a node that is granted a slot reports it at once to the group's other dispatchers: those that asked for slots in use within 3 s, and the first in rank while this node skips any. They count it like one that they learnt of, in place of what they granted to the same request or of its place in their queue, and its release goes to them too. HeldSlotsReply has a flag for that; older nodes ignore it. No message is added while no node is skipped and no queue is new.

Why it works: what one dispatcher grants, the other one counts a datagram later. What is left is that time, and a dispatcher that reads requests before a report that reached it while it stood still.

Tests: test_two_dispatchers_of_one_group_grant_no_slot_twice, both ways, and two in test_dispatcher.py, all fail on the commit before.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -309,10 +309,17 @@
         self._learning_until_ms = until_ms
 
     def adopt(self, requester: Requester, server_id: str, left_ms: float, now_ms: float) -> None:
-        """Count a slot granted by another dispatcher, with the time left of its lease."""
+        """Count a slot granted by another dispatcher, with the time left of its lease.
+
+        It replaces what this dispatcher granted to the request, or its place in the queue.
+        """
         server = self._servers.get(server_id)
-        if server is None or requester in self._leases:
+        known = self._leases.get(requester)
+        if server is None or (known is not None and known.server_id == server_id):
             return
+        self._waiting = [request for request in self._waiting if request.requester != requester]
+        if known is not None and known.server_id in self._servers:
+            self._servers[known.server_id].note_free(requester, now_ms)
         queued = server.in_use >= server.slots
         self._leases[requester] = _Lease(server_id, now_ms + left_ms, queued)
         server.note_in_use(requester, now_ms)
--- a/ploverhatch/admission/messages.py
+++ b/ploverhatch/admission/messages.py
@@ -83,10 +83,14 @@
 
 
 class HeldSlotsReply(msgspec.Struct, array_like=True, frozen=True, tag=14):
-    """Lists the slots in use as request number, server and milliseconds left of the lease."""
+    """Lists the slots in use as request number, server and milliseconds left of the lease.
+
+    ``unasked`` says that only a slot is listed that another node has just granted.
+    """
 
     service: str
     group_zone: str
     holder: str
     regions: tuple[str, ...] = ()
     held: list[tuple[int, str, float]] = []
+    unasked: bool = False
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -58,6 +58,9 @@
 MAX_HELD_SLOTS = 200  # The number of slots in one reply.
 # After this time, all nodes ask the dispatcher to which a group was ceded.
 CEDED_MS = 250.0
+# A node that asked for the slots in use grants slots beside the group's other dispatchers for as
+# long: nodes skip an unresponsive dispatcher for less.
+BESIDE_OTHERS_MS = 3000.0
 RELEARN_MS = 1000.0  # The least time between two queries for the slots in use of one group.
 # Slots are held for less than this, so a dispatcher that granted none for so long has none in use.
 OTHER_DISPATCHER_MS = 10_000.0
@@ -211,6 +214,8 @@
         self._held: dict[int, _HeldSlot] = {}
         self._ceded_ms: dict[GroupName, float] = {}  # When a group was ceded.
         self._served_by: dict[GroupName, tuple[str, float]] = {}  # Dispatcher, and when.
+        # When a node last asked for the slots in use of a group.
+        self._queried_ms: dict[GroupName, dict[Address, float]] = {}
         self._choice = DispatcherChoice()
         self._queues: dict[GroupName, _Queue] = {}
         self._rates: dict[str, RequestRate] = {}  # By server, over all queues.
@@ -341,9 +346,36 @@
         self, number: int, name: GroupName, slot: SharedSlot, lease_ms: float
     ) -> None:
         now_ms = elapsed_ms()
-        dispatchers: set[Address] = {HostPort.parse(slot.dispatcher)}
-        self._held[number] = _HeldSlot(name, slot.server_id, now_ms + lease_ms, dispatchers)
+        granted_by: Address = HostPort.parse(slot.dispatcher)
+        others = self._other_dispatchers(name, now_ms) - {granted_by}
+        self._held[number] = _HeldSlot(
+            name, slot.server_id, now_ms + lease_ms, {granted_by, *others}
+        )
         self._served_by[name] = slot.dispatcher, now_ms
+        report = HeldSlotsReply(
+            name.service,
+            name.zone,
+            name.holder,
+            name.regions,
+            [(number, slot.server_id, lease_ms)],
+            unasked=True,
+        )
+        for address in others:
+            self._send(report, address)
+
+    def _other_dispatchers(self, name: GroupName, now_ms: float) -> set[Address]:
+        """Return the nodes that may grant slots of a group beside the one that was asked.
+
+        These are nodes that began to keep its queue lately, and one that this node skips though
+        others may not. Without a report each would grant the same slots again.
+        """
+        queried_ms = self._queried_ms.get(name, {})
+        found = {
+            address for address, at_ms in queried_ms.items() if now_ms - at_ms < BESIDE_OTHERS_MS
+        }
+        if self._choice.skipped(now_ms):
+            found.add(HostPort.parse(groups.dispatcher_of(name, self._members(), ())))
+        return found
 
     def _release(
         self, number: int, name: GroupName, slot: SharedSlot, asked: Sequence[str]
@@ -512,6 +544,7 @@
         name = GroupName(message.service, message.group_zone, message.holder, message.regions)
         now_ms = elapsed_ms()
         self._cede(name, f"{peer[0]}:{peer[1]}", now_ms)
+        self._queried_ms.setdefault(name, {})[peer] = now_ms
         entries = []
         for number, held in self._held.items():
             if held.name == name:
@@ -545,11 +578,13 @@
     def _handle_held_reply(self, reply: HeldSlotsReply, peer: Address) -> None:
         name = GroupName(reply.service, reply.group_zone, reply.holder, reply.regions)
         queue = self._queues.get(name)
-        if queue is None or peer not in queue.awaited:
+        if queue is None or not (reply.unasked or peer in queue.awaited):
             return
         now_ms = elapsed_ms()
         for number, server_id, left_ms in reply.held:
             queue.group.adopt(Requester(peer, number), server_id, left_ms, now_ms)
+        if reply.unasked:
+            return
         queue.awaited.discard(peer)
         if not queue.awaited:
             self._send_results(queue.group.finish_learning(now_ms))
@@ -611,6 +646,12 @@
             known for known, row in served_by.items() if now_ms - row[1] >= OTHER_DISPATCHER_MS
         ]:
             del served_by[name]
+        for name in [
+            known
+            for known, asked in self._queried_ms.items()
+            if now_ms - max(asked.values()) >= BESIDE_OTHERS_MS
+        ]:
+            del self._queried_ms[name]
 
     def _drop_unused_rates(self) -> None:
         known = self._directory.servers.records
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -381,3 +381,29 @@
     with third.slots.hold(requirements(holder=record(0))) as slot:
         assert slot.dispatcher == first.name
     assert elapsed_ms() - started_ms < 2 * LEARN_MS + 100.0
+
+
+@pytest.mark.parametrize("first_grants", [True, False])
+def test_two_dispatchers_of_one_group_grant_no_slot_twice(start, first_grants):
+    """Guards against full servers that get more requests from nodes that skip a dispatcher.
+
+    One node had no answer in time and asks the next dispatcher; the others still ask the first.
+    """
+    cluster = start([record(0)], zones=("a", "a", "a", "a"))
+    first, second, third, fourth = in_order(cluster)
+    wanted = requirements(holder=record(0), lease_ms=9000.0)
+    assert slot_of(fourth, wanted).dispatcher == first.name
+    with ExitStack() as held:
+        tries = iter([True] * MAX_TRIES)
+        third.lost = lambda message: next(tries, False)
+        assert held.enter_context(third.slots.hold(wanted)).dispatcher == second.name
+        gevent.sleep(0.05)
+        for _ in range(2):
+            assert held.enter_context(fourth.slots.hold(wanted)).dispatcher == first.name
+        gevent.sleep(0.05)
+        with pytest.raises(TurnedAwayError) as caught:
+            node = fourth if first_grants else third
+            held.enter_context(node.slots.hold(requirements(holder=record(0), wait_ms=30.0)))
+        assert caught.value.dispatcher == (first if first_grants else second).name
+    gevent.sleep(0.05)
+    assert first.slots.in_use == second.slots.in_use == 0
--- a/tests/unit/test_dispatcher.py
+++ b/tests/unit/test_dispatcher.py
@@ -381,6 +381,30 @@
 )
 
 
+# ---- slots granted by other dispatchers -----------------------------------------------------
+
+
+def test_a_slot_of_another_dispatcher_replaces_the_one_granted_here():
+    group = make_group(record(0, slots=2), record(1, slots=2))
+    (granted,) = group.request_slot(slot_request(1), 0.0)
+    other = "s1" if granted.server_id == "s0" else "s0"
+    for _ in range(2):  # A repeated report changes nothing.
+        group.adopt(Requester(NODE, 1), other, 900.0, 0.0)
+        assert group.in_use == 1
+    (result,) = group.request_slot(slot_request(1), 0.0)
+    assert result == SlotGranted(Requester(NODE, 1), other)
+    requests = [group.request_slot(slot_request(number), 0.0)[0] for number in range(2, 7)]
+    assert sorted(result.server_id for result in requests).count(other) == 2
+
+
+def test_a_slot_of_another_dispatcher_ends_the_wait_here():
+    group = full_group()
+    assert isinstance(group.request_slot(slot_request(10), 0.0)[0], SlotQueued)
+    group.adopt(Requester(NODE, 10), "s0", 900.0, 0.0)
+    assert (group.waiting, group.in_use) == (0, 4)
+    assert group.release(Requester(NODE, 0), 50.0, False, 1.0) == []
+
+
 # ---- requests that would wait at a full server ---------------------------------------------
 
 
