Have a dispatcher that has just started sent to the next one, not to say that it knows no servers

What callers saw: while gateways were stopped and started in turn, full servers got up to three requests more than their slots and the places behind them; these took 1.5 s or more of their 2 s.

Cause: a node that says of a group that it knows no servers has its asker decide by itself, so the request goes out without a slot, counted by nobody. A node that starts is asked before it has read the servers; what it then noted as the group's servers, none, held for REFRESH_MS (100 ms).

Evidence: a trial on a scratch copy that logs why a request has no slot: seven requests of two nodes in the 99 ms from 10 ms after "Started." of the dispatcher that they asked, all answered with "knows no server"; two of them were among the seven at a server of four slots (`slot=none`).

Change: a node that knows no servers at all answers as one that stops, so the next one in rank is asked for a second; and a group without servers is looked up again with each request.

Ruled out: the same answer where only the group's servers are unknown: a server that joins is known to some nodes first, and its dispatcher would be skipped for all of its groups.

Tests: test_a_dispatcher_that_starts_has_no_request_sent_without_a_slot[2] and test_a_dispatcher_looks_for_servers_again_while_it_knows_none_of_a_group fail on the commit before.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -219,6 +219,11 @@
         """Number of slots granted and not released."""
         return len(self._leases)
 
+    @property
+    def has_servers(self) -> bool:
+        """Whether any server may get requests."""
+        return bool(self._servers)
+
     @property
     def waiting(self) -> int:
         """Number of requests in the queue."""
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -500,7 +500,10 @@
     def _handle_request(self, message: SlotRequestMessage, peer: Address) -> None:
         name = GroupName(message.service, message.group_zone, message.holder, message.regions)
         ceded_ms = self._ceded_ms.get(name, -1e12)
-        if self.leaving or elapsed_ms() - ceded_ms < CEDED_MS:
+        # A node that has just started knows no servers, and would have all nodes that ask it
+        # decide by themselves.
+        starting = not self._directory.servers.records
+        if self.leaving or starting or elapsed_ms() - ceded_ms < CEDED_MS:
             self._send(SlotReply(message.number, leaving=True), peer)
             return
         self._directory.note_rate_limits(message.limits, LIMIT_SOURCE)
@@ -510,7 +513,7 @@
         queue.used_ms = now_ms
         if is_new or (message.served_elsewhere and now_ms - queue.asked_ms >= RELEARN_MS):
             self._query_held_slots(name, queue, now_ms)
-        if now_ms - queue.refreshed_ms > REFRESH_MS:
+        if now_ms - queue.refreshed_ms > REFRESH_MS or not queue.group.has_servers:
             servers = self._directory.servers
             bounds = self._bounds(name)
             records = groups.members_of(name, servers.of_service(message.service))
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ploverhatch.admission import groups
+from ploverhatch.admission.dispatcher_choice import SKIPPED_MS
 from ploverhatch.admission.groups import GroupName
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway.directory import Directory
@@ -407,3 +408,34 @@
         assert caught.value.dispatcher == (first if first_grants else second).name
     gevent.sleep(0.05)
     assert first.slots.in_use == second.slots.in_use == 0
+
+
+@pytest.mark.parametrize("others", [2, 0])
+def test_a_dispatcher_that_starts_has_no_request_sent_without_a_slot(start, others):
+    """Guards against a node that says for 100 ms after its start that it knows no servers.
+
+    Those who asked it then sent their requests without a slot, however full the servers were.
+    Without any other node to ask, requests get slots as soon as the servers are known.
+    """
+    cluster = start([record(0)], zones=("a",) * (others + 1))
+    first, *rest = in_order(cluster)
+    asking = rest[-1] if rest else first
+    first.directory.replace_servers([])
+    with asking.slots.hold(requirements(holder=record(0))) as slot:
+        assert (slot is not None) == bool(others)
+        assert not others or slot.dispatcher == rest[0].name
+    first.directory.replace_servers([record(0)])
+    gevent.sleep(SKIPPED_MS / 1000 + 0.01)
+    with asking.slots.hold(requirements(holder=record(0))) as slot:
+        assert slot.dispatcher == first.name
+
+
+def test_a_dispatcher_looks_for_servers_again_while_it_knows_none_of_a_group(start):
+    cluster = start([record(1)], zones=("a", "a", "a"))
+    first, second, third = in_order(cluster)
+    with third.slots.hold(requirements(holder=record(0))) as slot:
+        assert slot is None
+    for node in cluster.nodes:
+        node.directory.replace_servers([record(0), record(1)])
+    with third.slots.hold(requirements(holder=record(0))) as slot:
+        assert slot.dispatcher == first.name
