Have dispatchers count requests that are sent without a shared slot

What callers saw: full servers that got more than their room while gateways were stopped and started in turn.

Cause: a request that finds two dispatchers silent, or none that it knows, is sent by its node's own limits, and no dispatcher knew of it: each went on to grant the room that it takes, for as long as it ran.

Change: such a request is reported like a slot that another dispatcher granted, to the node that would be asked now and to the group's other dispatchers, and released there.

Left: what arrives too many at the moment at which it is sent itself.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -6,7 +6,8 @@
 """
 
 import random
-from contextlib import ExitStack, suppress
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager, suppress
 
 import gevent
 
@@ -368,6 +369,21 @@
         """
         if self._shared_slots is None:
             return None
+        requirements = self._slot_requirements(call, history, holder)
+        try:
+            slot = held_slots.enter_context(self._shared_slots.hold(requirements))
+        except TurnedAwayError as error:
+            call.trace.slot = f"turned-away:{error.retry_after_ms:.0f}@{error.dispatcher}"
+            after_s = min(error.retry_after_ms / 1000, MAX_RETRY_AFTER_S)
+            raise self._refusal_without_server(
+                call, history, results.QUEUE_TIMEOUT, after_s
+            ) from error
+        call.trace.slot = f"given@{slot.dispatcher}" if slot else "none"
+        return slot
+
+    def _slot_requirements(
+        self, call: Call, history: AttemptHistory, holder: Upstream | None
+    ) -> SlotRequirements:
         now_ms = elapsed_ms()
         received_ms = call.request.received_ms
         useful_ms = received_ms + call.route.objective_ms * USEFUL_FRACTION
@@ -375,7 +391,7 @@
         if history.arrivals:  # The request may have run, so it can't be refused as not run.
             until_ms = call.deadline_ms
         attempts = call.trace.attempts
-        requirements = SlotRequirements(
+        return SlotRequirements(
             call.service,
             call.route.priority,
             max(0.0, useful_ms - now_ms),
@@ -386,16 +402,19 @@
             call.route.regions,
             () if holder else self._choice.excluded(),
         )
-        try:
-            slot = held_slots.enter_context(self._shared_slots.hold(requirements))
-        except TurnedAwayError as error:
-            call.trace.slot = f"turned-away:{error.retry_after_ms:.0f}@{error.dispatcher}"
-            after_s = min(error.retry_after_ms / 1000, MAX_RETRY_AFTER_S)
-            raise self._refusal_without_server(
-                call, history, results.QUEUE_TIMEOUT, after_s
-            ) from error
-        call.trace.slot = f"given@{slot.dispatcher}" if slot else "none"
-        return slot
+
+    @contextmanager
+    def _reported_use(
+        self, call: Call, upstream: Upstream, history: AttemptHistory
+    ) -> Iterator[None]:
+        """Have dispatchers count a request that is sent without a shared slot."""
+        if self._shared_slots is None:
+            yield
+            return
+        holder = upstream if call.partitioned else None
+        requirements = self._slot_requirements(call, history, holder)
+        with self._shared_slots.report_use(requirements, upstream.record):
+            yield
 
     def _attempt_in_slot(
         self, call: Call, upstream: Upstream, history: AttemptHistory
@@ -404,7 +423,8 @@
         try:
             with upstream.slot(call.route.priority, (until_ms - elapsed_ms()) / 1000):
                 self._quarantine.recheck(call, history.may_have_run)
-                return self._attempt_and_record(call, upstream)
+                with self._reported_use(call, upstream, history):
+                    return self._attempt_and_record(call, upstream)
         except QueueFullError as error:
             raise self._refusal_without_server(call, history, results.QUEUE_FULL) from error
         except NoSlotError as error:
--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -264,14 +264,9 @@
 
     def _groups(self, requirements: SlotRequirements) -> list[tuple[GroupName, float]]:
         """Return the groups to ask, each with the share of the wait to spend there."""
+        sizes = self._group_sizes(requirements)
         if requirements.holder is not None:
-            name = GroupName(
-                requirements.service, requirements.holder.zone, requirements.holder.server_id
-            )
-            return [(name, 1.0)]
-        sizes = groups.groups_of(
-            self._directory.servers.of_service(requirements.service), requirements.regions
-        )
+            return [(name, 1.0) for name in sizes]
         own_zone = [name for name in sizes if name.zone in {"", self._zone}]
         others = [name for name in sizes if name not in own_zone]
         found = [(name, OWN_ZONE_WAIT_FRACTION if others else 1.0) for name in own_zone]
@@ -280,6 +275,19 @@
             found.append((random.choices(others, weights)[0], 1.0))
         return found
 
+    def _group_sizes(self, requirements: SlotRequirements) -> dict[GroupName, int]:
+        holder = requirements.holder
+        if holder is not None:
+            return {GroupName(requirements.service, holder.zone, holder.server_id): 1}
+        return groups.groups_of(
+            self._directory.servers.of_service(requirements.service), requirements.regions
+        )
+
+    def _group_of(self, requirements: SlotRequirements, record: ServerRecord) -> GroupName | None:
+        """Return the group of a server that may run a request, or ``None`` if it has none."""
+        names = self._group_sizes(requirements)
+        return next((name for name in names if name.zone in {"", record.zone}), None)
+
     @contextmanager
     def _hold_in(
         self, name: GroupName, requirements: SlotRequirements, wait_ms: float
@@ -347,20 +355,48 @@
     ) -> None:
         now_ms = elapsed_ms()
         granted_by: Address = HostPort.parse(slot.dispatcher)
-        others = self._other_dispatchers(name, now_ms) - {granted_by}
-        self._held[number] = _HeldSlot(
-            name, slot.server_id, now_ms + lease_ms, {granted_by, *others}
-        )
         self._served_by[name] = slot.dispatcher, now_ms
+        others = self._other_dispatchers(name, now_ms) - {granted_by}
+        self._report_held(number, name, slot.server_id, lease_ms, others)
+        self._held[number].dispatchers.add(granted_by)
+
+    @contextmanager
+    def report_use(self, requirements: SlotRequirements, record: ServerRecord) -> Iterator[None]:
+        """Have the group's dispatchers count a request that is sent without a shared slot."""
+        name = self._group_of(requirements, record)
+        if name is None:
+            yield
+            return
+        number, now_ms = next(self._numbers), elapsed_ms()
+        asked = self._choice.choose(name, self._members(), now_ms)
+        dispatchers = self._other_dispatchers(name, now_ms)
+        if asked:
+            dispatchers.add(HostPort.parse(asked))
+        self._report_held(number, name, record.server_id, requirements.lease_ms, dispatchers)
+        try:
+            yield
+        finally:
+            self._release(number, name, SharedSlot(record.server_id), ())
+
+    def _report_held(
+        self,
+        number: int,
+        name: GroupName,
+        server_id: str,
+        lease_ms: float,
+        dispatchers: set[Address],
+    ) -> None:
+        """Record a slot as in use, and tell dispatchers that haven't granted it."""
+        self._held[number] = _HeldSlot(name, server_id, elapsed_ms() + lease_ms, dispatchers)
         report = HeldSlotsReply(
             name.service,
             name.zone,
             name.holder,
             name.regions,
-            [(number, slot.server_id, lease_ms)],
+            [(number, server_id, lease_ms)],
             unasked=True,
         )
-        for address in others:
+        for address in dispatchers:
             self._send(report, address)
 
     def _other_dispatchers(self, name: GroupName, now_ms: float) -> set[Address]:
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -363,6 +363,12 @@
         self.after_ms = after_ms
         self.requests = []
         self.ended = []
+        self.used_without = []  # servers of requests that were sent without a slot
+
+    @contextmanager
+    def report_use(self, requirements, record):
+        self.used_without.append(record.server_id)
+        yield
 
     @contextmanager
     def hold(self, requirements):
@@ -422,8 +428,10 @@
 def test_without_a_dispatcher_the_node_chooses(bench):
     upstream = Upstream("u1")
     bench.add(upstream)
-    use_shared_slots(bench, GrantedSlots())
+    slots = GrantedSlots()
+    use_shared_slots(bench, slots)
     assert bench.ask(b"/once/", b"POST").status == 200
+    assert slots.used_without == ["u1"]
 
 
 def test_a_slot_of_a_server_that_is_not_known_here_is_not_used(bench):
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -439,3 +439,20 @@
         node.directory.replace_servers([record(0), record(1)])
     with third.slots.hold(requirements(holder=record(0))) as slot:
         assert slot.dispatcher == first.name
+
+
+def test_a_request_sent_without_a_slot_is_counted_by_the_dispatcher(start):
+    """Guards against a full server that gets more, as nobody counts such requests."""
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    first, _, third = in_order(cluster)
+    wanted = requirements(holder=record(0), lease_ms=9000.0)
+    assert slot_of(third, wanted).dispatcher == first.name
+    with ExitStack() as held:
+        for _ in range(2):
+            held.enter_context(third.slots.report_use(wanted, record(0)))
+        gevent.sleep(0.05)
+        assert held.enter_context(third.slots.hold(wanted)).dispatcher == first.name
+        with pytest.raises(TurnedAwayError):
+            held.enter_context(third.slots.hold(requirements(holder=record(0), wait_ms=30.0)))
+    gevent.sleep(0.05)
+    assert first.slots.in_use == 0
