Wait longer for other nodes where this process runs late

What callers saw: on a busy machine full servers got up to six requests too many while gateways were stopped and started in turn.

Cause: a dispatcher that begins to keep a queue waits 25 ms for all nodes to say which slots are in use, and a request skips its dispatcher after two time-outs of 25 ms.

Change: the task that expires slots notes by how much it wakes too late. Both waits are prolonged by the greatest recent delay: the time-out once, the wait for slots in use twice, as two messages are read late. One that isn't late waits as before.

Why it works: what makes this process late makes its answers late too, and those of its machine.

Ruled out: a longer wait for all: where a node is gone, each request for a group that changes its dispatcher waits for it, and test_a_new_dispatcher_waits_briefly_for_a_node_that_is_gone bounds that at 150 ms.

--- a/ploverhatch/gateway/shared_slots.py
+++ b/ploverhatch/gateway/shared_slots.py
@@ -28,6 +28,7 @@
 )
 from ploverhatch.admission.dispatcher_choice import UNREACHABLE_MS, DispatcherChoice
 from ploverhatch.admission.groups import GroupName
+from ploverhatch.admission.lateness import RecentLateness
 from ploverhatch.admission.messages import (
     HeldSlotsReply,
     HeldSlotsRequest,
@@ -45,15 +46,18 @@
 
 LOG = PartLogger("slots")
 
-# A dispatcher is sent a request MAX_TRIES times, with this timeout, before it is skipped.
+# A dispatcher is sent a request MAX_TRIES times, with this timeout, before it is skipped. The
+# timeout is prolonged by the recent lateness of this process.
 REPLY_TIMEOUT_S = 0.025
 MAX_TRIES = 2
 # In a rolling restart, the first dispatchers that are asked may all be about to stop.
 MAX_NODES_ASKED = 4
 # Each node that doesn't answer costs the request MAX_TRIES timeouts.
 MAX_UNRESPONSIVE_NODES = 2
-# A new dispatcher asks all nodes for the slots in use, and waits this long for replies.
+# A new dispatcher asks all nodes for the slots in use, and waits this long for replies, prolonged
+# by its recent lateness for each of two messages that are read late.
 LEARN_MS = 25.0
+LATE_MESSAGES = 2
 MAX_LEARN_MS = 500.0  # The bound on that wait if the process is suspended meanwhile.
 MAX_HELD_SLOTS = 200  # The number of slots in one reply.
 # After this time, all nodes ask the dispatcher to which a group was ceded.
@@ -217,6 +221,7 @@
         # When a node last asked for the slots in use of a group.
         self._queried_ms: dict[GroupName, dict[Address, float]] = {}
         self._choice = DispatcherChoice()
+        self._lateness = RecentLateness()
         self._queues: dict[GroupName, _Queue] = {}
         self._rates: dict[str, RequestRate] = {}  # By server, over all queues.
         self._handlers: dict[type, Callable[..., None]] = {
@@ -498,7 +503,7 @@
         address = pending.asked = HostPort.parse(node)
         for _ in range(MAX_TRIES):
             self._send(message, address)
-            if pending.wait(REPLY_TIMEOUT_S):
+            if pending.wait(REPLY_TIMEOUT_S + self._lateness.ms / 1000):
                 return pending.reply
         if self._choice.note_no_answer(node, elapsed_ms()):
             LOG.info(
@@ -700,14 +705,17 @@
     def expire_forever(self) -> None:
         """Reclaim expired slots, reject overdue requests and drop idle queues, forever."""
         while True:
+            slept_ms = elapsed_ms()
             gevent.sleep(TICK_S)
+            self._lateness.note_tick(elapsed_ms() - slept_ms - TICK_S * 1000)
             gevent.sleep(0)  # Messages that arrived during a suspension are read first.
             now_ms = elapsed_ms()
+            learn_ms = LEARN_MS + LATE_MESSAGES * self._lateness.ms
             self._expire_records(now_ms)
             for name, queue in list(self._queues.items()):
                 if self.leaving or (queue.group.waiting and queue.group.grants_nothing(now_ms)):
                     self._redirect(queue)
-                if queue.group.is_learning and now_ms - queue.asked_ms >= LEARN_MS:
+                if queue.group.is_learning and now_ms - queue.asked_ms >= learn_ms:
                     self._send_results(queue.group.finish_learning(now_ms))
                 if queue.group.waiting:
                     self._send_results(queue.group.expire(now_ms))
--- a/tests/functional/test_shared_slots.py
+++ b/tests/functional/test_shared_slots.py
@@ -10,6 +10,7 @@
 from ploverhatch.admission import groups
 from ploverhatch.admission.dispatcher_choice import SKIPPED_MS
 from ploverhatch.admission.groups import GroupName
+from ploverhatch.admission.messages import HeldSlotsReply
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.peer_link import LoadReport, PeerLink
@@ -27,6 +28,8 @@
 from tests.standin.site import free_port
 
 SERVICE = "svc"
+BLOCKED_S = 0.08
+LATE_REPLY_S = 0.08
 HOLDER = GroupName(SERVICE, "a", "s0")
 
 
@@ -46,6 +49,7 @@
             self.address, lambda: LoadReport({}, {}), lambda: "", lambda report: None
         )
         self.lost = lambda message: False
+        self.delayed = ()  # type of the messages that are sent late
         self.slots = SharedSlots(zone, self.directory, lambda: cluster.zones, self.send)
         self.link.add_slot_handler(self.slots.handle_message)
         self.tasks = [
@@ -58,7 +62,11 @@
         return f"{self.address.host}:{self.address.port}"
 
     def send(self, message, to):
-        if not self.lost(message):
+        if self.lost(message):
+            return
+        if isinstance(message, self.delayed):
+            gevent.spawn_later(LATE_REPLY_S, self.link.send, message, to)
+        else:
             self.link.send(message, to)
 
     def stop(self):
@@ -456,3 +464,28 @@
             held.enter_context(third.slots.hold(requirements(holder=record(0), wait_ms=30.0)))
     gevent.sleep(0.05)
     assert first.slots.in_use == 0
+
+
+def test_a_new_dispatcher_in_a_busy_process_learns_which_slots_are_in_use(start):
+    """Guards against a busy machine's dispatcher that grants before it has read the replies."""
+    cluster = start([record(0)], zones=("a", "a", "a"))
+    first, _, third = in_order(cluster)
+    wanted = requirements(holder=record(0), lease_ms=9000.0)
+    with ExitStack() as held:
+        for _ in range(3):
+            assert held.enter_context(third.slots.hold(wanted)).dispatcher == first.name
+        first.slots.leaving = True
+        for node in cluster.nodes:
+            node.delayed = HeldSlotsReply
+        busy = gevent.spawn(stand_still_forever)
+        gevent.sleep(10 * BLOCKED_S)
+        busy.kill()
+        with pytest.raises(TurnedAwayError):
+            held.enter_context(third.slots.hold(requirements(holder=record(0), wait_ms=400.0)))
+
+
+def stand_still_forever():
+    """Block the whole process again and again, as if it waited for a core."""
+    while True:
+        time.sleep(BLOCKED_S)
+        gevent.sleep(0.001)
