Log each release's outcome, and why a previous holder is no longer waited for

Cause of the gap: 'Release failed.' was the same line for a refused connection and for a silence, without the range, and nothing said whether a range was then granted after a release, an expiry or a refusal.

Change: 'Release failed.' has outcome, first and last; 'Keys granted.' has 'after', each server that was waited for with the reason why it no longer is. No decision changes.

Checked: unit tests of the leader's core, standbys, renewals, and the log's golden test pass.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -360,6 +360,15 @@
         self._note_break(action.holder)
         if outcome is CallOutcome.DONE and not action.renewal:
             self._publish_granted(range_id.service, range_id.token)
+            LOG.info(
+                "Keys granted.",
+                service=range_id.service,
+                first=range_id.first,
+                last=range_id.last,
+                to=action.holder.server_id,
+                token=range_id.token,
+                after=",".join(f"{name}:{end.value}" for name, end in action.ended.items()) or "-",
+            )
         if outcome not in {CallOutcome.DONE, CallOutcome.NOT_SENT, CallOutcome.UNPROVEN}:
             LOG.warning(
                 "Grant failed.",
@@ -382,7 +391,14 @@
         outcome, handover = control.release(call, lambda: self._elector.has_authority)
         self._note_break(action.holder)
         if outcome in {CallOutcome.NO_ANSWER, CallOutcome.NOT_LISTENING}:
-            LOG.warning("Release failed.", server=action.holder.server_id, token=range_id.token)
+            LOG.warning(
+                "Release failed.",
+                server=action.holder.server_id,
+                outcome=outcome.value,
+                first=range_id.first,
+                last=range_id.last,
+                token=range_id.token,
+            )
         self._execute(self._core.release_ended(action, outcome, handover, elapsed_ms()))
 
     def _forget_server(self, action: ForgetServer) -> None:
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -56,17 +56,28 @@
     keymap: KeyMap
 
 
+class HoldEnd(Enum):
+    """Why a server that might hold a range is no longer waited for."""
+
+    RELEASED = "released"
+    EXPIRED = "expired"  # its lease has certainly expired
+    STOPPED = "stopped"  # another incarnation runs in its place
+    NOT_LISTENING = "not-listening"  # its address refused the connection
+
+
 @dataclass(frozen=True, slots=True)
 class SendGrant:
     """Send a grant of a range, or a renewal of one.
 
-    ``handover`` is the text that the previous holder answered its release with.
+    ``handover`` is the text that the previous holder answered its release with. ``ended`` names
+    the servers that were waited for before the grant, and why each is no longer.
     """
 
     holder: Holder
     range_id: RangeId
     handover: str
     renewal: bool
+    ended: Mapping[str, HoldEnd] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -13,7 +13,7 @@
 from ploverhatch.sharding import view
 from ploverhatch.sharding.holders import RETRY_MS, HolderLease
 from ploverhatch.sharding.keymap import Holder, KeyRange
-from ploverhatch.sharding.messages import RangeId, SendGrant, SendRelease
+from ploverhatch.sharding.messages import HoldEnd, RangeId, SendGrant, SendRelease
 
 
 @dataclass(slots=True)
@@ -26,6 +26,7 @@
     expiries_ms: dict[str, float]
     # They rarely held the range, so their handover texts say nothing of it.
     former_standbys: frozenset[str] = frozenset()
+    ended: dict[str, HoldEnd] = field(default_factory=dict)  # those that are no longer pending
     retry_ms: dict[str, float] = field(default_factory=dict)
     releasing: set[str] = field(default_factory=set)
     granting: bool = False
@@ -74,7 +75,7 @@
             return []
         for server_id in list(self.pending):
             if now_ms >= self.expiries_ms[server_id]:
-                del self.pending[server_id]
+                self._end(server_id, HoldEnd.EXPIRED)
         releases = [
             SendRelease(holder, self.range_id)
             for server_id, holder in self.pending.items()
@@ -88,7 +89,9 @@
         if self.granting or not self._due(self.target.server_id, now_ms):
             return []
         self.granting = True
-        return [SendGrant(self.target, self.range_id, self.handover, renewal=False)]
+        return [
+            SendGrant(self.target, self.range_id, self.handover, renewal=False, ended=self.ended)
+        ]
 
     def _due(self, server_id: str, now_ms: float) -> bool:
         return now_ms >= self.retry_ms.get(server_id, 0.0)
@@ -98,14 +101,18 @@
 
         :param handover: a text for the new holder.
         """
-        self.releasing.discard(server_id)
-        self.pending.pop(server_id, None)
+        self._end(server_id, HoldEnd.RELEASED)
         if server_id not in self.former_standbys:
             self.handover = handover or self.handover
 
     def holder_ended(self, server_id: str) -> None:
         """Record that a previous holder has stopped."""
-        self.released(server_id, "")
+        self._end(server_id, HoldEnd.STOPPED)
+
+    def _end(self, server_id: str, reason: HoldEnd) -> None:
+        self.releasing.discard(server_id)
+        if self.pending.pop(server_id, None) is not None:
+            self.ended[server_id] = reason
 
     def holder_not_listening(self, server_id: str, now_ms: float) -> None:
         """Record that no process listens on the port of a server that may hold the range.
@@ -114,7 +121,7 @@
         to expire. A standby is promoted only while it accepts connections, so it has stopped.
         """
         if server_id in self.former_standbys:
-            self.released(server_id, "")
+            self._end(server_id, HoldEnd.NOT_LISTENING)
         else:
             self.release_failed(server_id, now_ms)
 
