--- a/ploverhatch/simulation/keys/cell.py
+++ b/ploverhatch/simulation/keys/cell.py
@@ -26,7 +26,8 @@
         self.journal = Journal()
         self.servers: dict[str, SimKeyServer] = {}
         self.nodes: dict[str, SimKeyNode] = {}
-        self.cuts: set[tuple[str, str]] = set()  # (node, incarnation of a server)
+        # What a call from a node to an incarnation of a server meets while their link is cut.
+        self.cuts: dict[tuple[str, str], CallOutcome] = {}
         self.evacuated: set[str] = set()  # incarnations that must not hold keys
         self.unresponsive: set[str] = set()  # incarnations reported as unresponsive
         self.hot_key: int | None = None
@@ -127,8 +128,9 @@
     # ---- calls to servers -----------------------------------------------------------------
 
     def _reach(self, node: SimKeyNode, holder: Holder) -> SimKeyServer | CallOutcome:
-        if node.cut_from_servers or (node.name, holder.server_id) in self.cuts:
-            return CallOutcome.NO_ANSWER
+        cut = node.cut_from_servers or self.cuts.get((node.name, holder.server_id))
+        if cut is not None:
+            return cut
         found = self._listening(holder)
         if found is None:
             return CallOutcome.NOT_LISTENING
@@ -161,6 +163,10 @@
         reached = self._reach(node, holder)
         return reached not in {CallOutcome.NO_ANSWER, CallOutcome.NOT_LISTENING}
 
+    def refuses(self, node: SimKeyNode, holder: Holder) -> bool:
+        """Return whether connections to a holder are refused, by a dead port or by the link."""
+        return self._reach(node, holder) is CallOutcome.NOT_LISTENING
+
     def deliver(
         self,
         node: SimKeyNode,
--- a/ploverhatch/simulation/keys/faults.py
+++ b/ploverhatch/simulation/keys/faults.py
@@ -1,11 +1,14 @@
 """Faults of the key simulation, and schedules of named or random faults.
 
-A fault changes the cell and returns a function that ends the fault.
+A fault changes the cell and returns a function that ends the fault. A link that is cut leaves
+calls without an answer, or refuses connections although the server at its other end lives on.
 """
 
+import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.simulation.keys.cell import KeyCell
 from ploverhatch.simulation.keys.server import SimKeyServer
 from ploverhatch.state.incarnations import registered_name
@@ -107,17 +110,26 @@
     return lambda: cell.store.cut.discard(name)
 
 
-def cut_leader_from_servers(cell: KeyCell) -> Heal:
-    """Cut the leader off from all servers."""
+def _cut_leader_from_servers(cell: KeyCell, outcome: CallOutcome) -> Heal:
     node = cell.nodes[_leader_or_random(cell)]
-    node.cut_from_servers = True
+    node.cut_from_servers = outcome
 
     def heal() -> None:
-        node.cut_from_servers = False
+        node.cut_from_servers = None
 
     return heal
 
 
+def cut_leader_from_servers(cell: KeyCell) -> Heal:
+    """Cut the leader off from all servers."""
+    return _cut_leader_from_servers(cell, CallOutcome.NO_ANSWER)
+
+
+def refuse_leader(cell: KeyCell) -> Heal:
+    """Have the leader's links to all servers refuse connections."""
+    return _cut_leader_from_servers(cell, CallOutcome.NOT_LISTENING)
+
+
 def store_down(cell: KeyCell) -> Heal:
     """Make the store unavailable."""
     cell.store.faults.down = True
@@ -183,23 +195,42 @@
     return _no_heal
 
 
-def _cut(cell: KeyCell, pairs: set[tuple[str, str]]) -> Heal:
-    cell.cuts |= pairs
+def _cut(cell: KeyCell, pairs: set[tuple[str, str]], outcome: CallOutcome) -> Heal:
+    cell.cuts |= dict.fromkeys(pairs, outcome)
 
     def heal() -> None:
-        cell.cuts -= pairs
+        for pair in pairs:
+            cell.cuts.pop(pair, None)
 
     return heal
 
 
+def _cut_server(cell: KeyCell, outcome: CallOutcome) -> Heal:
+    incarnation = _random_server(cell)
+    return _cut(cell, {(name, incarnation) for name in cell.nodes}, outcome)
+
+
 def cut_server(cell: KeyCell) -> Heal:
     """Cut a server off from all nodes as leaders; requests still reach it."""
-    incarnation = _random_server(cell)
-    return _cut(cell, {(name, incarnation) for name in cell.nodes})
+    return _cut_server(cell, CallOutcome.NO_ANSWER)
+
+
+def refuse_server(cell: KeyCell) -> Heal:
+    """Have the links of all leaders to a server refuse connections; requests still reach it."""
+    return _cut_server(cell, CallOutcome.NOT_LISTENING)
 
 
 def split_leader(cell: KeyCell) -> Heal:
     """Cut the leader off from the store, and all other nodes off from up to two servers."""
+    return _split_leader(cell, CallOutcome.NO_ANSWER)
+
+
+def split_leader_refused(cell: KeyCell) -> Heal:
+    """Split the leader off likewise, with links that refuse connections."""
+    return _split_leader(cell, CallOutcome.NOT_LISTENING)
+
+
+def _split_leader(cell: KeyCell, outcome: CallOutcome) -> Heal:
     leader = _leader_or_random(cell)
     incarnations = {_random_server(cell), _random_server(cell)}
     heal_cut = _cut(
@@ -210,6 +241,7 @@
             if name != leader
             for incarnation in incarnations
         },
+        outcome,
     )
     cell.store.cut.add(leader)
 
@@ -282,13 +314,16 @@
         suspend_all,
         cut_leader_from_store,
         cut_leader_from_servers,
+        refuse_leader,
         store_down,
         store_slow,
         store_loses_answers,
         restart_server,
         rebirth,
         cut_server,
+        refuse_server,
         split_leader,
+        split_leader_refused,
         drain_server,
         evacuate,
         false_silence,
@@ -297,6 +332,14 @@
     )
 }
 
+# Cuts of links, and the same with links that refuse connections.
+REFUSING = {
+    "cut-server": "refuse-server",
+    "cut-leader-from-servers": "refuse-leader",
+    "split-leader": "split-leader-refused",
+}
+REFUSED_FRACTION = 0.5  # of the links that are cut in random schedules
+
 
 @dataclass(frozen=True)
 class KeyVerdict:
@@ -349,5 +392,14 @@
     """Run a schedule of one to five random faults."""
     world = KeyCell(seed, nodes=0, servers=0).world
     count = world.random.randint(1, 5)
-    names = [world.random.choice(sorted(FAULTS)) for _ in range(count)]
-    return run_schedule(seed, names)
+    drawn = sorted(FAULTS.keys() - REFUSING.values())
+    names = [world.random.choice(drawn) for _ in range(count)]
+    # Drawn apart, so that the schedule of a seed is otherwise the same.
+    links = random.Random(f"links of {seed}")
+    return run_schedule(
+        seed, [REFUSING.get(name, name) if _is_refused(links) else name for name in names]
+    )
+
+
+def _is_refused(links: random.Random) -> bool:
+    return links.random() < REFUSED_FRACTION
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -52,7 +52,7 @@
         super().__init__(cell.world, "zone", CLOCK_RATE_ERROR)
         self.cell = cell
         self.name = name
-        self.cut_from_servers = False
+        self.cut_from_servers: CallOutcome | None = None  # what its calls meet while it is cut off
         self.state = ElectionState(name, str(incarnation))
         self.core: LeaderCore | None = None
         self.keymap = KeyMap(SERVICE)
@@ -349,6 +349,7 @@
             if action.renewal and broke:
                 ended(CallOutcome.UNPROVEN)
                 return
+            self._note_refused(core, action.holder)
             if not self.cell.can_connect(self, action.holder):
                 ended(CallOutcome.NO_ANSWER)  # nothing was sent
                 return
@@ -371,6 +372,11 @@
 
         self.later(self._connect_ms(), connected)
 
+    def _note_refused(self, core: LeaderCore, holder: Holder) -> None:
+        """Count a refused connection as a closed one, as gateways do."""
+        if self.cell.refuses(self, holder):
+            core.note_connection_closed(holder)
+
     def _has_broken(self, holder: Holder, incarnation: str) -> bool:
         """Return whether the open connection to a holder has closed since its last use."""
         before = self._connected_to.get(holder.server_id, incarnation)
@@ -385,6 +391,7 @@
             if not self.has_authority:
                 ended(CallOutcome.NOT_SENT)
                 return
+            self._note_refused(core, action.holder)
             self.cell.deliver_release(self, action, lambda outcome: self.do(lambda: ended(outcome)))
 
         self.later(self._connect_ms(), connected)
--- a/tests/unit/test_key_simulation.py
+++ b/tests/unit/test_key_simulation.py
@@ -4,10 +4,12 @@
 
 import pytest
 
-from ploverhatch.simulation.keys.faults import FAULTS, run_schedule, run_seed
+from ploverhatch.simulation.keys.faults import FAULTS, REFUSING, run_schedule, run_seed
 from tests.unit.key_mutations import MUTATIONS, mutated
 
-PAIRS = list(combinations(sorted(FAULTS), 2))
+REFUSED = set(REFUSING.values())
+PAIRS = list(combinations(sorted(FAULTS.keys() - REFUSED), 2))
+PAIRS += [pair for pair in combinations(sorted(FAULTS), 2) if not REFUSED.isdisjoint(pair)]
 UNREACHABLE_AND_RESTARTED = (1, ("cut-server", "kill-all", "restart-server"))
 # Schedules (a seed and faults) that have a violation when the mechanism is switched off.
 FAILING_SCHEDULES = {
@@ -38,6 +40,11 @@
         (299, ("late-orders", "split-leader", "drain-server")),
         (646, ("store-slow", "late-orders", "store-down", "hot-key", "split-leader")),
     ],
+    "refused release": [
+        (700346, ("false-silence", "refuse-server", *["false-silence"] * 2, "kill-leader")),
+        (700353, ("kill-leader", "false-silence", "kill-leader", "cut-server", "refuse-server")),
+        (700494, ("false-silence", "refuse-server", "kill-leader", *["refuse-server"] * 2)),
+    ],
     "earlier leader still had authority": [
         (4582, ("restart-server", "drain-server", "kill-leader", "kill-node", "split-leader")),
         (
@@ -117,6 +124,13 @@
         assert verdict.clean, explain(verdict)
 
 
+@pytest.mark.parametrize("schedule", FOUND_SCHEDULES["refused release"])
+def test_a_refused_release_is_no_proof_that_a_standby_has_ended(schedule):
+    """A link refused the release to a standby that lived on, and its keys were granted anew."""
+    verdict = run_schedule(*schedule)
+    assert verdict.clean, explain(verdict)
+
+
 @pytest.mark.parametrize("schedule", FOUND_SCHEDULES["earlier leader still had authority"])
 def test_a_leader_replaced_before_its_predecessors_time_was_over(schedule):
     """The third leader waited for the leases of the second one only.
