Wait for a former standby whose address refuses the release

Cause: a new leader asks each standby of its predecessor to release a range before it grants it. Where the standby's address refused the connection, the range counted as released at once, since a standby is promoted only while it accepts connections. Class of fault: a refused connection taken as proof that a process has ended.

Change: a refusal is an answer to nothing. A former standby is waited for like any holder, until it has released the range, another incarnation answers in its place, or its lease has certainly expired. A new mutation takes the refusal as a release again.

Replaced check: test_a_former_standby_that_has_stopped_is_not_waited_for took a refusal as the stop. It asks the same of another instance at the address now, and a new test asks that a refused release is waited for until the lease has expired, to the millisecond.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -562,8 +562,6 @@
             return actions
         if outcome is CallOutcome.DONE:
             transfer.released(call.holder.server_id, handover)
-        elif outcome is CallOutcome.NOT_LISTENING:
-            transfer.holder_not_listening(call.holder.server_id, now_ms)
         else:
             transfer.release_failed(call.holder.server_id, now_ms)
         return actions + list(transfer.calls(now_ms, partial(self._may_release, now_ms)))
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -31,7 +31,7 @@
     OTHER_INSTANCE = "other-instance"  # another incarnation answered, so the addressee has stopped
     NO_ANSWER = "no-answer"  # the server may carry out the call, now or later
     NOT_SENT = "not-sent"  # no byte was sent
-    NOT_LISTENING = "not-listening"  # no byte was sent, since no process listens on the port
+    NOT_LISTENING = "not-listening"  # no byte was sent, since the connection was refused
     UNPROVEN = "unproven"  # no byte was sent, since a later incarnation may answer
 
 
@@ -62,7 +62,6 @@
     RELEASED = "released"
     EXPIRED = "expired"  # its lease has certainly expired
     STOPPED = "stopped"  # another incarnation runs in its place
-    NOT_LISTENING = "not-listening"  # its address refused the connection
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -114,19 +114,12 @@
         if self.pending.pop(server_id, None) is not None:
             self.ended[server_id] = reason
 
-    def holder_not_listening(self, server_id: str, now_ms: float) -> None:
-        """Record that no process listens on the port of a server that may hold the range.
+    def release_failed(self, server_id: str, now_ms: float) -> None:
+        """Record a release without an answer; it is sent again after ``RETRY_MS``.
 
-        A holder that is stopping may still run requests on open connections, so its lease has
-        to expire. A standby is promoted only while it accepts connections, so it has stopped.
+        A refused connection is no answer either: a link may refuse it while the server lives on
+        and holds the range, and a server that is stopping may still run requests.
         """
-        if server_id in self.former_standbys:
-            self._end(server_id, HoldEnd.NOT_LISTENING)
-        else:
-            self.release_failed(server_id, now_ms)
-
-    def release_failed(self, server_id: str, now_ms: float) -> None:
-        """Record a release without an answer; it is sent again after ``RETRY_MS``."""
         self.releasing.discard(server_id)
         self.retry_ms[server_id] = now_ms + RETRY_MS
 
--- a/tests/unit/key_mutations.py
+++ b/tests/unit/key_mutations.py
@@ -10,6 +10,7 @@
 from ploverhatch.leadership import election
 from ploverhatch.sharding import holders, leader_core, view
 from ploverhatch.sharding.leader_core import LeaderCore, _ServiceState
+from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.sharding.transfer import Transfer
 from ploverhatch.simulation.keys.node import SimKeyNode
 
@@ -48,6 +49,14 @@
     return replace(keymap, ranges=ranges)
 
 
+def refused_release_ends_hold(self, call, outcome, handover, now_ms):
+    refused = outcome is CallOutcome.NOT_LISTENING
+    return _release_ended(self, call, CallOutcome.DONE if refused else outcome, handover, now_ms)
+
+
+_release_ended = LeaderCore.release_ended
+
+
 # The wait for nodes that use an old map would cover up faults of other mechanisms.
 NO_WAIT_FOR_OLD_MAPS = mock.patch.object(view, "unused_from_ms", lambda changed_ms: changed_ms)
 
@@ -80,6 +89,9 @@
     "standbys of the last leader not released": [
         mock.patch.object(leader_core, "inherited", forget_standbys)
     ],
+    "refused release not waited out": [
+        mock.patch.object(LeaderCore, "release_ended", refused_release_ends_hold)
+    ],
     "old maps trusted": [mock.patch.object(view, "map_is_trusted", lambda *args: True)],
     "leader acts past its authority": [
         mock.patch.object(election, "observe_renewal", observe_renewal_without_stopping),
--- a/tests/unit/test_standbys.py
+++ b/tests/unit/test_standbys.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from ploverhatch.gateway import keymap_codec
+from ploverhatch.sharding.holders import LeaseTiming
 from ploverhatch.sharding.keymap import (
     Holder,
     KeyMap,
@@ -17,6 +18,7 @@
 from ploverhatch.sharding.leader_core import LeaderCore
 from ploverhatch.sharding.messages import (
     CallOutcome,
+    HoldEnd,
     SendGrant,
     SendRelease,
     ServiceView,
@@ -205,12 +207,31 @@
     assert {grant.handover for grant in granted} == {""}
 
 
-def test_a_former_standby_that_has_stopped_is_not_waited_for():
-    core = LeaderCore()
+def releases_of_standbys(core):
+    """Return the releases that a leader sends to the standbys of an earlier one."""
     core.inherit(assigned(), 5000.0, 0.0, same_incarnations=False)
     (action,) = of_kind(core.tick(100.0, view(), True), StoreMap)
     core.map_stored(action.keymap, 2, 110.0)
+    return of_kind(core.tick(150.0, view(), True), SendRelease)
+
+
+def test_a_former_standby_that_has_stopped_is_not_waited_for():
+    core = LeaderCore()
     granted = []
-    for release in of_kind(core.tick(150.0, view(), True), SendRelease):
-        granted += core.release_ended(release, CallOutcome.NOT_LISTENING, "", 160.0)
-    assert len(of_kind(granted, SendGrant)) == 3
+    for release in releases_of_standbys(core):
+        granted += core.release_ended(release, CallOutcome.OTHER_INSTANCE, "", 160.0)
+    grants = of_kind(granted, SendGrant)
+    assert len(grants) == 3
+    assert {end for grant in grants for end in grant.ended.values()} == {HoldEnd.STOPPED}
+
+
+def test_a_former_standby_whose_address_refuses_is_waited_for():
+    """A link that refused a release was taken as proof that the standby had ended."""
+    core = LeaderCore()
+    for release in releases_of_standbys(core):
+        assert core.release_ended(release, CallOutcome.NOT_LISTENING, "", 160.0) == []
+    expired_ms = LeaseTiming().expiry_ms(5000.0)
+    assert of_kind(core.tick(expired_ms - 1.0, view(), True), SendGrant) == []
+    grants = of_kind(core.tick(expired_ms, view(), True), SendGrant)
+    assert len(grants) == 3
+    assert {end for grant in grants for end in grant.ended.values()} == {HoldEnd.EXPIRED}
