--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -55,6 +55,11 @@
         """The number of requests that this node has in flight at the server."""
         return self._queue.in_use
 
+    @property
+    def oldest_in_flight_ms(self) -> float:
+        """For how long this node's oldest request has been in flight there; 0 without any."""
+        return self._queue.oldest_ms
+
     def slot(self, priority: int, wait_s: float) -> AbstractContextManager[None]:
         """Hold one of this node's slots at the server.
 
@@ -163,19 +168,30 @@
         connection.open(timeout_s)
         return connection
 
-    def has_ended(self, timeout_s: float) -> bool:
-        """Open a connection to find out whether the process at the address is gone.
+    @property
+    def has_idle_connection(self) -> bool:
+        """Whether an idle connection seems to be usable."""
+        return any(connection.is_usable() for connection in self._idle)
+
+    def probe(self, timeout_s: float) -> None:
+        """Open a connection, which is kept for the next request.
 
-        Only a dead port refuses the connection; a full server, a lost answer, a reset or a broken
-        link don't. A connection that is made is kept for the next request.
+        :raises NotConnectedError: when no connection can be made.
         """
         connection = HttpConnection(self.address)
+        connection.open(timeout_s)
+        connection.reusable = True
+        self.release(connection)
+
+    def refuses_connections(self, timeout_s: float) -> bool:
+        """Return whether a new connection is refused, by a dead port or by the link to it.
+
+        A full server, a lost answer or a silent link don't refuse it.
+        """
         try:
-            connection.open(timeout_s)
+            self.probe(timeout_s)
         except NotConnectedError as error:
             return error.refused
-        connection.reusable = True
-        self.release(connection)
         return False
 
     def release(self, connection: HttpConnection) -> None:
@@ -220,6 +236,17 @@
         """Return a server's state, or ``None`` when it is not known."""
         return self._upstreams.get(server_id)
 
+    @property
+    def server_ids(self) -> frozenset[str]:
+        """The known servers."""
+        return frozenset(self._upstreams)
+
+    def oldest_in_flight_ms(self) -> float:
+        """Return for how long the oldest request in flight has been sent; 0 without any."""
+        return max(
+            (upstream.oldest_in_flight_ms for upstream in self._upstreams.values()), default=0.0
+        )
+
     def collect_answer_times(self, services: Collection[str]) -> dict[str, list[int]]:
         """Return the answer times since the last call by server, for servers of some services."""
         taken = {
