Test gateways that are cut from all upstreams, or from one holder

What callers saw: a gateway whose links to all upstreams were cut, while callers, the store and the other gateways still reached it, served nothing for as long as the cut lasted, though each other gateway reached the upstreams. With most gateways cut, the others refused requests too.

A launcher runs a gateway whose outgoing TCP connections to chosen ports obey a file of link states that the test replaces: silent, refused, half open. No product code changes.

--- a/tests/standin/site.py
+++ b/tests/standin/site.py
@@ -18,6 +18,7 @@
 from ploverhatch.gateway.messages import CallerReply
 from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.simulation.keys.server import Journal, SimKeyServer
+from tests.standin.links import LINKS_VARIABLE, encode_states
 from tests.standin.metadata_store import StoreServer
 from tests.standin.upstream import Upstream
 
@@ -26,7 +27,8 @@
 # Folder of another version of the project, whose gateways run with the stand-ins of this version.
 CODE_VARIABLE = "PLOVERHATCH_TEST_CODE"
 CODE = os.environ.get(CODE_VARIABLE)
-SUSPENDED_PROGRAM = "tests.standin.suspended_gateway"  # run by every second node
+SUSPENDED_PROGRAM = "tests.standin.suspended_gateway"
+CUT_PROGRAM = "tests.standin.cut_gateway"
 GRACE_S = 6.0  # time from SIGTERM until the platform kills a process
 POLL_S = 0.02
 FIRST_START_MS = 1_764_700_000_000
@@ -230,15 +232,16 @@
         self.path = Path(folder) / f"{name}.toml"
         self.log = Path(folder) / f"{name}.log"
         self.log.touch()
+        self.links_file = Path(folder) / f"{name}.links"
+        self.heal()
         self.incarnations = []
         self.closed = False
         self.write_settings()
         self.start()
 
     def write_settings(self, retry_slack=50.0):
-        """Replace the settings file atomically, since the process may read it at any time."""
-        new_file = self.path.with_suffix(".fresh")
-        new_file.write_text(
+        _replace_file(
+            self.path,
             f"""
 [self_node]
 node = "{self.name}"
@@ -254,9 +257,21 @@
 [terms.bounds]
 grace_s = {GRACE_S}
 retry_slack = {retry_slack}
-"""
+""",
         )
-        new_file.replace(self.path)
+
+    def cut(self, state, ports):
+        """Set the state of the process's links to some ports; its other links are up.
+
+        The state outlasts a restart of the process. Only ``CUT_PROGRAM`` obeys it.
+        """
+        if CODE or self.program != CUT_PROGRAM:
+            raise ValueError(f"the links of {self.program} can't be cut")
+        _replace_file(self.links_file, encode_states(dict.fromkeys(ports, state)))
+
+    def heal(self):
+        """Set all links up."""
+        _replace_file(self.links_file, encode_states({}))
 
     @property
     def incarnation(self):
@@ -271,7 +286,11 @@
         """Start a process, unless the site has been closed."""
         if self.closed:
             return
-        environment = {**os.environ, "PLOVERHATCH_NODE_FILE": str(self.path)}
+        environment = {
+            **os.environ,
+            "PLOVERHATCH_NODE_FILE": str(self.path),
+            LINKS_VARIABLE: str(self.links_file),
+        }
         size = self.log.stat().st_size
         with self.log.open("ab") as log:
             process = subprocess.Popen(
@@ -317,10 +336,17 @@
             reservation.close()
 
 
+def _replace_file(path, text):
+    """Replace a file atomically, since a process may read it at any time."""
+    new_file = path.with_name(f"{path.name}.fresh")
+    new_file.write_text(text)
+    new_file.replace(path)
+
+
 class StandinSite:
-    """A site on loopback: store, upstreams and gateways."""
+    """A site on loopback: store, upstreams and gateways, which run the programs in turn."""
 
-    def __init__(self, gateways=3, keyed=4, plain=2):
+    def __init__(self, gateways=3, keyed=4, plain=2, programs=(PROGRAM, SUSPENDED_PROGRAM)):
         self.store_faults = []  # (start, end) in elapsed seconds
         self.server = StoreServer()
         self.store = self.server.store
@@ -339,7 +365,7 @@
                 f"node-{number}",
                 self.server.address,
                 self.folder.name,
-                SUSPENDED_PROGRAM if number % 2 else PROGRAM,
+                programs[number % len(programs)],
             )
             for number in range(gateways)
         ]
