Send requests on through another node while links to servers are cut

Cause: a gateway had no way to a server but its own links, and took a failure there as the server's: the slot's release said so to the dispatcher, a refused connection ended the server for the quarantine, a silent one froze it.

Change: a node that is cut off from the servers sends each request on at once, over TCP, to a node that reaches them; one whose link to a key's holder alone is cut does so for these keys, and after a failed connection. The other node serves the request as its own callers', and sends it no further. The deadline, the retry budget, attempts and the caller's departure are carried over; a node that is stopping, cut off or has an older configuration declines. While links are in doubt, failures aren't reported to dispatchers and aren't freezes; a refusal is an end only if another node is refused too.

Tests: test_the_check_for_a_crash_goes_on_when_the_caller_leaves replaces the probe by its new name, with the same checks.

--- a/ploverhatch/gateway/call.py
+++ b/ploverhatch/gateway/call.py
@@ -6,6 +6,7 @@
 from ploverhatch.gateway.messages import CallerRequest, RequestFacts
 from ploverhatch.gateway.request_log import RequestTrace
 from ploverhatch.quarantine.fingerprint import Fingerprint, fingerprint, short_digest
+from ploverhatch.routing.gateway_attempts import AttemptHistory
 from ploverhatch.routing.route_table import Route
 
 
@@ -30,6 +31,14 @@
     _short_digest: bytes = field(default=b"", init=False)
     _fingerprint: Fingerprint | None = field(default=None, init=False)
 
+    @property
+    def earlier_attempts(self) -> AttemptHistory:
+        """The attempts of the node that sent the request on; none for a caller's own request."""
+        sender = self.request.forwarded_by
+        if sender is None:
+            return AttemptHistory()
+        return AttemptHistory(sender.arrivals, may_have_run=sender.arrivals > 0)
+
     @property
     def remaining_ms(self) -> float:
         """Milliseconds until the earlier of the caller's deadline and the route's timeout."""
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager, suppress
+from dataclasses import dataclass, field
 
 import gevent
 
@@ -19,6 +20,7 @@
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.messages import (
     CallerGoneError,
     CallerReply,
@@ -27,6 +29,7 @@
     RequestFacts,
 )
 from ploverhatch.gateway.metrics import GatewayMetrics
+from ploverhatch.gateway.peer_forwarding import PeerForwarder
 from ploverhatch.gateway.quarantine import OnTrialElsewhereError, Quarantine
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
 from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
@@ -89,6 +92,15 @@
     return quarantine
 
 
+@dataclass(slots=True)
+class _Progress:
+    """The attempts made for one request so far."""
+
+    history: AttemptHistory
+    tried: set[str] = field(default_factory=set)  # Servers that failed a request without a key.
+    last_answer: WireAnswer | None = None  # The last server's error response.
+
+
 class Forwarder:
     """Serves the requests that one node receives from callers.
 
@@ -98,6 +110,8 @@
     :param quarantine: decides which requests are refused; without one the node decides alone.
     :param drain_ms: time after which a server that announced to this node that it is leaving
         gets nothing.
+    :param links: the state of this node's links; without it, the node knows of no other nodes.
+    :param peers: sends requests on while links are cut; without it, no request is sent on.
     """
 
     def __init__(
@@ -110,8 +124,12 @@
         evacuate_ms: float = 0.0,
         quarantine: Quarantine | None = None,
         drain_ms: float = DRAIN_MS,
+        links: LinkMonitor | None = None,
+        peers: PeerForwarder | None = None,
     ) -> None:
-        self._choice = ServerChoice(directory, pool, evacuate_ms, drain_ms)
+        self._links = links or LinkMonitor(pool, tuple, lambda message, to: None)
+        self._peers = peers
+        self._choice = ServerChoice(directory, pool, evacuate_ms, drain_ms, self._links)
         self._shared_slots = shared_slots
         self._directory = directory
         self._dialect = dialect
@@ -132,7 +150,7 @@
         :raises CallerGoneError: when the caller closes its connection meanwhile.
         """
         facts = None
-        trace = RequestTrace()
+        trace = RequestTrace(received_ms=request.received_ms)
         detail = ""
         result = results.OK
         try:
@@ -151,6 +169,7 @@
         except RefusedError as error:
             result, detail = error.result, error.detail
             reply = self._refuse(error, facts)
+            reply.unreached = detail == AttemptResult.NOT_CONNECTED.value
         except Exception as error:
             # An internal fault: the reply says that the request may have run.
             LOG.error("Request failed.", request=trace.request_id, cause=repr(error))
@@ -166,7 +185,8 @@
             result = results.DEADLINE_IN_FLIGHT if trace.sent else results.NODE_DRAINING
             reply = self._refuse(RefusedError(result), facts)
         took_ms = elapsed_ms() - request.received_ms
-        self.metrics.count_request(result.code, took_ms)
+        if request.forwarded_by is None:
+            self.metrics.count_request(result.code, took_ms)
         trace.finish(reply.status, result.code, detail, took_ms)
         return reply
 
@@ -235,41 +255,108 @@
     # ---- attempts -------------------------------------------------------------------
 
     def _run(self, call: Call) -> CallerReply:
-        self._budget.earn(call.service, elapsed_ms())
-        if call.partitioned:
-            self._sample(call)
-        history = AttemptHistory()
-        tried: set[str] = set()
-        last_answer: WireAnswer | None = None
+        progress = _Progress(call.earlier_attempts)
+        if self._links.is_cut_off:
+            reply = self._forward(call, progress, counted=False)
+            if reply is not None:
+                return reply
+        self._count(call)
         while True:
-            upstream, result, answer = self._attempt_when_permitted(call, tried, history)
-            self.metrics.attempts[result.value] += 1
-            if result in RAN_RESULTS:
-                self._quarantine.note_answer(call)
-            if result is AttemptResult.ANSWERED:
-                assert answer is not None
-                return self._forward_answer(answer)
-            if result is AttemptResult.SERVER_ERROR:
-                last_answer = answer
-            history = history.after(result)
-            self._update_upstream(upstream, result, call.trace.attempts[-1].took_ms)
-            step = self._decide(call, history, result)
-            if step is not NextStep.RETRY:
-                return self._give_up(call, step, result, last_answer, tried)
-            if not call.partitioned:
-                tried.add(upstream.record.server_id)
-            elif result in {AttemptResult.NOT_HOLDER, AttemptResult.NOT_CONNECTED}:
-                self._directory.changed.wait(RETRY_PAUSE_S)
-            elif self._choice.unservable(call) is None:
-                # The retry goes to the same server, which an immediate retry would find as full
-                # as before. The pause is random and at most a typical answer time.
-                gevent.sleep(upstream.answer_time.typical_ms / 1000 * random.random())
-
-    def _sample(self, call: Call) -> None:
+            reply = self._try_next(call, progress)
+            if reply is not None:
+                return reply
+
+    def _try_next(self, call: Call, progress: _Progress) -> CallerReply | None:
+        """Make one attempt; return the reply, or ``None`` if another attempt is to be made."""
+        if self._holder_is_cut_off(call):
+            reply = self._forward(call, progress)
+            if reply is not None:
+                return reply
+        upstream, result, answer = self._attempt_when_permitted(
+            call, progress.tried, progress.history
+        )
+        self.metrics.attempts[result.value] += 1
+        if result in RAN_RESULTS:
+            self._quarantine.note_answer(call)
+        if result is AttemptResult.ANSWERED:
+            assert answer is not None
+            return self._forward_answer(answer)
+        if result is AttemptResult.SERVER_ERROR:
+            progress.last_answer = answer
+        progress.history = progress.history.after(result)
+        self._update_upstream(upstream, result, call.trace.attempts[-1].took_ms)
+        if result is AttemptResult.NOT_CONNECTED and self._link_may_be_cut(call, upstream):
+            reply = self._forward(call, progress)
+            if reply is not None:
+                return reply
+        step = self._decide(call, progress.history, result)
+        if step is not NextStep.RETRY:
+            return self._give_up(call, step, result, progress)
+        self._prepare_retry(call, upstream, result, progress)
+        return None
+
+    def _prepare_retry(
+        self, call: Call, upstream: Upstream, result: AttemptResult, progress: _Progress
+    ) -> None:
+        if not call.partitioned:
+            progress.tried.add(upstream.record.server_id)
+        elif result in {AttemptResult.NOT_HOLDER, AttemptResult.NOT_CONNECTED}:
+            self._directory.changed.wait(RETRY_PAUSE_S)
+        elif self._choice.unservable(call) is None:
+            # The retry goes to the same server, which an immediate retry would find as full
+            # as before. The pause is random and at most a typical answer time.
+            gevent.sleep(upstream.answer_time.typical_ms / 1000 * random.random())
+
+    def _count(self, call: Call) -> None:
+        """Count a request for the retry budget and the load of its key, at one node only."""
+        if call.request.forwarded_by is not None and call.request.forwarded_by.counted:
+            return
+        self._budget.earn(call.service, elapsed_ms())
         key = call.facts.shard_key
-        if key is not None:
+        if call.partitioned and key is not None:
             self.sampled_keys.setdefault(call.service, []).append(key)
 
+    def _holder_is_cut_off(self, call: Call) -> bool:
+        """Whether only other nodes reach the holder of a request's key."""
+        if not call.partitioned or not self._links.any_unreached:
+            return False
+        upstream = self._choice.holder(call)
+        return (
+            upstream is not None
+            and self._links.link_is_cut(upstream.record.server_id)
+            and not upstream.has_idle_connection
+        )
+
+    def _link_may_be_cut(self, call: Call, upstream: Upstream) -> bool:
+        """Whether another node may reach a server to which no connection could be made.
+
+        A request without a key tries another server first.
+        """
+        server_id = upstream.record.server_id
+        if self._links.link_is_cut(server_id):
+            return True
+        last_way = call.partitioned or len(call.trace.attempts) > 1
+        return last_way and not self._links.is_down(server_id)
+
+    def _forward(self, call: Call, progress: _Progress, counted: bool = True) -> CallerReply | None:
+        """Send a request on through another node; return ``None`` if no node took it.
+
+        :raises RefusedError: when a node took it and gave no answer, and it can't be repeated.
+        """
+        if self._peers is None or call.request.forwarded_by is not None:
+            return None
+        if progress.history.may_have_run and not call.route.repeatable:
+            return None
+        while True:
+            outcome = self._peers.forward(call, progress.history, counted)
+            if not outcome.lost:
+                return outcome.reply
+            progress.history = progress.history.after(AttemptResult.LOST)
+            if self._decide(call, progress.history, AttemptResult.LOST) is not NextStep.RETRY:
+                late = call.remaining_ms <= 0
+                result = results.DEADLINE_IN_FLIGHT if late else results.ANSWER_LOST
+                raise RefusedError(result, "forwarded")
+
     def _decide(self, call: Call, history: AttemptHistory, result: AttemptResult) -> NextStep:
         step = next_step(
             history,
@@ -293,14 +380,13 @@
         call: Call,
         step: NextStep,
         result: AttemptResult,
-        last: WireAnswer | None,
-        tried: set[str],
+        progress: _Progress,
     ) -> CallerReply:
-        if last is not None:
+        if progress.last_answer is not None:
             # The server's own error response goes to the caller unchanged.
-            return self._forward_answer(last)
+            return self._forward_answer(progress.last_answer)
         if step is NextStep.REFUSE:
-            unservable = self._choice.unservable(call, tried)
+            unservable = self._choice.unservable(call, progress.tried)
             after_s = unservable.after_s if unservable else 0.0
             after_s = max(after_s, RETRY_AFTER_BUSY_S)
             raise RefusedError(results.SERVER_REFUSED, result.value, after_s)
@@ -346,8 +432,10 @@
                 self._quarantine.recheck(call, history.may_have_run)
                 with granted.granted_slot():
                     result, answer = self._attempt_and_record(call, granted)
-                slot.failed = result in FAILED_RESULTS
-                slot.unanswered = result in UNANSWERED_RESULTS
+                # A failure of the link says nothing of the server.
+                in_doubt = self._links.in_doubt(granted.record.server_id)
+                slot.failed = result in FAILED_RESULTS and not in_doubt
+                slot.unanswered = result in UNANSWERED_RESULTS and not in_doubt
                 if result is AttemptResult.ANSWERED:
                     slot.service_ms = call.trace.attempts[-1].took_ms
                 return granted, result, answer
@@ -491,6 +579,7 @@
         result = self._dialect.classify_answer(call.facts, record.server_id, answer)
         if result is not AttemptResult.WRONG_INSTANCE:
             upstream.last_answer_ms = elapsed_ms()
+        self._links.note_reached(upstream)
         notice = self._dialect.notice(call.facts.request_id, record.server_id, answer)
         if notice != NO_NOTICE:
             self._directory.apply_notice(record.server_id, notice, sent_ms)
@@ -507,11 +596,15 @@
 
     def _connect(self, upstream: Upstream, left_ms: float) -> HttpConnection | None:
         try:
-            return upstream.connection(min(CONNECT_TIMEOUT_S, left_ms / 1000))
+            connection = upstream.connection(min(CONNECT_TIMEOUT_S, left_ms / 1000))
         except NotConnectedError as error:
+            self._links.note_unreached(upstream, error.refused)
             if error.refused:
-                self._quarantine.note_server_ended(upstream)
+                self._quarantine.note_refused(upstream)
             return None
+        if connection.is_new:
+            self._links.note_reached(upstream)
+        return connection
 
     def _exchange(
         self,
--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -72,6 +72,16 @@
         """Whether the link to a server is cut, so that a failure there says nothing of it."""
         return self._state.link_is_cut(server_id, elapsed_ms())
 
+    @property
+    def any_unreached(self) -> bool:
+        """Whether any server couldn't be connected to since it was last reached."""
+        return bool(self._state.unreached)
+
+    def in_doubt(self, server_id: str) -> bool:
+        """Whether the link to a server may be cut, so that a failure there proves nothing."""
+        state = self._state
+        return state.is_suspect or state.probes_failed or self.link_is_cut(server_id)
+
     def is_down(self, server_id: str) -> bool:
         """Whether another node couldn't connect to a server either."""
         return self._state.is_down(server_id, elapsed_ms())
--- a/ploverhatch/gateway/messages.py
+++ b/ploverhatch/gateway/messages.py
@@ -5,6 +5,18 @@
 HeaderList = list[tuple[bytes, bytes]]
 
 
+@dataclass(frozen=True, slots=True)
+class ForwardingNode:
+    """What the node that sent a request on has done for it.
+
+    :param arrivals: attempts that may have reached a server.
+    :param counted: whether its retry budget has counted the request.
+    """
+
+    arrivals: int
+    counted: bool
+
+
 @dataclass(slots=True, eq=False)
 class CallerRequest:
     """A caller's complete request; times are elapsed milliseconds."""
@@ -16,6 +28,7 @@
     received_ms: float  # When its first byte was read.
     caller: bytes = b""  # The caller's address without the port.
     request_id: str = "-"  # The id for logs; set once the header fields are parsed.
+    forwarded_by: ForwardingNode | None = None  # Set if another node sent the request on.
 
     @property
     def path(self) -> bytes:
@@ -30,6 +43,7 @@
     status: int
     headers: HeaderList = field(default_factory=list)
     body: bytes = b""
+    unreached: bool = False  # Whether it refuses a request since no server could be reached.
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/ploverhatch/gateway/peer_forwarding.py
@@ -0,0 +1,264 @@
+"""Sends a request on through another node while this node's links to servers are cut.
+
+The other node serves the request like one of its own callers: it chooses the server, holds the
+slot and enforces the deadline, which both nodes compute from the same header fields and the
+request's age. It doesn't send the request on again. The retry budget counts the request once, at
+the node that sends it to servers first. A caller that disconnects ends the request there too,
+since the connection between the nodes is reset.
+"""
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.call import Call
+from ploverhatch.gateway.links import LinkMonitor, Node
+from ploverhatch.gateway.messages import CallerReply, CallerRequest, ForwardingNode
+from ploverhatch.routing.gateway_attempts import AttemptHistory, AttemptResult
+from ploverhatch.transport.http_connection import (
+    AnswerCutError,
+    HostPort,
+    HttpConnection,
+    NotConnectedError,
+)
+
+LOG = PartLogger("peer")
+
+PATH_PART = b"requests"
+CONNECT_TIMEOUT_S = 0.1
+MAX_NODES_ASKED = 3  # For one request; nodes that are cut off themselves decline at once.
+SKIPPED_MS = 1000.0  # How long a node is skipped that accepted no connection, or declined.
+# The other node's own answer at the deadline is awaited for this much longer.
+REPLY_MARGIN_S = 0.05
+MAX_IDLE = 8  # Idle connections that are kept to each node.
+IDLE_LIMIT_S = 5.0  # Shorter than nodes keep idle connections open.
+
+
+class ForwardedRequest(msgspec.Struct, array_like=True, frozen=True):
+    """A caller's request as it is sent on.
+
+    ``age_ms`` is the time since its first byte was read; ``version`` that of the sender's
+    configuration. ``arrivals`` is the number of attempts that may have reached a server, and
+    ``counted`` says whether the sender's retry budget has counted the request.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    caller: bytes
+    age_ms: float
+    version: int
+    arrivals: int = 0
+    counted: bool = False
+
+
+class ForwardedReply(msgspec.Struct, array_like=True, frozen=True):
+    """The answer for the caller.
+
+    ``declined`` says that nothing was done; ``unreached`` that the request was refused since no
+    server could be reached.
+    """
+
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = []
+    body: bytes = b""
+    declined: bool = False
+    unreached: bool = False
+
+
+_DECLINED = ForwardedReply(declined=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarding:
+    """The outcome of sending a request on.
+
+    ``reply`` is the answer for the caller, or ``None`` without one. ``lost`` says whether a node
+    that gave no answer may have run the request.
+    """
+
+    reply: CallerReply | None = None
+    lost: bool = False
+
+
+class PeerForwarder:
+    """Sends requests on to other nodes.
+
+    :param nodes: returns the zones of the other known nodes, by address.
+    :param zone: zone of this node. Nodes there are preferred, since traffic between zones costs.
+    """
+
+    def __init__(
+        self, links: LinkMonitor, nodes: Callable[[], Mapping[Node, str]], zone: str
+    ) -> None:
+        self._links = links
+        self._nodes = nodes
+        self._zone = zone
+        self._skipped_until_ms: dict[Node, float] = {}
+        self._idle: dict[Node, list[HttpConnection]] = {}
+
+    def forward(self, call: Call, history: AttemptHistory, counted: bool) -> Forwarding:
+        """Send a request on, to one node after another until one takes it.
+
+        :param counted: whether this node's retry budget has counted the request.
+        """
+        refused: CallerReply | None = None
+        for node in self._candidates():
+            if call.remaining_ms <= 0:
+                break
+            start_ms = elapsed_ms()
+            reply, result = self._ask(node, call, history, counted)
+            call.trace.note_forwarding(f"{node[0]}:{node[1]}", result, start_ms, elapsed_ms())
+            if reply is None or reply.declined:
+                self._skipped_until_ms[node] = elapsed_ms() + SKIPPED_MS
+            if result in {AttemptResult.LOST, AttemptResult.TIMED_OUT}:
+                return Forwarding(lost=True)
+            if reply is None or reply.declined:
+                continue
+            answer = CallerReply(reply.status, list(reply.headers), reply.body)
+            if not reply.unreached:
+                self._links.note_node(node, reaches_servers=True)
+                return Forwarding(answer)
+            refused = answer
+        return Forwarding(refused)
+
+    def _candidates(self) -> list[Node]:
+        """Return the nodes to ask: those that reach servers first, and near ones before others."""
+        now_ms = elapsed_ms()
+        self._skipped_until_ms = {
+            node: end_ms for node, end_ms in self._skipped_until_ms.items() if end_ms > now_ms
+        }
+        zones, reaching = self._nodes(), self._links.reaching_nodes()
+        avoided = self._links.cut_nodes() | self._skipped_until_ms.keys()
+        usable = [node for node in zones if node not in avoided]
+        random.shuffle(usable)
+        usable.sort(key=lambda node: (node not in reaching, zones[node] != self._zone))
+        return usable[:MAX_NODES_ASKED]
+
+    def _ask(
+        self, node: Node, call: Call, history: AttemptHistory, counted: bool
+    ) -> tuple[ForwardedReply | None, AttemptResult]:
+        """Send a request to one node; return its reply, if any, and the outcome."""
+        try:
+            connection = self._connection(node)
+        except NotConnectedError:
+            return None, AttemptResult.NOT_CONNECTED
+        payload = _encode(call, history, counted)
+        call.trace.sent = True
+        try:
+            with gevent.Timeout(max(0.0, call.remaining_ms) / 1000 + REPLY_MARGIN_S):
+                answer = connection.exchange(b"POST", payload)
+        except gevent.Timeout:
+            return None, AttemptResult.TIMED_OUT
+        except AnswerCutError:
+            return None, AttemptResult.LOST
+        self._keep(node, connection)
+        if answer.status != 200:
+            return _DECLINED, AttemptResult.DECLINED
+        try:
+            reply = msgspec.msgpack.decode(answer.body, type=ForwardedReply)
+        except (ValueError, RecursionError) as error:
+            LOG.warning("Forwarded answer is malformed.", cause=error)
+            return None, AttemptResult.LOST
+        if reply.declined:
+            return reply, AttemptResult.DECLINED
+        return reply, AttemptResult.NOT_CONNECTED if reply.unreached else AttemptResult.ANSWERED
+
+    def _connection(self, node: Node) -> HttpConnection:
+        idle = self._idle.get(node, [])
+        while idle:
+            connection = idle.pop()
+            fresh = elapsed_ms() / 1000 - connection.idle_since_s < IDLE_LIMIT_S
+            if fresh and connection.is_usable():
+                return connection
+            connection.close()
+        connection = HttpConnection(HostPort(*node))
+        connection.open(CONNECT_TIMEOUT_S)
+        return connection
+
+    def _keep(self, node: Node, connection: HttpConnection) -> None:
+        idle = self._idle.setdefault(node, [])
+        if not connection.reusable or len(idle) >= MAX_IDLE:
+            connection.close()
+            return
+        connection.idle_since_s = elapsed_ms() / 1000
+        idle.append(connection)
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for longer than they are used."""
+        now_s = elapsed_ms() / 1000
+        for node, idle in list(self._idle.items()):
+            kept = [item for item in idle if now_s - item.idle_since_s < IDLE_LIMIT_S]
+            for connection in idle:
+                if connection not in kept:
+                    connection.close()
+            self._idle[node] = kept
+            if not kept:
+                del self._idle[node]
+
+
+def _encode(call: Call, history: AttemptHistory, counted: bool) -> bytes:
+    request = call.request
+    body = msgspec.msgpack.encode(
+        ForwardedRequest(
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            request.caller,
+            elapsed_ms() - request.received_ms,
+            call.trace.version,
+            history.arrivals,
+            counted,
+        )
+    )
+    head = b"POST /%s HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (PATH_PART, len(body))
+    return head + body
+
+
+class ForwardedRequests:
+    """Serves requests that other nodes send on to this one.
+
+    :param handle: serves a caller's request.
+    :param version: returns the version of this node's configuration.
+    :param accepts: whether this node takes requests of other nodes now.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[CallerRequest], CallerReply],
+        version: Callable[[], int],
+        accepts: Callable[[], bool],
+    ) -> None:
+        self._handle = handle
+        self._version = version
+        self._accepts = accepts
+
+    def answer(self, call: CallerRequest) -> CallerReply:
+        """Serve one request of another node."""
+        try:
+            item = msgspec.msgpack.decode(call.body, type=ForwardedRequest)
+        except (ValueError, RecursionError) as error:
+            LOG.warning("Forwarded request is malformed.", cause=error)
+            return CallerReply(400)
+        # An older configuration here would make the caller's node seem to return to it.
+        if not self._accepts() or self._version() < item.version:
+            return CallerReply(200, body=msgspec.msgpack.encode(_DECLINED))
+        request = CallerRequest(
+            item.method,
+            item.target,
+            item.headers,
+            item.body,
+            elapsed_ms() - item.age_ms,
+            item.caller,
+            forwarded_by=ForwardingNode(item.arrivals, item.counted),
+        )
+        reply = self._handle(request)
+        body = ForwardedReply(reply.status, reply.headers, reply.body, unreached=reply.unreached)
+        return CallerReply(200, body=msgspec.msgpack.encode(body))
--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -32,6 +32,7 @@
 )
 from ploverhatch.relay import packing
 from ploverhatch.relay.messages import Beacon, Fragment, RelayedUpdate
+from ploverhatch.routing.link_messages import LinkQuery, LinkReply
 from ploverhatch.transport.http_connection import HostPort
 
 LOG = PartLogger("peer")
@@ -64,7 +65,8 @@
 
 SlotMessage = SlotRequestMessage | SlotReply | SlotRelease | HeldSlotsRequest | HeldSlotsReply
 CrashMessage = CrashReport | CrashQuery | TrialMessage
-Message = LoadReport | RelayedUpdate | Beacon | Fragment | SlotMessage | CrashMessage
+LinkMessage = LinkQuery | LinkReply
+Message = LoadReport | RelayedUpdate | Beacon | Fragment | SlotMessage | CrashMessage | LinkMessage
 Address = tuple[str, int]
 
 
@@ -135,7 +137,7 @@
         ):
             self.add_peer_handler(message_type, handler)
 
-    def send(self, message: SlotMessage | CrashMessage, to: Address) -> None:
+    def send(self, message: SlotMessage | CrashMessage | LinkMessage, to: Address) -> None:
         """Send a message to one node; a longer one than a datagram holds is dropped."""
         self._send(msgspec.msgpack.encode(message), to)
 
@@ -228,7 +230,7 @@
 
     def _decode(
         self, data: bytes, peer: Address
-    ) -> LoadReport | RelayedUpdate | Beacon | SlotMessage | CrashMessage | None:
+    ) -> LoadReport | RelayedUpdate | Beacon | SlotMessage | CrashMessage | LinkMessage | None:
         """Return a message; ``None`` until the last fragment of a long one has arrived.
 
         :raises ValueError: when it is malformed.
--- a/ploverhatch/gateway/peer_objects.py
+++ b/ploverhatch/gateway/peer_objects.py
@@ -12,10 +12,8 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.gateway.caller_server import CallerServer
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
 from ploverhatch.relay.messages import Snapshot
-from ploverhatch.routing.route_table import ClientLimits
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
     HostPort,
@@ -25,37 +23,25 @@
 
 LOG = PartLogger("peer")
 
-PATH = b"/objects/"
+PATH_PART = b"objects"
+PATH = b"/%s/" % PATH_PART
 TIMEOUT_S = 0.6
 CONNECT_TIMEOUT_S = 0.2
 ASK_AGAIN_MS = 1000.0  # wait after a leader did not answer
-MAX_CONNECTIONS = 256
 
 
-class SnapshotServer:
-    """Serves snapshots to other nodes.
+class Snapshots:
+    """Answers other nodes' requests for snapshots.
 
     :param snapshot: returns the objects of a kind, or ``None`` where this node doesn't lead or
         its view of the kind isn't current.
     """
 
-    def __init__(self, address: HostPort, snapshot: Callable[[str], Snapshot | None]) -> None:
+    def __init__(self, snapshot: Callable[[str], Snapshot | None]) -> None:
         self._snapshot = snapshot
-        self._server = CallerServer(
-            address, self._answer, ClientLimits, max_connections=MAX_CONNECTIONS
-        )
 
-    def start(self) -> None:
-        """Start listening."""
-        self._server.start()
-
-    def stop(self) -> None:
-        """Stop listening."""
-        self._server.stop()
-
-    def _answer(self, request: CallerRequest) -> CallerReply:
-        if not request.path.startswith(PATH):
-            return CallerReply(404)
+    def answer(self, request: CallerRequest) -> CallerReply:
+        """Answer a request for the snapshot of a kind."""
         snapshot = self._snapshot(request.path[len(PATH) :].decode("latin-1"))
         if snapshot is None:
             return CallerReply(503)
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -11,7 +11,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.code_id import code_id
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.gateway import keymap_codec
+from ploverhatch.gateway import keymap_codec, peer_forwarding, peer_objects
 from ploverhatch.gateway.caller_server import CallerServer
 from ploverhatch.gateway.dialect import Dialect
 from ploverhatch.gateway.directory import Directory
@@ -20,9 +20,12 @@
 from ploverhatch.gateway.forwarder import Forwarder
 from ploverhatch.gateway.key_leader import KeyLeader
 from ploverhatch.gateway.keymap_relay import KeymapRelay
+from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.gateway.peer_forwarding import ForwardedRequests, PeerForwarder
 from ploverhatch.gateway.peer_link import MAX_KEYS, Address, LoadReport, PeerLink
-from ploverhatch.gateway.peer_objects import SnapshotClient, SnapshotServer
+from ploverhatch.gateway.peer_objects import SnapshotClient, Snapshots
+from ploverhatch.gateway.peer_server import PeerServer
 from ploverhatch.gateway.quarantine import Quarantine
 from ploverhatch.gateway.quarantine_persistence import QuarantinePersistence
 from ploverhatch.gateway.relay import Relay
@@ -43,6 +46,7 @@
 )
 from ploverhatch.relay.messages import Beacon, RelayedUpdate
 from ploverhatch.relay.publisher import Term
+from ploverhatch.routing.link_messages import LinkQuery, LinkReply
 from ploverhatch.routing.planned_stop import PlannedStop, caller_idle_timeout_s
 from ploverhatch.routing.shared_retry_budget import SharedRetryBudget
 from ploverhatch.store import kinds
@@ -127,6 +131,10 @@
             self._elector.address,
         )
         self._peers.add_slot_handler(self._slots.handle_message)
+        self._links = LinkMonitor(self._pool, self._other_nodes, self._peers.send)
+        self._peers.add_peer_handler(LinkQuery, self._links.handle_query)
+        self._peers.add_peer_handler(LinkReply, self._links.handle_reply)
+        self._peer_forwarder = PeerForwarder(self._links, self._other_zones, settings.zone)
         permits = TrialPermits(
             self._other_leader, lambda: self._elector.node_count, self._peers.send
         )
@@ -138,6 +146,7 @@
             lambda: self.leads,
             permits,
             lambda: self._suspension.ran_until_ms,
+            self._links,
         )
         self._quarantine_persistence = QuarantinePersistence(
             store, self._quarantine, lambda: self.leads
@@ -156,6 +165,8 @@
             settings.evacuate_ms,
             self._quarantine,
             settings.drain_ms,
+            self._links,
+            self._peer_forwarder,
         )
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
@@ -167,7 +178,16 @@
             SnapshotClient(lambda: self._elector.leader_address, self._elector.address),
             self._peers.publish,
         )
-        self._snapshots = SnapshotServer(peer_address, self._relay.snapshot)
+        forwarded = ForwardedRequests(
+            self._forwarder.handle, lambda: self.version, self._takes_forwarded
+        )
+        self._peer_server = PeerServer(
+            peer_address,
+            {
+                peer_objects.PATH_PART: Snapshots(self._relay.snapshot).answer,
+                peer_forwarding.PATH_PART: forwarded.answer,
+            },
+        )
         self._peers.add_handler(RelayedUpdate, self._relay.handle_update)
         self._peers.add_handler(Beacon, self._relay.handle_beacon)
         self._feeds = [
@@ -195,7 +215,7 @@
         gevent.signal_handler(signal.SIGHUP, lambda: gevent.spawn(self.reload))
         self._readiness.start()
         self._callers.start()
-        self._snapshots.start()
+        self._peer_server.start()
         self._tasks = [
             gevent.spawn(run_forever, name, job, failed) for name, job, failed in self._jobs()
         ]
@@ -215,6 +235,7 @@
             ("slots", self._slots.expire_forever, None),
             ("quarantine", self._quarantine.query_forever, None),
             ("held-requests", self._quarantine_persistence.run, None),
+            ("links", self._links.run, None),
             ("suspension", self._suspension.run, None),
             ("housekeeping", self._run_housekeeping, None),
             ("pool", self._sync_pool, None),
@@ -248,7 +269,7 @@
         gevent.killall(self._tasks)
         self._callers.stop()
         self._readiness.stop()
-        self._snapshots.stop()
+        self._peer_server.stop()
         self._peers.close()
         self._stopped.set()
 
@@ -260,7 +281,9 @@
         plan = PlannedStop.after_suspension(
             elapsed_ms(), self._suspension.ran_until_ms, self._settings.grace_s * 1000
         )
-        stop = StopSequence(plan, self._callers, self._forwarder, self._slots, self._leave)
+        stop = StopSequence(
+            plan, self._callers, self._peer_server, self._forwarder, self._slots, self._leave
+        )
         try:
             stop.run()
             # Only this node knows of the crashes under its last requests until it reports them.
@@ -394,6 +417,7 @@
             gevent.sleep(HOUSEKEEPING_S)
             self.directory.expire_servers()
             self._budget.nodes = self._elector.node_count
+            self._peer_forwarder.close_idle()
             if self._source.changed():
                 self.reload()
 
@@ -422,6 +446,11 @@
         parsed = {HostPort.parse(address) for address in known}
         return {(address.host, address.port) for address in parsed} | self._peers.peers
 
+    def _other_zones(self) -> dict[Address, str]:
+        """Return the zones of the other known nodes, by address."""
+        zones = self._elector.member_zones
+        return {node: zones.get(f"{node[0]}:{node[1]}", "") for node in self._other_nodes()}
+
     def _other_leader(self) -> Address | None:
         """Return the leader's address, unless there is none or this node leads."""
         address = self._elector.leader_address
@@ -477,6 +506,15 @@
             if service.partitioned
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        table = self.directory.table
+        return table.version if table else 0
+
+    def _takes_forwarded(self) -> bool:
+        return self.ready and not self._links.is_cut_off
+
     def _answer_readiness(self, request: CallerRequest) -> CallerReply:
         if request.path == METRICS_PATH:
             return CallerReply(200, [(b"Content-Type", b"text/plain")], self._metrics_text())
@@ -486,7 +524,6 @@
 
     def _metrics_text(self) -> bytes:
         metrics = self._forwarder.metrics
-        table = self.directory.table
         metrics.gauge("leading", lambda: float(self.leads))
         metrics.gauge("servers", lambda: float(len(self.directory.servers.records)))
         metrics.gauge("evacuated_zones", lambda: float(len(self.directory.servers.evacuated)))
@@ -497,7 +534,8 @@
         metrics.gauge("leaving_servers", lambda: float(len(notices.leaving_ms)))
         metrics.gauge("resting_servers", lambda: float(len(notices.backing_off(elapsed_ms()))))
         metrics.gauge("limited_servers", lambda: float(len(notices.limit_per_s)))
-        metrics.gauge("configuration_version", lambda: float(table.version if table else 0))
+        metrics.gauge("configuration_version", lambda: float(self.version))
+        metrics.gauge("cut_off", lambda: float(self._links.is_cut_off))
         metrics.gauge("nodes", lambda: float(self._elector.node_count))
         metrics.gauge("connections", lambda: float(self._callers.open_connections))
         metrics.gauge("shared_slots_in_use", lambda: float(self._slots.in_use))
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -21,9 +21,10 @@
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.results import RefusedError, Result
 from ploverhatch.gateway.call import Call
+from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.peer_link import Address
 from ploverhatch.gateway.trial_permits import TrialPermits
-from ploverhatch.gateway.upstreams import Upstream
+from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.quarantine import messages, saved
 from ploverhatch.quarantine.fingerprint import Fingerprint, format_digest
 from ploverhatch.quarantine.first_copies import FirstCopies
@@ -112,6 +113,7 @@
     :param permits: permits for copies of suspect requests; without it, the node alone decides.
     :param ran_until_ms: returns the start of a suspension that has just ended, else the present
         time; both in elapsed milliseconds.
+    :param links: the state of this node's links, since a link that is cut isn't a server's end.
     """
 
     def __init__(
@@ -123,7 +125,9 @@
         leads: Callable[[], bool] = lambda: False,
         permits: TrialPermits | None = None,
         ran_until_ms: Callable[[], float] = elapsed_ms,
+        links: LinkMonitor | None = None,
     ) -> None:
+        self._links = links or LinkMonitor(UpstreamPool(""), tuple, lambda message, to: None)
         self.crashes = 0  # Crashes that this node observed under requests, without freezes.
         self._node = node
         self._members = members
@@ -274,6 +278,9 @@
         """Note that a server didn't answer in time; it is frozen if it answered nothing since."""
         now_ms = min(elapsed_ms(), self._ran_until_ms())
         usual_ms = upstream.answer_time.mean_ms or DEFAULT_ANSWER_MS
+        if self._links.in_doubt(upstream.record.server_id):
+            self.note_abandoned(call, upstream, sent_ms)
+            return
         if upstream.last_answer_ms >= sent_ms or now_ms - sent_ms < FROZEN_FACTOR * usual_ms:
             self.note_abandoned(call, upstream, sent_ms)
             return
@@ -283,7 +290,7 @@
 
     def _probe(self, call: Call, upstream: Upstream, sent_ms: float, lost_ms: float) -> None:
         copy = _SentCopy.of(call, upstream, sent_ms)
-        if upstream.has_ended(PROBE_TIMEOUT_S):
+        if self._links.has_ended(upstream, PROBE_TIMEOUT_S):
             self._note_crash(copy, lost_ms)
             self.note_server_ended(upstream)
         else:  # The server's next incarnation may listen on the port already.
@@ -301,10 +308,19 @@
             server_id = upstream.record.server_id
             self._unresolved.setdefault(server_id, deque(maxlen=MAX_UNRESOLVED)).append(attempt)
 
+    def note_refused(self, upstream: Upstream) -> None:
+        """Note that a server's address refused a connection, by its end or by a cut link."""
+        if upstream.record.server_id in self._unresolved:
+            gevent.spawn(self._check_ended, upstream)
+
+    def _check_ended(self, upstream: Upstream) -> None:
+        if self._links.has_ended(upstream, PROBE_TIMEOUT_S):
+            self.note_server_ended(upstream)
+
     def note_server_ended(self, upstream: Upstream) -> None:
         """Note that a server has certainly ended.
 
-        Its port refuses connections, or its entry is gone or belongs to another incarnation.
+        All nodes are refused at its port, or its entry is gone or belongs to another incarnation.
         Requests that ended without an answer shortly before, and after which the server answered
         nothing, were the last that it worked on, so its crash is attributed to them.
         """
--- a/ploverhatch/gateway/request_log.py
+++ b/ploverhatch/gateway/request_log.py
@@ -41,11 +41,13 @@
     attempts: list[AttemptNote] = field(default_factory=list)
     sent: bool = False  # Whether a server may have received it.
     slot: str = ""  # The last reply to a request for a shared slot, and the node that sent it.
+    received_ms: float = 0.0  # When its first byte was read, in elapsed milliseconds.
+    via: list[str] = field(default_factory=list)  # Nodes that it was sent on to, as logged.
 
     def finish(self, status: int, result_code: int, detail: str, took_ms: float) -> None:
         """Write the line, unless the request was ordinary."""
         first_try = len(self.attempts) == 1 and self.attempts[0].result is AttemptResult.ANSWERED
-        if first_try and took_ms <= self.objective_ms:
+        if first_try and not self.via and took_ms <= self.objective_ms:
             return
         self._log("Request ended.", status, result_code, detail, took_ms)
 
@@ -53,6 +55,13 @@
         """Write the line of a request whose caller received no answer."""
         self._log("Request without answer.", 0, 0, cause, took_ms)
 
+    def note_forwarding(
+        self, node: str, result: AttemptResult, start_ms: float, end_ms: float
+    ) -> None:
+        """Note that the request was sent on to a node, with the outcome; elapsed milliseconds."""
+        after_ms = start_ms - self.received_ms
+        self.via.append(f"{node}:{result.value}:{after_ms:.0f}+{end_ms - start_ms:.0f}")
+
     def _log(
         self, sentence: str, status: int, result_code: int, detail: str, took_ms: float
     ) -> None:
@@ -68,5 +77,6 @@
             key="-" if self.key is None else self.key,
             version=self.version,
             slot=self.slot or "-",
+            via="|".join(self.via) or "-",
             attempts="|".join(note.text() for note in self.attempts) or "-",
         )
--- a/ploverhatch/gateway/server_choice.py
+++ b/ploverhatch/gateway/server_choice.py
@@ -16,6 +16,7 @@
 from ploverhatch.common.results import Result
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.directory import Directory
+from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing import balancer, sending
 from ploverhatch.routing.sending import Exclusion, HolderGracePeriods
@@ -43,13 +44,20 @@
     :param evacuate_ms: time after which an evacuated zone gets nothing.
     :param drain_ms: time after which a server that announced to this node that it is leaving
         gets nothing.
+    :param links: the state of this node's links to servers.
     """
 
     def __init__(
-        self, directory: Directory, pool: UpstreamPool, evacuate_ms: float, drain_ms: float
+        self,
+        directory: Directory,
+        pool: UpstreamPool,
+        evacuate_ms: float,
+        drain_ms: float,
+        links: LinkMonitor,
     ) -> None:
         self._directory = directory
         self._pool = pool
+        self._links = links
         self._times = HolderGracePeriods.of(drain_ms, evacuate_ms)
         # Servers that asked for a backoff and haven't recovered.
         self._backed_off: set[str] = set()
@@ -126,19 +134,20 @@
         self._backed_off.add(server_id)
 
     def excluded(self) -> tuple[str, ...]:
-        """Return the servers whose slots are of no use to this node because of a backoff.
+        """Return the servers whose slots are of no use to this node.
 
-        They are backing off, or are recovering and have no capacity left for this node.
+        They are backing off, or are recovering and have no capacity left for this node, or the
+        links to them are cut.
         """
         notices, now_ms = self._directory.servers.notices, elapsed_ms()
-        excluded = []
+        excluded = self._links.cut_servers()
         for server_id in list(self._backed_off):
             upstream = self._pool.get(server_id)
             if upstream is None or not upstream.recovering:
                 self._backed_off.discard(server_id)
             elif notices.backoff_left_ms(server_id, now_ms) > 0 or not upstream.has_capacity:
                 excluded.append(server_id)
-        return tuple(sorted(excluded))
+        return tuple(sorted(set(excluded)))
 
     def needs_dispatcher(self, record: ServerRecord) -> bool:
         """Whether only the group's dispatcher may grant a server's slots.
--- a/ploverhatch/gateway/stop_sequence.py
+++ b/ploverhatch/gateway/stop_sequence.py
@@ -8,6 +8,7 @@
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.caller_server import FIRST_REQUEST_S, CallerServer
 from ploverhatch.gateway.forwarder import Forwarder
+from ploverhatch.gateway.peer_server import PeerServer
 from ploverhatch.gateway.shared_slots import SharedSlots
 from ploverhatch.routing.planned_stop import PlannedStop
 
@@ -19,6 +20,7 @@
 class StopSequence:
     """One stop: serves what callers still send, then answers the requests that are left.
 
+    :param peers: serves requests that other nodes sent on to this one.
     :param leave: ends this node's duties towards the other nodes, such as leading.
     """
 
@@ -26,12 +28,14 @@
         self,
         plan: PlannedStop,
         callers: CallerServer,
+        peers: PeerServer,
         forwarder: Forwarder,
         slots: SharedSlots,
         leave: Callable[[], None],
     ) -> None:
         self._plan = plan
         self._callers = callers
+        self._peers = peers
         self._forwarder = forwarder
         self._slots = slots
         self._leave = leave
@@ -72,8 +76,11 @@
             gevent.sleep(min(POLL_S, self._left_s(until_ms)))
 
     def _await_empty(self, until_ms: float) -> None:
-        """Close idle connections until no caller is connected, or until the given time."""
-        while elapsed_ms() < until_ms and self._callers.open_connections:
+        """Close idle connections until no caller is connected, or until the given time.
+
+        Requests that other nodes sent on are awaited too.
+        """
+        while elapsed_ms() < until_ms and (self._callers.open_connections or self._peers.busy):
             self._callers.close_idle(FIRST_REQUEST_S)
             gevent.sleep(POLL_S)
 
--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -186,6 +186,11 @@
             raise
         sock.settimeout(None)
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the connection has not been idle between two requests yet."""
+        return not self.idle_since_s
+
     def is_usable(self) -> bool:
         """Return whether an idle connection is open and has no unread bytes.
 
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -156,7 +156,8 @@
         gevent.sleep(0.05)
         return True
 
-    monkeypatch.setattr("ploverhatch.gateway.upstreams.Upstream.has_ended", crashed_slowly)
+    probe = "ploverhatch.gateway.upstreams.Upstream.refuses_connections"
+    monkeypatch.setattr(probe, crashed_slowly)
     asked = gevent.spawn(bench.ask, b"/once/a", headers=CRASHES)
     checking.wait(1.0)
     asked.kill(GreenletExit)
--- a/tests/functional/test_relay.py
+++ b/tests/functional/test_relay.py
@@ -317,7 +317,7 @@
 
 def test_a_node_that_starts_reads_the_store_when_no_leader_answers(pair, monkeypatch):
     site, leader, follower = pair
-    leader._snapshots.stop()
+    leader._peer_server.stop()
     late = site.start_gateway("node-3")
     until(lambda: late.ready, 4.0)
 
