Have another node release keys whose holder the leader alone can't reach

Cause: a leader that can't reach a holder has no way to have it release its keys, though the other nodes reach it.

Change: where the link to the holder is cut, by the one rule of routing.connectivity, a node that reaches servers sends the release on the leader's behalf. A release is safe over any path, it names the new token and only ends holds; grants and renewals still go by the leader's own connections, which alone show that the same incarnation answers. Connections to other nodes are kept in one place.

Ruled out: the leader's resignation, which makes all keys move, and which another node with another cut link would repeat.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -15,7 +15,9 @@
 from ploverhatch.gateway.dialect import Dialect, GrantCall, ReleaseCall
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.elector import Elector
+from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.peer_link import LoadReport
+from ploverhatch.gateway.peer_release import PeerRelease
 from ploverhatch.gateway.server_control import ServerControl
 from ploverhatch.leadership import election
 from ploverhatch.sharding import load_estimate
@@ -58,6 +60,7 @@
 # requests for its keys would show that.
 PLANNED_LIMIT_MS = 5000.0
 FORGET_EVERY_MS = 10_000.0  # interval at which the state of removed servers is dropped
+UNANSWERED = frozenset({CallOutcome.NO_ANSWER, CallOutcome.NOT_LISTENING})
 
 
 class KeyLeader:
@@ -68,6 +71,8 @@
     :param publish_granted: sends a service and the token of a grant that was acknowledged.
     :param publish_promoted: sends a service, the revision of its map and the tokens of the
         standbys that were promoted by it.
+    :param links: the state of this node's links to servers.
+    :param peer_release: sends releases to servers that only other nodes reach.
     """
 
     def __init__(
@@ -80,7 +85,11 @@
         publish: Callable[[KeyMap], None],
         publish_granted: Callable[[str, int], None],
         publish_promoted: Callable[[str, int, Collection[int]], object],
+        links: LinkMonitor,
+        peer_release: PeerRelease,
     ) -> None:
+        self._links = links
+        self._peer_release = peer_release
         self._store = store
         self._directory = directory
         self._elector = elector
@@ -369,6 +378,8 @@
                 token=range_id.token,
                 after=",".join(f"{name}:{end.value}" for name, end in action.ended.items()) or "-",
             )
+        if outcome in UNANSWERED:
+            self._links.check(action.holder.server_id)
         if outcome not in {CallOutcome.DONE, CallOutcome.NOT_SENT, CallOutcome.UNPROVEN}:
             LOG.warning(
                 "Grant failed.",
@@ -387,10 +398,10 @@
     def _send_release(self, action: SendRelease) -> None:
         range_id = action.range_id
         call = ReleaseCall(range_id.first, range_id.last, range_id.token)
-        control = self._control(action.holder)
-        outcome, handover = control.release(call, lambda: self._elector.has_authority)
+        outcome, handover = self._release(action.holder, call)
         self._note_break(action.holder)
-        if outcome in {CallOutcome.NO_ANSWER, CallOutcome.NOT_LISTENING}:
+        if outcome in UNANSWERED:
+            self._links.check(action.holder.server_id)
             LOG.warning(
                 "Release failed.",
                 server=action.holder.server_id,
@@ -401,6 +412,18 @@
             )
         self._execute(self._core.release_ended(action, outcome, handover, elapsed_ms()))
 
+    def _release(self, holder: Holder, call: ReleaseCall) -> tuple[CallOutcome, str]:
+        """Have a server release keys, through another node if only others reach it."""
+        if not self._links.link_is_cut(holder.server_id):
+            outcome, handover = self._control(holder).release(
+                call, lambda: self._elector.has_authority
+            )
+            if outcome not in UNANSWERED or not self._links.link_is_cut(holder.server_id):
+                return outcome, handover
+        if not self._elector.has_authority:
+            return CallOutcome.NOT_SENT, ""
+        return self._peer_release.release(holder, call)
+
     def _forget_server(self, action: ForgetServer) -> None:
         self._directory.note_server_replaced(action.server_id)
 
--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -13,6 +13,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.gateway.peer_connections import Node
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing.connectivity import Connectivity
 from ploverhatch.routing.link_messages import LinkQuery, LinkReply
@@ -20,8 +21,6 @@
 
 LOG = PartLogger("links")
 
-Node = tuple[str, int]  # Address of a node.
-
 CHECK_S = 0.1
 PROBE_INTERVAL_MS = 500.0  # The least time between two rounds of probes.
 PROBE_TIMEOUT_S = 0.25
@@ -116,6 +115,11 @@
         self._ask_of_server(server_id, now_ms)
         self._wake.set()
 
+    def check(self, server_id: str) -> None:
+        """Find out whether the link to a server is cut, since the server gave no answer."""
+        if server_id in self._pool.server_ids:
+            self._spawn_probe(server_id)
+
     def note_node(self, node: Node, reaches_servers: bool) -> None:
         """Note whether another node reaches servers."""
         self._state.note_node(node, reaches_servers, elapsed_ms())
@@ -192,9 +196,7 @@
         try:
             upstream.probe(PROBE_TIMEOUT_S)
         except NotConnectedError as error:
-            if not error.refused:
-                upstream.close()
-            self._state.note_unreached(server_id, elapsed_ms())
+            self.note_unreached(upstream, error.refused)
         else:
             self.note_reached(upstream)
 
--- a/ploverhatch/gateway/peer_forwarding.py
+++ b/ploverhatch/gateway/peer_forwarding.py
@@ -17,26 +17,19 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.gateway.call import Call
-from ploverhatch.gateway.links import LinkMonitor, Node
+from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.messages import CallerReply, CallerRequest, ForwardingNode
+from ploverhatch.gateway.peer_connections import Node, PeerConnections
 from ploverhatch.routing.gateway_attempts import AttemptHistory, AttemptResult
-from ploverhatch.transport.http_connection import (
-    AnswerCutError,
-    HostPort,
-    HttpConnection,
-    NotConnectedError,
-)
+from ploverhatch.transport.http_connection import AnswerCutError, NotConnectedError
 
 LOG = PartLogger("peer")
 
 PATH_PART = b"requests"
-CONNECT_TIMEOUT_S = 0.1
 MAX_NODES_ASKED = 3  # For one request; nodes that are cut off themselves decline at once.
 SKIPPED_MS = 1000.0  # How long a node is skipped that accepted no connection, or declined.
 # The other node's own answer at the deadline is awaited for this much longer.
 REPLY_MARGIN_S = 0.05
-MAX_IDLE = 8  # Idle connections that are kept to each node.
-IDLE_LIMIT_S = 5.0  # Shorter than nodes keep idle connections open.
 
 
 class ForwardedRequest(msgspec.Struct, array_like=True, frozen=True):
@@ -95,13 +88,17 @@
     """
 
     def __init__(
-        self, links: LinkMonitor, nodes: Callable[[], Mapping[Node, str]], zone: str
+        self,
+        links: LinkMonitor,
+        nodes: Callable[[], Mapping[Node, str]],
+        zone: str,
+        connections: PeerConnections,
     ) -> None:
         self._links = links
         self._nodes = nodes
         self._zone = zone
+        self._connections = connections
         self._skipped_until_ms: dict[Node, float] = {}
-        self._idle: dict[Node, list[HttpConnection]] = {}
 
     def forward(self, call: Call, history: AttemptHistory, counted: bool) -> Forwarding:
         """Send a request on, to one node after another until one takes it.
@@ -146,7 +143,7 @@
     ) -> tuple[ForwardedReply | None, AttemptResult]:
         """Send a request to one node; return its reply, if any, and the outcome."""
         try:
-            connection = self._connection(node)
+            connection = self._connections.take(node)
         except NotConnectedError:
             return None, AttemptResult.NOT_CONNECTED
         payload = _encode(call, history, counted)
@@ -158,7 +155,7 @@
             return None, AttemptResult.TIMED_OUT
         except AnswerCutError:
             return None, AttemptResult.LOST
-        self._keep(node, connection)
+        self._connections.keep(node, connection)
         if answer.status != 200:
             return _DECLINED, AttemptResult.DECLINED
         try:
@@ -170,38 +167,6 @@
             return reply, AttemptResult.DECLINED
         return reply, AttemptResult.NOT_CONNECTED if reply.unreached else AttemptResult.ANSWERED
 
-    def _connection(self, node: Node) -> HttpConnection:
-        idle = self._idle.get(node, [])
-        while idle:
-            connection = idle.pop()
-            fresh = elapsed_ms() / 1000 - connection.idle_since_s < IDLE_LIMIT_S
-            if fresh and connection.is_usable():
-                return connection
-            connection.close()
-        connection = HttpConnection(HostPort(*node))
-        connection.open(CONNECT_TIMEOUT_S)
-        return connection
-
-    def _keep(self, node: Node, connection: HttpConnection) -> None:
-        idle = self._idle.setdefault(node, [])
-        if not connection.reusable or len(idle) >= MAX_IDLE:
-            connection.close()
-            return
-        connection.idle_since_s = elapsed_ms() / 1000
-        idle.append(connection)
-
-    def close_idle(self) -> None:
-        """Close connections that have been idle for longer than they are used."""
-        now_s = elapsed_ms() / 1000
-        for node, idle in list(self._idle.items()):
-            kept = [item for item in idle if now_s - item.idle_since_s < IDLE_LIMIT_S]
-            for connection in idle:
-                if connection not in kept:
-                    connection.close()
-            self._idle[node] = kept
-            if not kept:
-                del self._idle[node]
-
 
 def _encode(call: Call, history: AttemptHistory, counted: bool) -> bytes:
     request = call.request
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -11,7 +11,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.code_id import code_id
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.gateway import keymap_codec, peer_forwarding, peer_objects
+from ploverhatch.gateway import keymap_codec, peer_forwarding, peer_objects, peer_release
 from ploverhatch.gateway.caller_server import CallerServer
 from ploverhatch.gateway.dialect import Dialect
 from ploverhatch.gateway.directory import Directory
@@ -22,9 +22,11 @@
 from ploverhatch.gateway.keymap_relay import KeymapRelay
 from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.gateway.peer_connections import PeerConnections
 from ploverhatch.gateway.peer_forwarding import ForwardedRequests, PeerForwarder
 from ploverhatch.gateway.peer_link import MAX_KEYS, Address, LoadReport, PeerLink
 from ploverhatch.gateway.peer_objects import SnapshotClient, Snapshots
+from ploverhatch.gateway.peer_release import PeerRelease, RelayedReleases
 from ploverhatch.gateway.peer_server import PeerServer
 from ploverhatch.gateway.quarantine import Quarantine
 from ploverhatch.gateway.quarantine_persistence import QuarantinePersistence
@@ -134,7 +136,10 @@
         self._links = LinkMonitor(self._pool, self._other_nodes, self._peers.send)
         self._peers.add_peer_handler(LinkQuery, self._links.handle_query)
         self._peers.add_peer_handler(LinkReply, self._links.handle_reply)
-        self._peer_forwarder = PeerForwarder(self._links, self._other_zones, settings.zone)
+        self._peer_connections = PeerConnections()
+        peer_forwarder = PeerForwarder(
+            self._links, self._other_zones, settings.zone, self._peer_connections
+        )
         permits = TrialPermits(
             self._other_leader, lambda: self._elector.node_count, self._peers.send
         )
@@ -166,7 +171,7 @@
             self._quarantine,
             settings.drain_ms,
             self._links,
-            self._peer_forwarder,
+            peer_forwarder,
         )
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
@@ -186,6 +191,9 @@
             {
                 peer_objects.PATH_PART: Snapshots(self._relay.snapshot).answer,
                 peer_forwarding.PATH_PART: forwarded.answer,
+                peer_release.PATH_PART: RelayedReleases(
+                    dialect, self.directory.apply_notice
+                ).answer,
             },
         )
         self._peers.add_handler(RelayedUpdate, self._relay.handle_update)
@@ -417,7 +425,7 @@
             gevent.sleep(HOUSEKEEPING_S)
             self.directory.expire_servers()
             self._budget.nodes = self._elector.node_count
-            self._peer_forwarder.close_idle()
+            self._peer_connections.close_idle()
             if self._source.changed():
                 self.reload()
 
@@ -433,6 +441,8 @@
                     self._relay.publish_map,
                     self._relay.publish_granted,
                     self._relay.publish_promoted,
+                    self._links,
+                    PeerRelease(self._links.reaching_nodes, self._peer_connections),
                 )
                 try:
                     self._leader.run()
--- a/tests/functional/test_key_leader_terms.py
+++ b/tests/functional/test_key_leader_terms.py
@@ -4,6 +4,10 @@
 
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.key_leader import KeyLeader
+from ploverhatch.gateway.links import LinkMonitor
+from ploverhatch.gateway.peer_connections import PeerConnections
+from ploverhatch.gateway.peer_release import PeerRelease
+from ploverhatch.gateway.upstreams import UpstreamPool
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.store.objects import Listing
 
@@ -37,6 +41,8 @@
         lambda keymap: None,
         lambda service, token: None,
         lambda service, revision, tokens: None,
+        LinkMonitor(UpstreamPool(""), tuple, lambda message, to: None),
+        PeerRelease(tuple, PeerConnections()),
     )
 
     def tick():
