Count failed requests by node, so that a cut link costs its own node alone

Callers saw: while some gateways were cut from all servers, requests at the others, whose links were good, were turned away with 2103 (RECOVER).

Cause: a dispatcher counted requests without an answer in a row, whichever nodes they came from. Two vain tries of cut nodes made a server unresponsive, so that it got one request at a time; one failure at one node had all nodes avoid it for 1 s; and slots held by the vain tries made a full server look silent.

Change: admission.silence keeps, for each server, the failed requests by node since its last answers. A node whose requests fail while another node is answered has a cut link, until it is answered itself or had no failure for 5 s. A server is silent if two nodes without a cut link got no answer in a row, or if one node got none to two requests and no other node was answered for 1 s. With 1 s, cut links show nothing where others use the server each second, and a quiet server is found dead by the one node that uses it. All nodes avoid a server if two such nodes failed there in a row, or one did and others were answered neither since its grant nor within 1 s; an answer to a node that did not fail ends that. Else only the node that failed avoids it. Slots of a cut node no longer count as slots in use when a server's silence is judged. With one node the rule for unanswered requests is as before (hypothesis test).

Only answers count as such: a broken connection still ends a silence, as before, but doesn't show that the server answers others.

Ruled out (the second by reading only): counting nodes alone, without what was learned of their links: two cut nodes whose tries end between two answers to others are then a silence again and again. Discounting each failure where another node was answered within 1 s: a server that died would get requests of all nodes for 1 s more.

Left: the first tries of two nodes that are cut at the same moment, before any other node is answered, still make the server unresponsive until the next answer. Slots of vain tries still take up the server's capacity.

No play of cut gateways as processes was made.

--- a/ploverhatch/admission/dispatcher.py
+++ b/ploverhatch/admission/dispatcher.py
@@ -19,6 +19,7 @@
 
 from ploverhatch.admission.expected_wait import ServerPace, WaitForecast
 from ploverhatch.admission.request_rate import NO_BOUND, RequestRate, ServerBounds
+from ploverhatch.admission.silence import Node, ServerSilence
 from ploverhatch.state.servers import ServerRecord
 
 # Requests granted in excess of a server's slots, as a fraction of these. They wait at the server,
@@ -27,8 +28,6 @@
 DEFAULT_SERVICE_MS = 150.0  # used until a server of the group has answered
 SERVICE_TIME_WEIGHT = 0.15  # of a new service time in the moving average
 FAILING_MS = 1000.0  # how long a server that failed is avoided while others are free
-# A server gets one request at a time after this many requests in a row without an answer.
-UNRESPONSIVE_AFTER_REQUESTS = 2
 # In multiples of the mean service time. A server whose slots are all in use, and that has answered
 # nothing for this long, counts as unresponsive before the requests themselves time out. Service
 # times vary: all of three requests take four times the mean in 4 of 10,000 draws (spread of
@@ -43,7 +42,7 @@
 class Requester(NamedTuple):
     """Identifies a request by the address of its node and its number there."""
 
-    node: tuple[str, int]
+    node: Node
     number: int
 
 
@@ -95,6 +94,25 @@
 SlotResult = SlotGranted | SlotQueued | SlotRejected | NoKnownServer
 
 
+@dataclass(frozen=True, slots=True)
+class _Lease:
+    """A slot in use."""
+
+    server_id: str
+    granted_ms: float
+    until_ms: float
+    queued: bool  # all slots of the server were in use when this one was granted
+
+
+@dataclass(frozen=True, slots=True)
+class _RequestEnd:
+    """What the end of a request shows of its server; see :meth:`Group.release`."""
+
+    service_ms: float
+    failed: bool
+    unanswered: bool
+
+
 @dataclass(slots=True)
 class _Server:
     """A server of the group."""
@@ -106,11 +124,10 @@
     bounds: ServerBounds
     last_answer_ms: float  # last answer, or the first request after an idle time
     service_ms: float = 0.0  # 0: unknown
-    failing_until_ms: float = 0.0
     # When the requests there began to run, in the order of their grants; infinite while one waits
     # at the server.
     started_ms: dict[Requester, float] = field(default_factory=dict)
-    unanswered: int = 0  # requests in a row that got no answer
+    silence: ServerSilence = field(default_factory=ServerSilence)
 
     @property
     def in_use(self) -> int:
@@ -126,23 +143,36 @@
         """Return the bound on its requests per second now."""
         return self.bounds.per_s(self.server_id, now_ms)
 
-    def note_end(self, unanswered: bool, responded: bool, now_ms: float) -> None:
-        """Record the end of a request; neither flag is set if it shows nothing of the server.
-
-        A failure other than a missing answer counts as a response.
-        """
-        if unanswered:
-            self.unanswered += 1
-        elif responded:
-            self.unanswered = 0
-            self.last_answer_ms = now_ms
-
     def is_unresponsive(self, now_ms: float) -> bool:
         """Return whether it seems to answer no requests; it then gets one at a time as a probe."""
-        if self.unanswered >= UNRESPONSIVE_AFTER_REQUESTS:
+        if self.silence.is_silent(now_ms):
             return True
-        full = self.service_ms > 0 and self.in_use >= self.slots
-        return full and now_ms - self.last_answer_ms > UNRESPONSIVE_FACTOR * self.service_ms
+        silence_ms = now_ms - self.last_answer_ms
+        if not self.service_ms or silence_ms <= UNRESPONSIVE_FACTOR * self.service_ms:
+            return False
+        # Requests of a node whose link is cut don't arrive, so they get no answer in any case.
+        sent = sum(not self.silence.is_cut(held.node, now_ms) for held in self.started_ms)
+        return sent >= self.slots
+
+    def note_end(
+        self, requester: Requester, lease: _Lease, end: _RequestEnd, now_ms: float
+    ) -> None:
+        """Record the end of a request; a broken connection isn't a silence of the server."""
+        if end.failed or end.unanswered:
+            self.silence.note_failure(requester.node, end.unanswered, lease.granted_ms, now_ms)
+        elif end.service_ms > 0:
+            self.silence.note_answer(requester.node, now_ms)
+            if not lease.queued:
+                before_ms = self.service_ms or end.service_ms
+                self.service_ms = before_ms + SERVICE_TIME_WEIGHT * (end.service_ms - before_ms)
+        else:
+            return
+        if not end.unanswered:
+            self.last_answer_ms = now_ms
+
+    def is_failing(self, node: Node, now_ms: float) -> bool:
+        """Return whether a node should avoid it while others are free."""
+        return now_ms - self.silence.failed_ms(node) < FAILING_MS
 
     def pace(self, mean_ms: float, now_ms: float) -> ServerPace:
         """Return what to expect of it, with a service time to assume while its own is unknown."""
@@ -172,7 +202,7 @@
 
     def note_in_use(self, requester: Requester, now_ms: float) -> None:
         """Count a slot in use; a probe of an unresponsive server doesn't end its silence."""
-        if not self.in_use and self.unanswered < UNRESPONSIVE_AFTER_REQUESTS:
+        if not self.in_use and not self.silence.is_silent(now_ms):
             self.last_answer_ms = now_ms
         self.started_ms[requester] = now_ms if self.in_use < self.slots else math.inf
 
@@ -191,15 +221,6 @@
             self.rate.take_token(now_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class _Lease:
-    """A slot in use."""
-
-    server_id: str
-    until_ms: float
-    queued: bool  # all slots of the server were in use when this one was granted
-
-
 @dataclass(slots=True)
 class Group:
     """State of one group at its dispatcher."""
@@ -294,14 +315,9 @@
         self._waiting = [request for request in self._waiting if request.requester != requester]
         lease = self._leases.pop(requester, None)
         server = self._servers.get(lease.server_id) if lease else None
-        if server is not None:
+        if lease is not None and server is not None:
             server.note_free(requester, now_ms)
-            server.note_end(unanswered, service_ms > 0 or failed, now_ms)
-            if failed:
-                server.failing_until_ms = now_ms + FAILING_MS
-            elif service_ms > 0 and lease is not None and not lease.queued:
-                before_ms = server.service_ms or service_ms
-                server.service_ms = before_ms + SERVICE_TIME_WEIGHT * (service_ms - before_ms)
+            server.note_end(requester, lease, _RequestEnd(service_ms, failed, unanswered), now_ms)
         return self.expire(now_ms)
 
     @property
@@ -326,7 +342,7 @@
         if known is not None and known.server_id in self._servers:
             self._servers[known.server_id].note_free(requester, now_ms)
         queued = server.in_use >= server.slots
-        self._leases[requester] = _Lease(server_id, now_ms + left_ms, queued)
+        self._leases[requester] = _Lease(server_id, now_ms, now_ms + left_ms, queued)
         server.note_in_use(requester, now_ms)
 
     def finish_learning(self, now_ms: float) -> list[SlotResult]:
@@ -398,7 +414,8 @@
     def _grant(self, request: SlotRequest, server_id: str, now_ms: float) -> SlotGranted:
         server = self._servers[server_id]
         queued = server.in_use >= server.slots
-        self._leases[request.requester] = _Lease(server_id, now_ms + request.lease_ms, queued)
+        until_ms = now_ms + request.lease_ms
+        self._leases[request.requester] = _Lease(server_id, now_ms, until_ms, queued)
         server.note_grant(request.requester, now_ms)
         return SlotGranted(request.requester, server_id)
 
@@ -415,7 +432,9 @@
             and not _is_too_late(server, request, mean_ms, now_ms)
         ]
         sound = [
-            item for item in free if item[1].failing_until_ms <= now_ms and item[0] != request.avoid
+            item
+            for item in free
+            if not item[1].is_failing(request.requester.node, now_ms) and item[0] != request.avoid
         ]
         best = min(
             sound or free,
