Narrow the mutation of refused releases to former standbys

It took a refusal by any previous holder as a release, which was never the fault; so it would still have failed if the simulation had lost sight of standbys.

--- a/tests/unit/key_mutations.py
+++ b/tests/unit/key_mutations.py
@@ -49,9 +49,13 @@
     return replace(keymap, ranges=ranges)
 
 
-def refused_release_ends_hold(self, call, outcome, handover, now_ms):
-    refused = outcome is CallOutcome.NOT_LISTENING
-    return _release_ended(self, call, CallOutcome.DONE if refused else outcome, handover, now_ms)
+def refused_release_ends_standby(self, call, outcome, handover, now_ms):
+    state = self._services.get(call.range_id.service)
+    transfer = state.transfers.get(call.range_id) if state else None
+    standby = transfer is not None and call.holder.server_id in transfer.former_standbys
+    if outcome is CallOutcome.NOT_LISTENING and standby:
+        transfer.released(call.holder.server_id, "")
+    return _release_ended(self, call, outcome, handover, now_ms)
 
 
 _release_ended = LeaderCore.release_ended
@@ -90,7 +94,7 @@
         mock.patch.object(leader_core, "inherited", forget_standbys)
     ],
     "refused release not waited out": [
-        mock.patch.object(LeaderCore, "release_ended", refused_release_ends_hold)
+        mock.patch.object(LeaderCore, "release_ended", refused_release_ends_standby)
     ],
     "old maps trusted": [mock.patch.object(view, "map_is_trusted", lambda *args: True)],
     "leader acts past its authority": [
