Grant keys anew where a silent link may hide the end of their holder

Cause: a renewal must reach the incarnation that was granted the keys, which the connection of an unanswered call is kept to show. While the link is silent, the end of that connection can't arrive either, and since its bytes are unacknowledged, no keepalive probe is sent on it. After the heal the next renewal opened a connection to a later incarnation, which took it, and the witness was dropped.

Change: where the bytes of the unanswered call aren't acknowledged when the next connection opens, the incarnation is in doubt and the keys are granted anew at a higher token, which is right for either one. Slow servers and lost answers acknowledge bytes, so they don't come here.

Left: a holder that acknowledged the call and ended behind the cut, within the second until the next keepalive probe. The key simulation sees each change of incarnation and doesn't know this blindness.

--- a/ploverhatch/gateway/answer_record.py
+++ b/ploverhatch/gateway/answer_record.py
@@ -4,12 +4,8 @@
 last requests were answered and which were cut off. Their ids are logged, many to a line.
 """
 
-import fcntl
-import struct
-import termios
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
 
 from ploverhatch.common.logs import PartLogger
 
@@ -18,7 +14,6 @@
 NAMES_PER_LINE = 40
 # The number of ids logged at one stop: ten times what a small machine answers in a grace period.
 MAX_NAMES = 4000
-_INT = struct.Struct("i")
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,15 +25,6 @@
     size: int  # In bytes.
 
 
-def unacknowledged_bytes(sock: Any) -> int | None:
-    """Return how many written bytes the peer hasn't acknowledged; ``None`` if that is unknown."""
-    try:
-        (count,) = _INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size)))
-    except (OSError, ValueError):  # The socket is closed already.
-        return None
-    return int(count)
-
-
 class AnswerRecord:
     """The answers that one process has sent since it was told to stop."""
 
--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -17,7 +17,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.in_flight import ProcessEndsError
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.gateway.answer_record import SentAnswer, unacknowledged_bytes
+from ploverhatch.gateway.answer_record import SentAnswer
 from ploverhatch.gateway.disconnect import CONTINUE, DisconnectWatch
 from ploverhatch.gateway.messages import (
     CallerGoneError,
@@ -26,6 +26,7 @@
     DeadlineOverError,
     HeaderList,
 )
+from ploverhatch.transport.unacknowledged import unacknowledged_bytes
 
 if TYPE_CHECKING:
     from ploverhatch.gateway.caller_server import CallerServer
--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -83,7 +83,7 @@
 
         def still_allowed() -> bool:
             # Another incarnation may have begun while the connection was opened.
-            return may_send() and not (renewal and self._has_broken())
+            return may_send() and not (renewal and self._may_have_broken())
 
         try:
             self._dialect.read_grant(self._call(payload, GRANT_TIMEOUT_S, still_allowed))
@@ -174,6 +174,16 @@
             self._drop_unanswered()
         return self._broken
 
+    def _may_have_broken(self) -> bool:
+        """Whether another incarnation may answer over a connection that was just opened.
+
+        While the link was silent, the end of the unanswered call's connection could not arrive.
+        If its bytes are still unacknowledged, it doesn't show yet that the same incarnation runs.
+        """
+        if self._unanswered is not None and self._unanswered.has_unacknowledged:
+            self._broken = True
+        return self._has_broken()
+
     def _note_unanswered(self, connection: HttpConnection) -> None:
         """Keep a connection whose call got no answer, unless an earlier such one is kept."""
         if self._unanswered is not None:
--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -15,6 +15,8 @@
 from gevent import socket
 from httptools import HttpParserError, HttpResponseParser
 
+from ploverhatch.transport.unacknowledged import unacknowledged_bytes
+
 READ_BYTES = 65_536
 LARGE_PAYLOAD_BYTES = 32_768  # a longer request is sent by a second task while its answer is read
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -210,6 +212,11 @@
         poll.register(self._socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @property
+    def has_unacknowledged(self) -> bool:
+        """Whether the peer's machine is known not to have acknowledged all that was sent."""
+        return self._socket is not None and bool(unacknowledged_bytes(self._socket))
+
     def enable_keepalive(self) -> None:
         """Have the kernel send a keepalive probe every second.
 
--- a/tests/functional/test_server_control.py
+++ b/tests/functional/test_server_control.py
@@ -17,7 +17,7 @@
 from ploverhatch.sharding.keymap import Holder
 from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.state.server_notices import ServerNotice
-from ploverhatch.transport.http_connection import HostPort
+from ploverhatch.transport.http_connection import HostPort, HttpConnection
 from tests.standin.upstream import RawUpstream
 
 DONE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -151,6 +151,28 @@
     assert grant(control, renewal=True) is CallOutcome.DONE
 
 
+def test_a_renewal_after_a_silent_link_reaches_no_later_incarnation(short_calls, monkeypatch):
+    """Guards against a renewal to a later incarnation whose predecessor ended behind a cut link.
+
+    The end of the unanswered call's connection was lost with the link, and the call's bytes were
+    never acknowledged. The next renewal connected to the later incarnation, which took it.
+    """
+    server = Incarnation()
+    control = control_of(server)
+    grant(control)
+    server.unresponsive = True
+    assert grant(control, renewal=True) is CallOutcome.NO_ANSWER
+    monkeypatch.setattr(HttpConnection, "closed_by_peer", lambda self: False)
+    monkeypatch.setattr(HttpConnection, "has_unacknowledged", property(lambda self: True))
+    server.end()
+    later = Incarnation(server.address.port)
+    assert grant(control, renewal=True) is CallOutcome.NOT_SENT
+    assert later.calls == 0
+    assert control.pop_connection_break()
+    monkeypatch.setattr(HttpConnection, "has_unacknowledged", property(lambda self: False))
+    assert grant(control) is CallOutcome.DONE  # a new grant, at a higher token
+
+
 def test_a_restart_while_a_renewal_connects_is_noticed(short_calls):
     server = Incarnation()
     control = control_of(server)
