--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -152,6 +152,8 @@
     (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_KEEPIDLE, 1),  # seconds
     (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_KEEPINTVL, 1),  # seconds
     (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_KEEPCNT, 30),
+    # Any other value would decide when the probes give up, in place of their number.
+    (stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_USER_TIMEOUT, 0),
 )
 
 
--- a/tests/functional/test_http_connection.py
+++ b/tests/functional/test_http_connection.py
@@ -1,5 +1,7 @@
 """Tests of a client connection with complete, truncated, excess, late and malformed answers."""
 
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT
+
 import gevent
 import pytest
 
@@ -131,3 +133,13 @@
     for wrong in ("10.0.0.1", "10.0.0.1:x"):
         with pytest.raises(ValueError, match="."):
             HostPort.parse(wrong)
+
+
+def test_keepalive_probes_give_up_by_their_number_alone():
+    """Guards against a user timeout, which a library may set and which overrules the number."""
+    server = RawUpstream(COMPLETE)
+    connection = HttpConnection(server.address)
+    connection.open(1.0)
+    connection._socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, 2000)
+    connection.enable_keepalive()
+    assert connection._socket.getsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT) == 0
