Have a leader that reaches no server give its lease back, and cut candidates leave it

A cut leader resigned 3 to 5 s after the cut, leases last 4 s, and with several gateways cut the leadership went from one of them to the next.

Cause: leadership asked for links to servers only by the leader's own unanswered calls (1 s for each server, then 1 s for most of them), and a candidate did not ask for them at all.

Change: the leader core resigns in the first round in which other nodes reach servers and this one reaches none. While the store can't pass the lease to another node, it goes on renewing grants over open connections, and neither plans moves nor promotes standbys: the servers are unreachable from here only. `election.may_claim` denies a claim to a node that is cut off; the elector asks again after each wait, last right before the write. A cut node doesn't offer to replace a weak leader. If no node reaches servers, none is cut off, and one leads as before. The check of a node without other nodes' word is unchanged.

The key simulation has two new faults, which cut all nodes but one, the leader among them, and a check of keys while a cut lasts. They are left out of random schedules, and their pairs come after the present ones, so seeds keep their schedules. A simulated node that resigns now releases its lease, as a gateway does.

Ruled out: resigning also while the store is away. No other node could claim the lease, and the others would lose the beacons by which they trust their key maps.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -49,6 +49,7 @@
     :param covered: whether the leader's relay may be relied on for all kinds of objects.
     :param strength: share of the resources needed to lead that this machine has, 0 to 1.
     :param zone: zone of this node.
+    :param cut_off: whether this node reaches no server, although another node does.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         covered: Callable[[], bool] = lambda: False,
         strength: float = 1.0,
         zone: str = "",
+        cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._member = Member(address, zone, strength)
         self._led_since_ms = 0.0
@@ -70,6 +72,7 @@
         self._store_lost = store_lost
         self._store_regained = store_regained
         self._covered = covered
+        self._cut_off = cut_off
         self._read_ms = -1e12
         self._wake = Signal()
         self._read_due = False  # the lease is to be read although the leader announces it
@@ -121,7 +124,7 @@
     def offered_strength(self) -> float:
         """Strength of this machine if it is ready to replace a weaker leader, else 0."""
         ready = not self._store_unavailable and elapsed_ms() >= self._not_before_ms
-        if self._stopped or not ready or not self.state.is_strongest:
+        if self._stopped or not ready or not self.state.is_strongest or self._cut_off():
             return 0.0
         return self.state.strength
 
@@ -225,8 +228,7 @@
         self._leader_known.set()
         if not self._registered:
             self._register()
-        now_ms = elapsed_ms()
-        if now_ms >= self._not_before_ms and election.may_claim(self.state, now_ms):
+        if self._may_claim():
             delay_ms = election.claim_delay_ms(self.state)
             gevent.sleep(delay_ms / 1000)  # leaves stronger machines time to claim it first
             self._claim(read_again=stale or delay_ms > 0)
@@ -296,17 +298,22 @@
         self._registered_revision = known.revision if known is not None else 0
         self._registered = True
 
+    def _may_claim(self) -> bool:
+        """Whether this node may claim the lease now; to be checked again after each wait."""
+        now_ms = elapsed_ms()
+        if self._stopped or now_ms < self._not_before_ms:
+            return False
+        self.state = replace(self.state, cut_off=self._cut_off())
+        return election.may_claim(self.state, now_ms)
+
     def _claim(self, read_again: bool) -> None:
-        if read_again and election.may_claim(self.state, elapsed_ms()):
+        if read_again and self._may_claim():
             current = self._store.get(kinds.LEASES, kinds.LEADER_LEASE)
             if current is not None:
                 self._observe(keymap_codec.decode_lease(current))
             else:
                 self.state = election.observe_absent(self.state)
-        now_ms = elapsed_ms()  # this node may have resigned or stopped since the read
-        if self._stopped or now_ms < self._not_before_ms:
-            return
-        if not election.may_claim(self.state, now_ms):
+        if not self._may_claim():
             return
         predecessor = self.state.seen.node
         if self._write_lease(self.state.seen.revision):
--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -68,6 +68,7 @@
     :param publish_granted: sends a service and the token of a grant that was acknowledged.
     :param publish_promoted: sends a service, the revision of its map and the tokens of the
         standbys that were promoted by it.
+    :param cut_off: whether this node reaches no server, although another node does.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         publish: Callable[[KeyMap], None],
         publish_granted: Callable[[str, int], None],
         publish_promoted: Callable[[str, int, Collection[int]], object],
+        cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._directory = directory
@@ -88,6 +90,7 @@
         self._publish = publish
         self._publish_granted = publish_granted
         self._publish_promoted = publish_promoted
+        self._cut_off = cut_off
         self._lease_ms = min(LEASE_MS, lease_max_ms)
         self._core = LeaderCore(LeaseTiming(self._lease_ms))
         self._controls: dict[str, ServerControl] = {}
@@ -224,7 +227,9 @@
                 self._core.map_outdated(service)
         may_change = self._elector.may_change
         store_unavailable = now_ms - self._elector.state.renewed_ms >= STORE_UNAVAILABLE_MS
-        actions = self._core.tick(now_ms, views, may_change, self._finishing, store_unavailable)
+        actions = self._core.tick(
+            now_ms, views, may_change, self._finishing, store_unavailable, self._cut_off()
+        )
         for service in views:
             tokens = self._core.promoted(service)
             if tokens:
@@ -404,8 +409,11 @@
     def _forget_server(self, action: ForgetServer) -> None:
         self._directory.note_server_replaced(action.server_id)
 
-    def _resign(self, _action: Resign) -> None:
-        LOG.warning("Most servers are unreachable from this node.")
+    def _resign(self, action: Resign) -> None:
+        if action.confirmed:
+            LOG.warning("Only other nodes reach servers; giving leadership back.")
+        else:
+            LOG.warning("Most servers are unreachable from this node.")
         self._elector.resign()
 
     def _step_down(self, _action: StepDown) -> None:
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -10,6 +10,9 @@
 over, unless a server confirms otherwise. The lease also holds the time for which leaders before
 its holder may still act, since the holder may be replaced before that time is over.
 
+A node that reaches no server, although another node does, is cut off. It could renew no grants,
+so it leaves a claim to the others. Where no node reaches a server, none is cut off.
+
 This module does no I/O and reads no clock. Times are milliseconds of the elapsed clock.
 """
 
@@ -70,6 +73,7 @@
     strength: float = 1.0  # strength of this node's machine
     strongest: float = 1.0  # highest strength of the known nodes
     strongest_count: int = 1  # number of nodes with that strength
+    cut_off: bool = False  # this node reaches no server, although another node does
 
     @property
     def is_strongest(self) -> bool:
@@ -143,8 +147,11 @@
 
 
 def may_claim(state: ElectionState, now_ms: float) -> bool:
-    """Whether the lease may be claimed: absent, released, this node's own, or not renewed."""
-    if state.leading:
+    """Whether this node may claim the lease.
+
+    The lease has to be absent, released, this node's own, or not renewed.
+    """
+    if state.leading or state.cut_off:
         return False
     lease = state.seen
     if lease.revision == 0 or lease.released:
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -213,6 +213,7 @@
         may_change: bool,
         finishing: bool = False,
         store_unavailable: bool = False,
+        cut_off: bool = False,
     ) -> list[Action]:
         """Return the actions that are due.
 
@@ -221,7 +222,10 @@
         :param finishing: whether this node is about to release the leader's lease. It then begins
             no moves, and stores finished moves at once.
         :param store_unavailable: whether the store accepts no map at present.
+        :param cut_off: whether this node reaches no server, although another node does.
         """
+        if cut_off:
+            return self._tick_while_cut_off(now_ms, store_unavailable)
         actions: list[Action] = []
         for view in views.values():
             self._note_unresponsive(view, now_ms)
@@ -229,9 +233,7 @@
             for state in self._services.values():
                 actions += self._settle(state, now_ms, wait_ms=0.0)
         elif may_change:
-            for service, view in views.items():
-                state = self._services.setdefault(service, _ServiceState(KeyMap(service)))
-                actions += self._plan(state, view, now_ms)
+            actions += self._plan_all(views, now_ms)
             actions += self._check_connectivity(views, now_ms)
         if store_unavailable and not finishing:
             for service, view in views.items():
@@ -242,6 +244,16 @@
         actions += self._due_renewals(now_ms)
         return actions
 
+    def _tick_while_cut_off(self, now_ms: float, store_unavailable: bool) -> list[Action]:
+        """Resign, or renew grants until the store can pass the lease to another node.
+
+        No keys are moved: their holders are unreachable from this node only. Connections that
+        are open may still carry renewals.
+        """
+        if store_unavailable:
+            return self._due_renewals(now_ms)
+        return [Resign(confirmed=True)]
+
     def _note_unresponsive(self, view: ServiceView, now_ms: float) -> None:
         for record in view.records:
             lease = self._leases.get(record.server_id)
@@ -252,6 +264,13 @@
         lease = self._leases.get(server_id)
         return lease is None or lease.may_release(now_ms)
 
+    def _plan_all(self, views: Mapping[str, ServiceView], now_ms: float) -> list[Action]:
+        actions: list[Action] = []
+        for service, view in views.items():
+            state = self._services.setdefault(service, _ServiceState(KeyMap(service)))
+            actions += self._plan(state, view, now_ms)
+        return actions
+
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
         if state.storing is not None:
             return []
--- a/ploverhatch/sharding/messages.py
+++ b/ploverhatch/sharding/messages.py
@@ -96,7 +96,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Resign:
-    """Release the leader's lease, since this node seems to be cut off from the servers."""
+    """Release the leader's lease, since this node seems to be cut off from the servers.
+
+    ``confirmed`` means that another node does reach servers.
+    """
+
+    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/ploverhatch/simulation/keys/cell.py
+++ b/ploverhatch/simulation/keys/cell.py
@@ -1,6 +1,6 @@
 """A simulated cell of nodes, servers and a store, with an independent check of its invariants."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ploverhatch.sharding.keymap import Holder
 from ploverhatch.sharding.messages import CallOutcome, SendRelease
@@ -34,7 +34,7 @@
         self.late_fraction = 0.0
         self._starts = 0
         self._stale: dict[str, ServerRecord] = {}  # entries of ended incarnations, by name
-        self._last_served: dict[int, float] = {}
+        self._last_served: dict[tuple[int, str], float] = {}  # by key and node
         for number in range(servers):
             self.start_server(port=9000 + number)
         for number in range(nodes):
@@ -125,6 +125,20 @@
         """Return the name of a node with a leader's authority, or ``None``."""
         return next((name for name, node in self.nodes.items() if node.has_authority), None)
 
+    def reaches_servers(self, node: SimKeyNode) -> bool:
+        """Return whether a node's links to any servers are up."""
+        return node.cut_from_servers is None and any(
+            server.up and (node.name, incarnation) not in self.cuts
+            for incarnation, server in self.servers.items()
+        )
+
+    def only_others_reach_servers(self, node: SimKeyNode) -> bool:
+        """Return whether a node reaches no server, although another running node does."""
+        return not self.reaches_servers(node) and any(
+            other.alive and not other.frozen and self.reaches_servers(other)
+            for other in self.nodes.values()
+        )
+
     # ---- calls to servers -----------------------------------------------------------------
 
     def _reach(self, node: SimKeyNode, holder: Holder) -> SimKeyServer | CallOutcome:
@@ -223,13 +237,21 @@
 
     # ---- checks ---------------------------------------------------------------------------
 
-    def served(self, key: int) -> None:
-        """Note that a server started a request on a key."""
-        self._last_served[key] = self.world.now_ms
+    def served(self, key: int, node: str) -> None:
+        """Note that a server started a node's request on a key."""
+        self._last_served[key, node] = self.world.now_ms
+
+    def unserved(self, since_ms: float, through: Collection[str] = ()) -> list[int]:
+        """Return the keys on which no request was started since a time.
 
-    def unserved(self, since_ms: float) -> list[int]:
-        """Return the keys on which no request was started since a time."""
-        return [key for key in SAMPLE_KEYS if self._last_served.get(key, -1.0) < since_ms]
+        :param through: nodes whose requests count; all if empty.
+        """
+        served = {
+            key
+            for (key, node), at_ms in self._last_served.items()
+            if at_ms >= since_ms and (not through or node in through)
+        }
+        return [key for key in SAMPLE_KEYS if key not in served]
 
     def violations(self) -> list[str]:
         """Return the violations that the servers' own records show."""
--- a/ploverhatch/simulation/keys/faults.py
+++ b/ploverhatch/simulation/keys/faults.py
@@ -21,6 +21,8 @@
 MAX_FAULT_MS = 18_000.0
 SETTLE_MS = 34_000.0  # covers the wait for leases that several lost leaders may have renewed
 CHECK_MS = 3000.0
+TAKEOVER_LIMIT_MS = 2500.0  # from a cut of nodes to when the others' keys must be served
+CHECK_DURING_CUT_MS = 4000.0
 MAX_ENTRY_DELAY_MS = 1300.0  # servers write their entries at least this often
 STOP_MS = (2600.0, 5400.0)  # from the signal of a planned stop to the exit of the process
 
@@ -130,6 +132,31 @@
     return _cut_leader_from_servers(cell, CallOutcome.NOT_LISTENING)
 
 
+def _cut_nodes_from_servers(cell: KeyCell, outcome: CallOutcome) -> Heal:
+    """Cut all nodes but one, the leader among them, off from all servers."""
+    leader = _leader_or_random(cell)
+    spared = cell.world.random.choice(sorted(cell.nodes.keys() - {leader}))
+    nodes = [node for name, node in cell.nodes.items() if name != spared]
+    for node in nodes:
+        node.cut_from_servers = outcome
+
+    def heal() -> None:
+        for node in nodes:
+            node.cut_from_servers = None
+
+    return heal
+
+
+def cut_nodes_from_servers(cell: KeyCell) -> Heal:
+    """Cut all nodes but one, the leader among them, off from all servers."""
+    return _cut_nodes_from_servers(cell, CallOutcome.NO_ANSWER)
+
+
+def refuse_nodes(cell: KeyCell) -> Heal:
+    """Have the links of all nodes but one to all servers refuse connections."""
+    return _cut_nodes_from_servers(cell, CallOutcome.NOT_LISTENING)
+
+
 def store_down(cell: KeyCell) -> Heal:
     """Make the store unavailable."""
     cell.store.faults.down = True
@@ -315,6 +342,8 @@
         cut_leader_from_store,
         cut_leader_from_servers,
         refuse_leader,
+        cut_nodes_from_servers,
+        refuse_nodes,
         store_down,
         store_slow,
         store_loses_answers,
@@ -338,6 +367,8 @@
     "cut-leader-from-servers": "refuse-leader",
     "split-leader": "split-leader-refused",
 }
+# Left out of random schedules, so that the schedule of a seed is the same as without them.
+NODE_CUTS = frozenset({"cut-nodes-from-servers", "refuse-nodes"})
 REFUSED_FRACTION = 0.5  # of the links that are cut in random schedules
 
 
@@ -380,6 +411,32 @@
     )
 
 
+def run_during_cut(seed: int, name: str) -> KeyVerdict:
+    """Check keys while a cut lasts, from ``TAKEOVER_LIMIT_MS`` after its start.
+
+    ``unserved`` of the verdict holds the keys that no server served to the nodes that reach
+    servers.
+    """
+    cell = KeyCell(seed)
+    world = cell.world
+    world.run_until(START_MS + world.random.uniform(0, FAULT_MS))
+    heal = FAULTS[name](cell)
+    through = {name for name, node in cell.nodes.items() if cell.reaches_servers(node)}
+    world.run_until(world.now_ms + TAKEOVER_LIMIT_MS)
+    check_from_ms = world.now_ms
+    world.run_until(check_from_ms + CHECK_DURING_CUT_MS)
+    unserved = cell.unserved(check_from_ms, through)
+    heal()
+    world.run_until(world.now_ms + SETTLE_MS)
+    return KeyVerdict(
+        seed=seed,
+        faults=(name,),
+        violations=tuple(cell.violations()),
+        unserved=tuple(unserved),
+        requests=sum(len(hold.starts_ms) for hold in cell.journal.holds),
+    )
+
+
 def _injection(cell: KeyCell, fault: Fault, length_ms: float) -> Callable[[], None]:
     def run() -> None:
         heal = fault(cell)
@@ -392,7 +449,7 @@
     """Run a schedule of one to five random faults."""
     world = KeyCell(seed, nodes=0, servers=0).world
     count = world.random.randint(1, 5)
-    drawn = sorted(FAULTS.keys() - REFUSING.values())
+    drawn = sorted(FAULTS.keys() - REFUSING.values() - NODE_CUTS)
     names = [world.random.choice(drawn) for _ in range(count)]
     # Drawn apart, so that the schedule of a seed is otherwise the same.
     links = random.Random(f"links of {seed}")
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ploverhatch.leadership import election
-from ploverhatch.leadership.election import ElectionState
+from ploverhatch.leadership.election import ElectionState, LeaseObject
 from ploverhatch.sharding import view
 from ploverhatch.sharding.holders import LEASE_MS
 from ploverhatch.sharding.keymap import Holder, KeyMap
@@ -43,6 +43,8 @@
 BEACON_MS = 250.0
 BEACON_LOSS = 0.1
 BEACON_DELAY_MS = (0.2, 3.0)
+CUT_OFF_AFTER_MS = 700.0  # time that probes and other nodes' replies take
+RESIGNED_PAUSE_MS = 6000.0  # as in gateways
 
 
 class SimKeyNode(Process):
@@ -61,6 +63,8 @@
         # The incarnation at the other end of the open connection, by holder.
         self._connected_to: dict[str, str] = {}
         self._no_claim_before_ms = 0.0
+        self._resigned_ms = -1e12
+        self._unreached_since_ms: float | None = None  # by this node only
         self._busy = False
         self._loading = False
         self._last_read_ms = -1e12
@@ -116,6 +120,24 @@
         if not unfinished or self.now_ms >= self._moves_end_ms:
             self._release_lease()
 
+    def _resign(self) -> None:
+        self._resigned_ms = self.now_ms
+        self._no_claim_before_ms = self.now_ms + RESIGNED_PAUSE_MS
+        if self.state.leading:
+            self._release_lease()
+
+    def _note_links(self) -> None:
+        if not self.cell.only_others_reach_servers(self):
+            self._unreached_since_ms = None
+        elif self._unreached_since_ms is None:
+            self._unreached_since_ms = self.now_ms
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this node knows that it reaches no server, although another node does."""
+        since_ms = self._unreached_since_ms
+        return since_ms is not None and self.now_ms - since_ms >= CUT_OFF_AFTER_MS
+
     def _release_lease(self) -> None:
         lease = election.lease_to_write(self.state, "", self.now_ms, released=True)
         revision = self.state.seen.revision
@@ -151,6 +173,7 @@
         now_ms = self.now_ms
         if item is not None:
             self._observe(item)
+        self.state = replace(self.state, cut_off=self.is_cut_off)
         if now_ms < self._no_claim_before_ms or not election.may_claim(self.state, now_ms):
             return
         self._busy = True
@@ -167,8 +190,7 @@
         def done(result: StoreResult, item: StoredItem | None) -> None:
             self._busy = False
             if result is StoreResult.DONE and item is not None:
-                acquired = replace(lease, revision=item.revision)
-                self.state = election.acquired(self.state, acquired, sent_ms)
+                self._acquire(replace(lease, revision=item.revision), sent_ms, sent_ms)
             elif result is StoreResult.CONFLICT:
                 self._settle(item, sent_ms)
             elif result is StoreResult.UNKNOWN:
@@ -180,6 +202,13 @@
 
         self.cell.store.write(self.name, LEASE, lease, revision, self._answer(done))
 
+    def _acquire(self, lease: LeaseObject, renewed_ms: float, sent_ms: float) -> None:
+        if self._resigned_ms >= sent_ms:
+            self.state = election.observe(self.state, lease, self.now_ms)
+            self._release_lease()
+        else:
+            self.state = election.acquired(self.state, lease, renewed_ms)
+
     def _read_back(
         self,
         result: StoreResult,
@@ -197,7 +226,7 @@
         lease = replace(item.value, revision=item.revision)
         if (lease.node, lease.incarnation) == self.state.identity and not lease.released:
             renewed_ms = self.state.renewed_ms if self.state.leading else sent_ms
-            self.state = election.acquired(self.state, lease, renewed_ms)
+            self._acquire(lease, renewed_ms, sent_ms)
             return
         self._observe(item)
         self.state = election.stepped_down(self.state)
@@ -279,6 +308,7 @@
         self.do(apply)
 
     def _tick(self) -> None:
+        self._note_links()
         self._release_when_done()
         if not self.state.leading or self.state.seen.term != self._term:
             self.core = None
@@ -298,7 +328,7 @@
         finishing = self._moves_end_ms is not None
         store_unavailable = self.now_ms - self.state.renewed_ms >= STORE_UNAVAILABLE_MS
         actions = self.core.tick(
-            self.now_ms, {SERVICE: known}, may_change, finishing, store_unavailable
+            self.now_ms, {SERVICE: known}, may_change, finishing, store_unavailable, self.is_cut_off
         )
         self._execute(self.core, actions)
 
@@ -315,8 +345,7 @@
             elif isinstance(action, ForgetServer):
                 self.known_ended.add(action.server_id)
             elif isinstance(action, Resign):
-                self._no_claim_before_ms = self.now_ms + 6000.0
-                self.state = election.stepped_down(self.state)
+                self._resign()
             elif isinstance(action, StepDown):
                 self.state = election.stepped_down(self.state)
 
@@ -416,6 +445,6 @@
 
         def arrive() -> None:
             if server.request(key):
-                self.cell.served(key)
+                self.cell.served(key, self.name)
 
         self.world.after(self.world.random.uniform(0.2, 3.0), arrive)
--- /dev/null
+++ b/tests/functional/test_leadership_changes.py
@@ -0,0 +1,103 @@
+"""Which node leads after a change of the links to servers, with stores over sockets."""
+
+import gevent
+import pytest
+
+from ploverhatch.gateway import keymap_codec
+from ploverhatch.gateway.elector import Elector
+from ploverhatch.platform.store import PlatformObjectStore
+from ploverhatch.store import kinds
+from tests.functional.test_gateway import CONFIG, Site
+from tests.functional.test_planned_stop_elsewhere import do_nothing, lease_of, lease_store, writes
+from tests.functional.test_relay import until
+
+__all__ = ["lease_store"]  # a fixture
+
+NODES = 4
+
+
+@pytest.fixture
+def gateways():
+    """Return a leader, and others that rely on its relay."""
+    site = Site()
+    site.store.put("config", "main", CONFIG)
+    site.start_upstream("s1", "keyed", sharded=True)
+    leader = site.start_gateway("node-1")
+    until(lambda: leader.leads and leader.ready)
+    others = [site.start_gateway(f"node-{number}") for number in range(2, NODES + 1)]
+    until(lambda: all(item._relay.covered for item in others))
+    until(lambda: all(item._elector.node_count == NODES for item in others))
+    yield leader, others
+    site.close()
+
+
+def cut_off(gateway):
+    gateway._elector._cut_off = lambda: True
+    if gateway._leader is not None:
+        gateway._leader._cut_off = lambda: True
+
+
+class Links:
+    """The links of a node to the servers."""
+
+    cut_off = False
+
+
+def start_elector(server, links, strength=1.0):
+    elector = Elector(
+        PlatformObjectStore(server.address),
+        "n1",
+        "life",
+        "127.0.0.1:1",
+        do_nothing,
+        do_nothing,
+        strength=strength,
+        cut_off=lambda: links.cut_off,
+    )
+    elector.task = gevent.spawn(elector.run)
+    return elector
+
+
+def test_a_leader_that_is_cut_off_gives_the_lease_back_to_a_node_that_is_not(gateways):
+    leader, others = gateways
+    for gateway in [leader, *others[1:]]:
+        cut_off(gateway)
+    until(lambda: others[0].leads, 4.0)
+    assert not leader.leads
+    gevent.sleep(1.0)
+    assert [item.leads for item in (leader, *others)] == [False, True, False, False]
+
+
+# Guards against leadership that goes from one cut node to the next.
+def test_a_node_that_is_cut_off_claims_the_lease_once_it_reaches_servers_again(lease_store):
+    links = Links()
+    links.cut_off = True
+    elector = start_elector(lease_store, links)
+    until(lambda: elector._registered)
+    gevent.sleep(1.5)
+    assert lease_of(lease_store) is None
+    links.cut_off = False
+    until(lambda: elector.state.leading, 2.0)
+
+
+# Guards against a claim by a node that was cut off while it left the claim to stronger ones.
+def test_a_node_that_is_cut_off_before_its_claim_leaves_the_lease(lease_store):
+    member = keymap_codec.encode_member(keymap_codec.Member("127.0.0.1:2", "z1", 1.0))
+    lease_store.store.put(kinds.LEASES, "node-strong", member)
+    links = Links()
+    elector = start_elector(lease_store, links, strength=0.5)
+    until(lambda: elector._registered)
+    gevent.sleep(0.1)  # The node waits for 0.5 s before it claims the lease.
+    links.cut_off = True
+    gevent.sleep(1.0)
+    assert not elector.state.leading
+    assert writes(lease_store) == ["POST"]
+
+
+def test_a_node_that_is_cut_off_offers_not_to_replace_a_weak_leader(lease_store):
+    links = Links()
+    elector = start_elector(lease_store, links)
+    until(lambda: elector.state.leading)
+    assert elector.offered_strength == 1.0
+    links.cut_off = True
+    assert elector.offered_strength == 0.0
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -173,6 +173,18 @@
     assert state.leader_address == "newest"
 
 
+def test_a_node_that_is_cut_off_claims_no_lease():
+    free = election.observe(
+        ElectionState("a", "1"), LeaseObject(6, "b", "1", released=True), 1000.0
+    )
+    held = election.observe(ElectionState("a", "1"), LeaseObject(6, "b", "1"), 1000.0)
+    absent = ElectionState("a", "1")
+    for state in (free, held, absent):
+        later_ms = 1000.0 + TAKEOVER_MS
+        assert election.may_claim(state, later_ms)
+        assert not election.may_claim(replace(state, cut_off=True), later_ms)
+
+
 # ---- strong and weak machines ---------------------------------------------------------------
 
 
--- a/tests/unit/test_key_simulation.py
+++ b/tests/unit/test_key_simulation.py
@@ -4,12 +4,22 @@
 
 import pytest
 
-from ploverhatch.simulation.keys.faults import FAULTS, REFUSING, run_schedule, run_seed
+from ploverhatch.simulation.keys.faults import (
+    FAULTS,
+    NODE_CUTS,
+    REFUSING,
+    run_during_cut,
+    run_schedule,
+    run_seed,
+)
 from tests.unit.key_mutations import MUTATIONS, mutated
 
 REFUSED = set(REFUSING.values())
-PAIRS = list(combinations(sorted(FAULTS.keys() - REFUSED), 2))
-PAIRS += [pair for pair in combinations(sorted(FAULTS), 2) if not REFUSED.isdisjoint(pair)]
+# A pair's seed is its place, so those of later faults are appended.
+EARLIER = sorted(FAULTS.keys() - NODE_CUTS)
+PAIRS = list(combinations(sorted(FAULTS.keys() - REFUSED - NODE_CUTS), 2))
+PAIRS += [pair for pair in combinations(EARLIER, 2) if not REFUSED.isdisjoint(pair)]
+PAIRS += [pair for pair in combinations(sorted(FAULTS), 2) if not NODE_CUTS.isdisjoint(pair)]
 UNREACHABLE_AND_RESTARTED = (1, ("cut-server", "kill-all", "restart-server"))
 # Schedules (a seed and faults) that have a violation when the mechanism is switched off.
 FAILING_SCHEDULES = {
@@ -97,6 +107,22 @@
     assert verdict.clean, explain(verdict)
 
 
+@pytest.mark.parametrize("fault", ["cut-leader-from-servers", "refuse-leader", *sorted(NODE_CUTS)])
+def test_while_nodes_are_cut_from_all_servers_the_others_requests_are_served(fault):
+    """A cut leader held the lease, and then cut candidates claimed it in turn."""
+    for seed in range(10):
+        verdict = run_during_cut(seed, fault)
+        assert verdict.clean, explain(verdict)
+
+
+@pytest.mark.parametrize("fault", sorted(NODE_CUTS))
+def test_nodes_that_are_cut_from_servers_at_random_times(fault):
+    others = sorted(FAULTS)
+    for seed in range(10):
+        verdict = run_schedule(seed, [others[seed * 7 % len(others)], fault, "store-slow", fault])
+        assert verdict.clean, explain(verdict)
+
+
 def test_a_seed_replays_exactly():
     assert run_seed(5) == run_seed(5)
 
--- a/tests/unit/test_leader_core.py
+++ b/tests/unit/test_leader_core.py
@@ -200,6 +200,23 @@
     assert of_kind(actions, Resign)
 
 
+def test_a_leader_that_is_cut_off_resigns_at_once_and_moves_no_keys():
+    core = two_servers()
+    draining = view(record(0, draining=True), record(1))
+    assert core.tick(1000.0, draining, True, cut_off=True) == [Resign(confirmed=True)]
+
+
+# Guards against a cell without a leader, whose nodes rely on its beacons in an outage of the store.
+def test_a_leader_that_is_cut_off_renews_grants_until_the_store_can_pass_the_lease_on():
+    core = two_servers()
+    draining = view(record(0, draining=True), record(1))
+    for now_ms in (2000.0, 2050.0):
+        actions = core.tick(now_ms, draining, True, store_unavailable=True, cut_off=True)
+        assert all(isinstance(action, SendGrant) and action.renewal for action in actions)
+        assert actions or now_ms > 2000.0
+    assert core.tick(2100.0, draining, True, cut_off=True) == [Resign(confirmed=True)]
+
+
 def test_after_a_write_without_an_answer_the_map_in_the_store_is_used():
     core = two_servers()
     records = view(record(0, draining=True), record(1))
