Complete the release of the lease after the leader's term has ended

What callers would see: if the store answers slowly, keys without a leader until the lease of a leader that resigned expires. Found by reading; not seen in a play.

Cause: the leader's resignation ran in a task of its term. The first step of a resignation ends the term, and the end of the term kills its tasks, also the one whose write was to release the lease.

Change: the resignation runs in a task outside the term, as it does after a failed action. The new test fails without the change and passes with it.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -414,7 +414,8 @@
             LOG.warning("Only other nodes reach servers; giving leadership back.")
         else:
             LOG.warning("Most servers are unreachable from this node.")
-        self._elector.resign()
+        # Not in this task, which ends with the term.
+        gevent.spawn(self._elector.resign)
 
     def _step_down(self, _action: StepDown) -> None:
         LOG.warning("Token of a newer leader seen; stepping down.")
--- a/tests/functional/test_key_leader_terms.py
+++ b/tests/functional/test_key_leader_terms.py
@@ -2,9 +2,12 @@
 
 from types import SimpleNamespace
 
+import gevent
+
 from ploverhatch.gateway.directory import Directory
 from ploverhatch.gateway.key_leader import KeyLeader
 from ploverhatch.platform.dialect import PlatformDialect
+from ploverhatch.sharding.messages import Resign
 from ploverhatch.store.objects import Listing
 
 
@@ -19,6 +22,38 @@
         self.has_authority = self.may_change = True
 
 
+class SlowElector(Elector):
+    """An elector that takes longer to release the lease than a leader to end its term."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = False
+
+    def resign(self):
+        self.state.leading = False
+        gevent.sleep(0.2)
+        self.released = True
+
+
+# Guards against a release of the lease that breaks off with the other tasks of the term.
+def test_a_lease_is_released_although_the_term_has_ended():
+    elector = SlowElector()
+    leader = KeyLeader(
+        SimpleNamespace(list_all=lambda kind: Listing((), 1)),
+        Directory(),
+        elector,
+        PlatformDialect(),
+        4000.0,
+        lambda keymap: None,
+        lambda service, token: None,
+        lambda service, revision, tokens: None,
+    )
+    leader._tick = lambda: leader._execute([Resign()])
+    leader.run()
+    gevent.sleep(0.4)
+    assert elector.released
+
+
 # Guards against using maps that were read in an earlier term: another leader may have changed them
 # in between.
 def test_maps_that_were_read_in_an_earlier_term_are_not_used():
