--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -233,7 +233,9 @@
                 self._core.map_outdated(service)
         may_change = self._elector.may_change
         store_unavailable = now_ms - self._elector.state.renewed_ms >= STORE_UNAVAILABLE_MS
-        actions = self._core.tick(now_ms, views, may_change, self._finishing, store_unavailable)
+        actions = self._core.tick(
+            now_ms, views, may_change, self._finishing, store_unavailable, self._links.is_cut_off
+        )
         for service in views:
             tokens = self._core.promoted(service)
             if tokens:
@@ -427,9 +429,13 @@
     def _forget_server(self, action: ForgetServer) -> None:
         self._directory.note_server_replaced(action.server_id)
 
-    def _resign(self, _action: Resign) -> None:
-        LOG.warning("Most servers are unreachable from this node.")
-        self._elector.resign()
+    def _resign(self, action: Resign) -> None:
+        if action.confirmed:
+            LOG.warning("Only other nodes reach servers; giving leadership back.")
+        else:
+            LOG.warning("Most servers are unreachable from this node.")
+        # Not in this task, which ends with the term.
+        gevent.spawn(self._elector.resign)
 
     def _step_down(self, _action: StepDown) -> None:
         LOG.warning("Token of a newer leader seen; stepping down.")
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -117,6 +117,7 @@
             lambda: self._relay.covered,
             settings.strength,
             settings.zone,
+            lambda: self._links.is_cut_off,
         )
         self._peers = PeerLink(
             peer_address,
