--- a/tests/functional/test_key_leader_terms.py
+++ b/tests/functional/test_key_leader_terms.py
@@ -39,11 +39,9 @@
         self.released = True
 
 
-# Guards against a release of the lease that breaks off with the other tasks of the term.
-def test_a_lease_is_released_although_the_term_has_ended():
-    elector = SlowElector()
-    leader = KeyLeader(
-        SimpleNamespace(list_all=lambda kind: Listing((), 1)),
+def key_leader(elector, list_all):
+    return KeyLeader(
+        SimpleNamespace(list_all=list_all),
         Directory(),
         elector,
         PlatformDialect(),
@@ -51,7 +49,15 @@
         lambda keymap: None,
         lambda service, token: None,
         lambda service, revision, tokens: None,
+        LinkMonitor(UpstreamPool(""), tuple, lambda message, to: None),
+        PeerRelease(tuple, PeerConnections()),
     )
+
+
+# Guards against a release of the lease that breaks off with the other tasks of the term.
+def test_a_lease_is_released_although_the_term_has_ended():
+    elector = SlowElector()
+    leader = key_leader(elector, lambda kind: Listing((), 1))
     leader._tick = lambda: leader._execute([Resign()])
     leader.run()
     gevent.sleep(0.4)
@@ -67,18 +73,7 @@
         elector.state.seen.term = 3
         return Listing((), 1)
 
-    leader = KeyLeader(
-        SimpleNamespace(list_all=list_all),
-        Directory(),
-        elector,
-        PlatformDialect(),
-        4000.0,
-        lambda keymap: None,
-        lambda service, token: None,
-        lambda service, revision, tokens: None,
-        LinkMonitor(UpstreamPool(""), tuple, lambda message, to: None),
-        PeerRelease(tuple, PeerConnections()),
-    )
+    leader = key_leader(elector, list_all)
 
     def tick():
         ticks.append(elector.state.seen.term)
