--- a/tests/functional/test_link_monitor.py
+++ b/tests/functional/test_link_monitor.py
@@ -5,7 +5,8 @@
 
 from ploverhatch.gateway import links as links_module
 from ploverhatch.gateway.forwarder import Forwarder
-from ploverhatch.gateway.links import PROBE_INTERVAL_MS, SILENCE_MS, LinkMonitor
+from ploverhatch.gateway.links import PROBE_INTERVAL_MS, RECENT_MS, SILENCE_MS, LinkMonitor
+from ploverhatch.gateway.quarantine import PROBE_TIMEOUT_S
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.routing.connectivity import REPORT_KEPT_MS
 from ploverhatch.routing.link_messages import LinkQuery, LinkReply
@@ -217,10 +218,34 @@
     assert [task.value for task in ended] == [False, False]
 
 
-# Guards against crashes that are no longer found.
+# Guards against crashes that aren't found while other nodes have reached the server lately.
 def test_a_server_that_refuses_another_node_too_has_ended(network, pair, upstreams):
     network.end_upstream(upstreams[0])
-    assert pair[0].has_ended(upstreams[0])
+    assert pair[0].has_ended(upstreams[0], PROBE_TIMEOUT_S)
+
+
+# Guards against the same where the server has rested for long.
+def test_an_idle_server_that_refuses_another_node_too_has_ended(network, pair, upstreams):
+    gevent.sleep(RECENT_MS / 1000 + 0.1)
+    assert pair[1].connect(upstreams[1])
+    network.end_upstream(upstreams[0])
+    assert pair[0].has_ended(upstreams[0], PROBE_TIMEOUT_S)
+
+
+# Guards against crashes in quick succession of which only the first one is found, since the next
+# round of probes isn't due. The other node is cut off and can say nothing of them.
+def test_two_servers_that_end_at_once_are_both_found(network, pair, upstreams):
+    node, cut = pair
+    cut.cut(LinkState.REFUSED)
+    assert not cut.connect(upstreams[0])
+    until(lambda: cut.monitor.is_cut_off, FOUND_S)
+    third = Upstream("s3")
+    node.link(third)
+    assert node.connect(third)
+    for upstream in upstreams:
+        network.end_upstream(upstream)
+        assert node.has_ended(upstream, PROBE_TIMEOUT_S)
+    third.close()
 
 
 # Guards against crashes that a node without others never finds.
