Send a request on at once where the links to all servers of its service are cut

A gateway may be cut from the servers of one service and reach the others. Its requests without keys tried two servers for 300 ms each before they were sent on. Now it knows by the same rule, and probes the servers that it doesn't reach together, since other nodes' words of them expire.

The tests of forwarding build their forwarder with kept connections, as gateways do.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -268,7 +268,7 @@
 
     def _try_next(self, call: Call, progress: _Progress) -> CallerReply | None:
         """Make one attempt; return the reply, or ``None`` if another attempt is to be made."""
-        if self._holder_is_cut_off(call):
+        if self._servers_are_cut_off(call):
             reply = self._forward(call, progress)
             if reply is not None:
                 return reply
@@ -316,15 +316,14 @@
         if call.partitioned and key is not None:
             self.sampled_keys.setdefault(call.service, []).append(key)
 
-    def _holder_is_cut_off(self, call: Call) -> bool:
-        """Whether only other nodes reach the holder of a request's key."""
-        if not call.partitioned or not self._links.any_unreached:
+    def _servers_are_cut_off(self, call: Call) -> bool:
+        """Whether only other nodes reach the servers that may run a request."""
+        if not self._links.any_unreached:
             return False
-        upstream = self._choice.holder(call)
-        return (
-            upstream is not None
-            and self._links.link_is_cut(upstream.record.server_id)
-            and not upstream.has_idle_connection
+        upstreams = self._choice.usable_upstreams(call)
+        return bool(upstreams) and all(
+            self._links.link_is_cut(upstream.record.server_id) and not upstream.has_idle_connection
+            for upstream in upstreams
         )
 
     def _link_may_be_cut(self, call: Call, upstream: Upstream) -> bool:
--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -27,6 +27,7 @@
 # Servers in a round of probes: those that were reached last, and others.
 PROBED_LATEST = 3
 PROBED_OTHERS = 2
+PROBED_UNREACHED = 16  # Servers that couldn't be reached, in a round while others can.
 # With requests in flight and no server reached for this long, links may be silent.
 SILENCE_MS = 500.0
 NODES_ASKED = 8  # By a node that reaches no server.
@@ -177,7 +178,7 @@
 
     def _probe_unreached(self) -> None:
         unreached = sorted(self._state.unreached & self._pool.server_ids)
-        for name in random.sample(unreached, min(PROBED_OTHERS, len(unreached))):
+        for name in random.sample(unreached, min(PROBED_UNREACHED, len(unreached))):
             self._spawn_probe(name)
 
     def _spawn_probe(self, server_id: str) -> gevent.Greenlet:
--- a/ploverhatch/gateway/server_choice.py
+++ b/ploverhatch/gateway/server_choice.py
@@ -83,6 +83,18 @@
             return None
         return None if self.exclusion(call, server_id) else self._pool.get(server_id)
 
+    def usable_upstreams(self, call: Call) -> list[Upstream]:
+        """Return the servers that a request may be sent to now: its key's holder, or any."""
+        if call.partitioned:
+            holder = self.holder(call)
+            return [holder] if holder is not None else []
+        return [
+            upstream
+            for record in self._directory.servers.of_service(call.service)
+            if not self.exclusion(call, record.server_id)
+            and (upstream := self._pool.get(record.server_id)) is not None
+        ]
+
     def _holder_id(self, call: Call) -> str | None:
         keymap = self._directory.keymaps.get(call.service)
         key = call.facts.shard_key
--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -12,6 +12,7 @@
 from ploverhatch.gateway.caller_server import CallerServer
 from ploverhatch.gateway.forwarder import Forwarder
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.gateway.peer_connections import PeerConnections
 from ploverhatch.gateway.peer_forwarding import (
     ForwardedReply,
     ForwardedRequest,
@@ -66,7 +67,7 @@
         self.links = self.linked.monitor
         self.accepts = True
         self.taken = []  # requests that other nodes sent on
-        self.peers = PeerForwarder(self.links, self._zones, zone)
+        self.peers = PeerForwarder(self.links, self._zones, zone, PeerConnections())
         self.quarantine = Quarantine(
             f"node-{port}", self.linked.other_nodes, lambda message, to: None, links=self.links
         )
