--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -169,7 +169,9 @@
         except RefusedError as error:
             result, detail = error.result, error.detail
             reply = self._refuse(error, facts)
-            reply.unreached = detail == AttemptResult.NOT_CONNECTED.value
+            reply.unreached = (
+                result is results.SERVER_REFUSED and detail == AttemptResult.NOT_CONNECTED.value
+            )
         except Exception as error:
             # An internal fault: the reply says that the request may have run.
             LOG.error("Request failed.", request=trace.request_id, cause=repr(error))
@@ -340,21 +342,19 @@
     def _forward(self, call: Call, progress: _Progress, counted: bool = True) -> CallerReply | None:
         """Send a request on through another node; return ``None`` if no node took it.
 
-        :raises RefusedError: when a node took it and gave no answer, and it can't be repeated.
+        :raises RefusedError: when a node took it and gave no answer.
         """
         if self._peers is None or call.request.forwarded_by is not None:
             return None
         if progress.history.may_have_run and not call.route.repeatable:
             return None
-        while True:
-            outcome = self._peers.forward(call, progress.history, counted)
-            if not outcome.lost:
-                return outcome.reply
-            progress.history = progress.history.after(AttemptResult.LOST)
-            if self._decide(call, progress.history, AttemptResult.LOST) is not NextStep.RETRY:
-                late = call.remaining_ms <= 0
-                result = results.DEADLINE_IN_FLIGHT if late else results.ANSWER_LOST
-                raise RefusedError(result, "forwarded")
+        outcome = self._peers.forward(call, progress.history, counted)
+        if outcome.lost:
+            # The other node may have made all attempts that the route allows.
+            late = call.remaining_ms <= 0
+            result = results.DEADLINE_IN_FLIGHT if late else results.ANSWER_LOST
+            raise RefusedError(result, "forwarded")
+        return outcome.reply
 
     def _decide(self, call: Call, history: AttemptHistory, result: AttemptResult) -> NextStep:
         step = next_step(
--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -113,7 +113,8 @@
             upstream.close()
         server_id, now_ms = upstream.record.server_id, elapsed_ms()
         self._state.note_unreached(server_id, now_ms)
-        self._ask_of_server(server_id, now_ms)
+        if now_ms - self._asked_ms.get(server_id, -1e12) >= ASK_INTERVAL_MS:
+            self._ask_of_server(server_id)
         self._wake.set()
 
     def check(self, server_id: str) -> None:
@@ -134,14 +135,17 @@
         end_ms = elapsed_ms() + timeout_s * 1000
         if not upstream.refuses_connections(timeout_s):
             return False
-        self.note_unreached(upstream, refused=True)
         server_id = upstream.record.server_id
+        self._state.note_unreached(server_id, elapsed_ms())
+        self._ask_of_server(server_id)
+        probes = self._probe_latest()
         while (left_ms := end_ms - elapsed_ms()) > 0:
             if self.link_is_cut(server_id):
                 return False
             if self.is_down(server_id) or not self._members():
                 return True
             self._replied.wait(left_ms / 1000)
+        gevent.joinall(probes, timeout=0)
         return not self._state.is_suspect
 
     # ---- probes -------------------------------------------------------------------------
@@ -167,15 +171,21 @@
     def _probe_round(self, now_ms: float) -> None:
         self._state.keep_only(self._pool.server_ids)
         self._probed_ms = now_ms
-        latest = self._state.reached_lately()[:PROBED_LATEST]
-        others = sorted(self._pool.server_ids - set(latest))
-        chosen = [*latest, *random.sample(others, min(PROBED_OTHERS, len(others)))]
-        gevent.joinall([self._spawn_probe(name) for name in chosen])
-        if chosen:
+        others = sorted(self._pool.server_ids)
+        chosen = random.sample(others, min(PROBED_OTHERS, len(others)))
+        probes = {*self._probe_latest(), *map(self._spawn_probe, chosen)}
+        gevent.joinall(probes)
+        if probes:
             self._state.note_probes(now_ms)
         if self._state.probes_failed:
             self._ask_nodes(list(self._members()), NODES_ASKED, LinkQuery())
 
+    def _probe_latest(self) -> list[gevent.Greenlet]:
+        """Probe the servers that are the likeliest to be up: those that were reached last."""
+        names = sorted(self._pool.server_ids, key=self._state.reached_ms, reverse=True)
+        names.sort(key=self._state.unreached.__contains__)
+        return [self._spawn_probe(name) for name in names[:PROBED_LATEST]]
+
     def _probe_unreached(self) -> None:
         unreached = sorted(self._state.unreached & self._pool.server_ids)
         for name in random.sample(unreached, min(PROBED_UNREACHED, len(unreached))):
@@ -217,12 +227,12 @@
 
     # ---- between nodes ------------------------------------------------------------------
 
-    def _ask_of_server(self, server_id: str, now_ms: float) -> None:
-        if now_ms - self._asked_ms.get(server_id, -1e12) < ASK_INTERVAL_MS:
-            return
+    def _ask_of_server(self, server_id: str) -> None:
+        now_ms = elapsed_ms()
         self._asked_ms[server_id] = now_ms
         others = [node for node in self._members() if node not in self.cut_nodes()]
-        self._ask_nodes(others, NODES_ASKED_OF_SERVER, LinkQuery(server_id))
+        query = LinkQuery(server_id, self._state.failed_ms(server_id, now_ms))
+        self._ask_nodes(others, NODES_ASKED_OF_SERVER, query)
 
     def _ask_nodes(self, nodes: list[Node], count: int, query: LinkQuery) -> None:
         for node in random.sample(nodes, min(count, len(nodes))):
@@ -230,28 +240,26 @@
 
     def handle_query(self, query: LinkQuery, peer: Node) -> None:
         """Answer another node, after a probe where nothing recent is known."""
-        now_ms = elapsed_ms()
         state = self._state
         reached_ms = state.reached_ms(query.server_id) if query.server_id else state.last_reached_ms
-        if now_ms - reached_ms < RECENT_MS and not state.is_suspect:
+        if elapsed_ms() - reached_ms < min(query.failed_ms, RECENT_MS) and not state.is_suspect:
             self._send(LinkReply(query.server_id, True), peer)
         else:
             gevent.spawn(self._probe_and_reply, query, peer)
 
     def _probe_and_reply(self, query: LinkQuery, peer: Node) -> None:
         asked_ms = elapsed_ms()
-        latest = self._state.reached_lately() or sorted(self._pool.server_ids)
-        chosen = [query.server_id] if query.server_id else latest[:PROBED_LATEST]
-        gevent.joinall([self._spawn_probe(name) for name in chosen])
-        if query.server_id and self._state.reached_ms(query.server_id) >= asked_ms:
-            self._send(LinkReply(query.server_id, True), peer)
-        elif query.server_id and self._reaches_any(asked_ms):
-            self._send(LinkReply(query.server_id, False), peer)
-        else:  # What this node doesn't reach says nothing if it may be cut off itself.
-            self._send(LinkReply("", self._state.last_reached_ms >= asked_ms), peer)
-
-    def _reaches_any(self, now_ms: float) -> bool:
-        return now_ms - self._state.last_reached_ms < RECENT_MS and not self._state.probes_failed
+        probes = self._probe_latest()
+        if query.server_id:
+            self._spawn_probe(query.server_id).join()
+            if self._state.reached_ms(query.server_id) >= asked_ms:
+                self._send(LinkReply(query.server_id, True), peer)
+                return
+        gevent.joinall(probes)
+        # What this node doesn't reach says nothing if it may be cut off itself.
+        reaches_any = self._state.last_reached_ms >= asked_ms
+        vouches = bool(query.server_id) and reaches_any
+        self._send(LinkReply(query.server_id if vouches else "", reaches_any and not vouches), peer)
 
     def handle_reply(self, reply: LinkReply, peer: Node) -> None:
         """Note what another node said of its links."""
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -174,13 +174,13 @@
         return any(connection.is_usable() for connection in self._idle)
 
     def probe(self, timeout_s: float) -> None:
-        """Open a connection, which is kept for the next request.
+        """Open a connection, which is kept for the next request unless others are.
 
         :raises NotConnectedError: when no connection can be made.
         """
         connection = HttpConnection(self.address)
         connection.open(timeout_s)
-        connection.reusable = True
+        connection.reusable = not self.has_idle_connection
         self.release(connection)
 
     def refuses_connections(self, timeout_s: float) -> bool:
--- a/ploverhatch/routing/connectivity.py
+++ b/ploverhatch/routing/connectivity.py
@@ -77,6 +77,10 @@
         if server_id in self._unreached_ms:
             self._elsewhere[server_id] = _Report(reached, now_ms)
 
+    def failed_ms(self, server_id: str, now_ms: float) -> float:
+        """Return for how long a server couldn't be reached; 0 if it was reached last."""
+        return now_ms - self._unreached_ms.get(server_id, now_ms)
+
     def reached_ms(self, server_id: str) -> float:
         """Return when a server was last reached, minus infinity if never."""
         return self._reached_ms.get(server_id, -math.inf)
@@ -114,10 +118,6 @@
         """Servers to which no connection could be made since they were last reached."""
         return frozenset(self._unreached_ms)
 
-    def reached_lately(self) -> list[str]:
-        """Return the servers that were ever reached, the latest first."""
-        return sorted(self._reached_ms, key=self._reached_ms.__getitem__, reverse=True)
-
     def reaching_nodes(self, now_ms: float) -> frozenset[tuple[str, int]]:
         """Return the nodes that are known to reach servers."""
         return self._reported(True, now_ms)
--- a/ploverhatch/routing/link_messages.py
+++ b/ploverhatch/routing/link_messages.py
@@ -4,9 +4,13 @@
 
 
 class LinkQuery(msgspec.Struct, array_like=True, frozen=True, tag=15):
-    """Asks a node whether it reaches a server, or any server if ``server_id`` is empty."""
+    """Asks a node whether it reaches a server, or any server if ``server_id`` is empty.
+
+    The sender couldn't reach it ``failed_ms`` milliseconds ago. Only what was reached since counts.
+    """
 
     server_id: str = ""
+    failed_ms: float = 0.0
 
 
 class LinkReply(msgspec.Struct, array_like=True, frozen=True, tag=16):
