--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -96,7 +96,7 @@
         )
         self.callers.start()
         self.linked.run()
-        network.nodes[-1].bench = self
+        self.linked.bench = self
 
     def _zones(self):
         others = [node for node in self.linked.network.nodes if node is not self.linked]
@@ -199,15 +199,11 @@
     return CallerReply(404)
 
 
-def in_order(node, *nodes):
-    """Have a node ask others in a given order, by zone and by what it knows of them."""
-    first, *later = nodes
-    first.zone = node.zone
-    for other in later:
-        other.zone = f"z{nodes.index(other) + 2}"
-    node.peers._candidates = lambda original=node.peers._candidates: sorted(
-        original(), key=[other.linked.address for other in nodes].index
-    )
+def in_order(node, *others):
+    """Have a node ask others in a given order."""
+    addresses = [other.linked.address for other in others]
+    candidates = node.peers._candidates
+    node.peers._candidates = lambda: sorted(candidates(), key=addresses.index)
 
 
 # ---- a request that another node serves --------------------------------------------------------
@@ -541,6 +537,20 @@
     assert cut.ask(b"/once/a", b"POST").status == 200
 
 
+# Guards against traffic between zones that a node of the same zone would save.
+def test_a_node_of_the_same_zone_is_asked_first(site):
+    upstream = Upstream("u1")
+    cut, far, near = site.add_nodes(3, upstream)
+    far.zone = "z2"
+    cut.cut()
+    until(lambda: len(cut.links.reaching_nodes()) == 2)
+    assert [cut.ask(b"/once/a", b"POST").status for _ in range(5)] == [200] * 5
+    assert site.taken() == [0, 0, 5]
+    near.accepts = False
+    assert cut.ask(b"/once/a", b"POST").status == 200
+    assert site.taken() == [0, 1, 6]
+
+
 # Guards against requests that wait for their deadline where no node can help.
 def test_without_a_node_that_takes_it_a_request_is_refused_at_once(site):
     upstream = Upstream("u1")
