Tell the other nodes when the lease is released, so that the next leader claims it at once

What callers saw: after a leader gave its lease back, also at a planned stop, nobody led for up to 1.8 s.

Cause: nodes that are covered by the leader's relay don't read the lease, and went on to rely on its last beacons; their next read was up to 1 s later.

Change: a leader that has released its lease sends a last beacon with `released`. The strongest nodes then read the lease, spread as for a lease that expires, and not from a stale listing. A later beacon of the next leader, or a read of the release, ends this. The field is the last one and has a default: earlier versions read such a beacon as one without claims and ask the store.

--- a/ploverhatch/gateway/elector.py
+++ b/ploverhatch/gateway/elector.py
@@ -50,6 +50,7 @@
     :param strength: share of the resources needed to lead that this machine has, 0 to 1.
     :param zone: zone of this node.
     :param cut_off: whether this node reaches no server, although another node does.
+    :param announce_release: tells the other nodes the revision of a lease that was released.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         strength: float = 1.0,
         zone: str = "",
         cut_off: Callable[[], bool] = lambda: False,
+        announce_release: Callable[[int], None] = lambda revision: None,
     ) -> None:
         self._member = Member(address, zone, strength)
         self._led_since_ms = 0.0
@@ -73,6 +75,7 @@
         self._store_regained = store_regained
         self._covered = covered
         self._cut_off = cut_off
+        self._announce_release = announce_release
         self._read_ms = -1e12
         self._wake = Signal()
         self._read_due = False  # the lease is to be read although the leader announces it
@@ -193,6 +196,8 @@
         The strongest nodes read the lease of a weak leader all the same: it hands over, and
         they have to see that at once.
         """
+        if self.state.release_is_unread:
+            return False
         if self.state.leader_is_weak and self.state.is_strongest:
             return False
         return self._covered() and elapsed_ms() - self._read_ms < election.COVERED_READ_INTERVAL_MS
@@ -209,10 +214,24 @@
         if before.leading and not self.state.leading:
             LOG.warning("Another node announced that it leads.", address=address)
 
+    def note_release(self, lease_revision: int) -> None:
+        """Note that the leader announced that it has released its lease, and read it soon.
+
+        :param lease_revision: revision of the released lease.
+        """
+        self.state = election.observe_release(self.state, lease_revision)
+        delay_ms = election.released_read_delay_ms(self.state, random.random())
+        gevent.spawn_later(delay_ms / 1000, self._read_released)
+
+    def _read_released(self) -> None:
+        if self.state.release_is_unread:
+            self._wake.raise_()
+
     # ---- following --------------------------------------------------------------------
 
     def _read_lease(self) -> None:
-        stale = self._registered
+        # A stale listing may have the lease as it was before its release.
+        stale = self._registered and not self.state.release_is_unread
         listing = self._store.list_all(kinds.LEASES, stale=stale)
         self._read_ms = elapsed_ms()
         members = self._apply_nodes(listing)
@@ -426,9 +445,11 @@
         LOG.info("Leadership given back.")
         try:
             content = keymap_codec.encode_lease(lease, self._renewal + 1)
-            self._store.replace(kinds.LEASES, kinds.LEADER_LEASE, content, revision)
+            written = self._store.replace(kinds.LEASES, kinds.LEADER_LEASE, content, revision)
         except (StoreCallError, RevisionConflictError) as error:
             LOG.warning("Lease was not released.", cause=error)
+        else:
+            self._announce_release(written.revision)
 
     def stop(self) -> None:
         """Resign, and take no further part in the election."""
--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -111,6 +111,7 @@
             lambda: self._relay.covered,
             settings.strength,
             settings.zone,
+            announce_release=self._announce_release,
         )
         self._peers = PeerLink(
             peer_address,
@@ -364,6 +365,9 @@
     def _store_lost(self) -> None:
         self.directory.servers.note_store_failure(elapsed_ms())
 
+    def _announce_release(self, lease_revision: int) -> None:
+        self._relay.publish_release(lease_revision)
+
     def _feed_failed(self) -> None:
         self._store_lost()
         self._elector.check_store_now()
--- a/ploverhatch/gateway/relay.py
+++ b/ploverhatch/gateway/relay.py
@@ -96,6 +96,9 @@
 
     def handle_beacon(self, beacon: Beacon) -> None:
         """Apply a beacon of the leader."""
+        if beacon.released:
+            self._elector.note_release(beacon.lease_revision)
+            return
         now_ms = elapsed_ms()
         self._coverage = coverage.apply_beacon(self._coverage, beacon)
         self._elector.note_leader(
@@ -232,6 +235,10 @@
         self._directory.note_granted(service, [token])
         self._beacon_soon()
 
+    def publish_release(self, lease_revision: int) -> None:
+        """Send a last beacon after this node has released its lease."""
+        self._send(Beacon(lease_revision, 0.0, {}, released=True))
+
     def _beacon_soon(self) -> None:
         if not self._urgent:
             self._urgent = True
--- a/ploverhatch/leadership/election.py
+++ b/ploverhatch/leadership/election.py
@@ -70,6 +70,7 @@
     relayed_revision: int = 0  # revision of the lease in the latest beacon
     relayed_renewal_ms: float = -1e12  # latest time at which a relayed renewal was sent
     relayed_address: str = ""  # address of the leader in the latest beacon
+    released_revision: int = 0  # revision of the latest lease announced as released
     strength: float = 1.0  # strength of this node's machine
     strongest: float = 1.0  # highest strength of the known nodes
     strongest_count: int = 1  # number of nodes with that strength
@@ -80,6 +81,11 @@
         """Whether no stronger node is known."""
         return self.strength >= self.strongest
 
+    @property
+    def release_is_unread(self) -> bool:
+        """Whether a release of the lease was announced, and nothing later is known of it."""
+        return self.released_revision > max(self.seen.revision, self.relayed_revision)
+
     @property
     def leader_is_weak(self) -> bool:
         """Whether a node that is weaker by more than ``STRENGTH_GAP`` holds the lease."""
@@ -141,6 +147,14 @@
     )
 
 
+def observe_release(state: ElectionState, lease_revision: int) -> ElectionState:
+    """Return the state after a leader announced that it has released its lease.
+
+    :param lease_revision: revision of the released lease.
+    """
+    return replace(state, released_revision=max(lease_revision, state.released_revision))
+
+
 def since_renewal_ms(state: ElectionState, now_ms: float) -> float:
     """Return the time since the last sign that the lease was renewed."""
     return now_ms - max(state.seen_since_ms, state.relayed_renewal_ms)
@@ -181,7 +195,21 @@
     left_ms = TAKEOVER_MS - since_renewal_ms(state, now_ms)
     if not state.is_strongest or not 0 < left_ms < READ_INTERVAL_MS:
         return READ_INTERVAL_MS
-    return left_ms + spread * min(SPREAD_PER_NODE_MS * state.strongest_count, READ_INTERVAL_MS)
+    return left_ms + _spread_ms(state, spread)
+
+
+def released_read_delay_ms(state: ElectionState, spread: float) -> float:
+    """Return the time to the read of a lease whose release was announced.
+
+    Only the strongest nodes read it before their next regular read.
+
+    :param spread: 0 to 1, drawn at random by the node, so that not all nodes read at once.
+    """
+    return _spread_ms(state, spread) if state.is_strongest else READ_INTERVAL_MS
+
+
+def _spread_ms(state: ElectionState, spread: float) -> float:
+    return spread * min(SPREAD_PER_NODE_MS * state.strongest_count, READ_INTERVAL_MS)
 
 
 def outage_retry_ms(state: ElectionState, failures: int, spread: float) -> float:
--- a/ploverhatch/relay/messages.py
+++ b/ploverhatch/relay/messages.py
@@ -61,6 +61,9 @@
     the rate limits that servers announced; successive beacons go through all of them in turn.
     ``promoted`` has, by service, the revision of the map in the store and the tokens of its
     standbys that were promoted since. The ranges of these standbys are held by no other server.
+
+    ``released`` marks the last beacon of a leader that has released its lease. It has the
+    revision of the released lease, and no claims.
     """
 
     lease_revision: int
@@ -72,6 +75,7 @@
     leaving: dict[str, float] = {}
     limits: dict[str, tuple[float, float]] = {}
     promoted: dict[str, tuple[int, list[int]]] = {}
+    released: bool = False
 
 
 class SnapshotItem(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/functional/test_leadership_changes.py
+++ b/tests/functional/test_leadership_changes.py
@@ -1,11 +1,14 @@
 """Which node leads after a change of the links to servers, with stores over sockets."""
 
 import gevent
+import msgspec
 import pytest
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway import keymap_codec
 from ploverhatch.gateway.elector import Elector
 from ploverhatch.platform.store import PlatformObjectStore
+from ploverhatch.relay.messages import Beacon
 from ploverhatch.store import kinds
 from tests.functional.test_gateway import CONFIG, Site
 from tests.functional.test_planned_stop_elsewhere import do_nothing, lease_of, lease_store, writes
@@ -68,6 +71,50 @@
     assert [item.leads for item in (leader, *others)] == [False, True, False, False]
 
 
+# Guards against a time without a leader while the others rely on the beacons of the last one.
+@pytest.mark.parametrize("pause_s", [0.0, 0.6, 1.2])
+def test_another_node_leads_soon_after_the_lease_is_given_back(gateways, pause_s):
+    leader, others = gateways
+    gevent.sleep(pause_s)
+    start_ms = elapsed_ms()
+    leader._elector.resign()
+    until(lambda: any(item.leads for item in others))
+    assert elapsed_ms() - start_ms < 500.0
+
+
+# Guards against a stale listing, in which the lease isn't released yet, that delays the claim.
+def test_a_released_lease_is_not_read_from_a_stale_listing(gateways, monkeypatch):
+    leader, others = gateways
+    asked = []
+    for gateway in others:
+        list_all = gateway._store.list_all
+
+        def recorded(kind, stale=False, list_all=list_all):
+            if kind == kinds.LEASES:
+                asked.append(stale)
+            return list_all(kind, stale=stale)
+
+        monkeypatch.setattr(gateway._store, "list_all", recorded)
+    leader._elector.resign()
+    until(lambda: any(item.leads for item in others))
+    assert asked[0] is False
+
+
+# Guards against a beacon that nodes of the version before can't read.
+def test_a_beacon_of_a_release_is_compatible():
+    fields = msgspec.structs.fields(Beacon)
+    earlier = msgspec.defstruct(
+        "Beacon",
+        [(item.name, item.type) for item in fields if item.required],
+        array_like=True,
+        tag=3,
+    )
+    data = msgspec.msgpack.encode(Beacon(7, 0.0, {}, released=True))
+    assert msgspec.msgpack.decode(data, type=earlier).lease_revision == 7
+    data = msgspec.msgpack.encode(earlier(7, 0.0, {}))
+    assert not msgspec.msgpack.decode(data, type=Beacon).released
+
+
 # Guards against leadership that goes from one cut node to the next.
 def test_a_node_that_is_cut_off_claims_the_lease_once_it_reaches_servers_again(lease_store):
     links = Links()
--- a/tests/unit/test_election.py
+++ b/tests/unit/test_election.py
@@ -173,6 +173,28 @@
     assert state.leader_address == "newest"
 
 
+def test_an_announced_release_is_unread_until_the_lease_is_read_or_another_node_leads():
+    state = election.observe(ElectionState("a", "1"), LeaseObject(5, "b", "1"), 0.0)
+    state = election.observe_release(election.observe_renewal(state, 6, 400.0), 7)
+    assert state.release_is_unread
+    assert not election.may_claim(state, 500.0)
+    assert election.observe(state, LeaseObject(6, "b", "1"), 500.0).release_is_unread
+    read = election.observe(state, LeaseObject(7, "b", "1", released=True), 500.0)
+    assert not read.release_is_unread
+    assert election.may_claim(read, 500.0)
+    assert not election.observe_renewal(state, 9, 600.0, "next").release_is_unread
+    assert not election.observe_release(read, 4).release_is_unread
+
+
+def test_a_released_lease_is_read_by_the_strongest_nodes_at_different_times():
+    strong = replace(ElectionState("s", "1"), strongest_count=4)
+    assert election.released_read_delay_ms(strong, 0.0) == 0.0
+    assert election.released_read_delay_ms(strong, 1.0) == 4 * election.SPREAD_PER_NODE_MS
+    many = replace(strong, strongest_count=300)
+    assert election.released_read_delay_ms(many, 1.0) == election.READ_INTERVAL_MS
+    assert election.released_read_delay_ms(weak(), 0.0) == election.READ_INTERVAL_MS
+
+
 def test_a_node_that_is_cut_off_claims_no_lease():
     free = election.observe(
         ElectionState("a", "1"), LeaseObject(6, "b", "1", released=True), 1000.0
