--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -146,7 +146,7 @@
                 return True
             self._replied.wait(left_ms / 1000)
         gevent.joinall(probes, timeout=0)
-        return not self._state.is_suspect
+        return not self._state.is_suspect or len(self._pool.server_ids) == 1
 
     # ---- probes -------------------------------------------------------------------------
 
--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -272,7 +272,7 @@
         """
         if _announced(upstream):
             return
-        gevent.spawn(self._probe, call, upstream, sent_ms, elapsed_ms()).join(PROBE_TIMEOUT_S)
+        gevent.spawn(self._probe, call, upstream, sent_ms, elapsed_ms()).join(2 * PROBE_TIMEOUT_S)
 
     def note_timeout(self, call: Call, upstream: Upstream, sent_ms: float) -> None:
         """Note that a server didn't answer in time; it is frozen if it answered nothing since."""
