Repeat a round of probes in which this process stood still

A process that stands still for longer than a probe's time limit sees all probes fail, and with another node's word would take itself for cut off: a leader would give its lease back for 6 s. A round that took longer than probes can is repeated once.

--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -24,6 +24,8 @@
 CHECK_S = 0.1
 PROBE_INTERVAL_MS = 500.0  # The least time between two rounds of probes.
 PROBE_TIMEOUT_S = 0.25
+# A round that takes longer is repeated once: this process stood still, and not the servers.
+LATE_ROUND_MS = 400.0
 # Servers in a round of probes: those that were reached last, and others.
 PROBED_LATEST = 3
 PROBED_OTHERS = 2
@@ -60,6 +62,7 @@
         self._wake = Event()
         self._replied = Event()  # Set, and cleared, with each reply of another node.
         self._was_cut_off = False
+        self._was_late = False  # Whether the last round of probes took too long.
 
     # ---- conclusions --------------------------------------------------------------------
 
@@ -175,8 +178,10 @@
         chosen = random.sample(others, min(PROBED_OTHERS, len(others)))
         probes = {*self._probe_latest(), *map(self._spawn_probe, chosen)}
         gevent.joinall(probes)
-        if probes:
+        late = elapsed_ms() - now_ms > LATE_ROUND_MS
+        if probes and (self._was_late or not late):
             self._state.note_probes(now_ms)
+        self._was_late = late
         if self._state.probes_failed:
             self._ask_nodes(list(self._members()), NODES_ASKED, LinkQuery())
 
