Store a promotion only if the stored map doesn't show it

Callers would see: keys of a server that is gone stay refused for as long as its leader leads, and a write to the store in each round.

Cause: a leader plans nothing until the stored map shows its promotions, and took every map in which a promoted token is still listed as one that doesn't. A token stays listed for another part of the range that has moved since, so it stored the same map for ever.

Change: a promotion is unstored only if applying it changes the map.

Replaced check: the last line of test_the_move_of_a_map_stored_after_a_promotion_waits_for_the_ standby took the first stored map and asked that it doesn't settle the range. There is nothing to store any more, as the stored map shows the promotion; it asks now that no stored map, nor the leader's own, settles it.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -686,7 +686,7 @@
 
     def _adopt(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
         promoted = promote(keymap, state.promoted)
-        state.has_unstored_promotions = state.has_unstored_promotions or promoted is not keymap
+        state.has_unstored_promotions = state.has_unstored_promotions or promoted != keymap
         keymap = promoted
         state.keymap = keymap
         state.granted = None
--- a/tests/unit/test_key_simulation.py
+++ b/tests/unit/test_key_simulation.py
@@ -56,6 +56,21 @@
         (700353, ("kill-leader", "false-silence", "kill-leader", "cut-server", "refuse-server")),
         (700494, ("false-silence", "refuse-server", "kill-leader", *["refuse-server"] * 2)),
     ],
+    "promotion stored for ever": [
+        (700306, ("suspend-leader", "rebirth")),
+        (700343, ("rebirth", "restart-server", "split-leader")),
+        (730249, ("freeze-leader", "rebirth")),
+        (
+            831014,
+            (
+                "late-orders",
+                "split-leader-refused",
+                "cut-leader-from-store",
+                "late-orders",
+                "rebirth",
+            ),
+        ),
+    ],
     "earlier leader still had authority": [
         (4582, ("restart-server", "drain-server", "kill-leader", "kill-node", "split-leader")),
         (
@@ -158,6 +173,13 @@
     assert verdict.clean, explain(verdict)
 
 
+@pytest.mark.parametrize("schedule", FOUND_SCHEDULES["promotion stored for ever"])
+def test_keys_are_served_again_after_a_promotion_whose_token_stays_listed(schedule):
+    """A leader stored the same promotion for ever, and moved no keys of servers that were gone."""
+    verdict = run_schedule(*schedule)
+    assert verdict.clean, explain(verdict)
+
+
 @pytest.mark.parametrize("schedule", FOUND_SCHEDULES["earlier leader still had authority"])
 def test_a_leader_replaced_before_its_predecessors_time_was_over(schedule):
     """The third leader waited for the leases of the second one only.
--- a/tests/unit/test_standbys.py
+++ b/tests/unit/test_standbys.py
@@ -173,6 +173,29 @@
     assert core.promoted(SERVICE) == frozenset()
 
 
+def test_a_promotion_that_the_stored_map_shows_is_stored_once():
+    """A leader stored the same promotion for ever, and moved no keys of servers that were gone.
+
+    A promoted token stayed listed for another part of the range, which had moved since.
+    """
+    keymap = assigned()
+    rest = keymap.find(0).last // 2
+    moved = settle(begin_moves(keymap, [Move(rest, rest, holder(2))]), lambda item: True)
+    stored = replace(assign_standbys(moved, keymap, [holder(n) for n in range(3)]), revision=2)
+    promoted = keymap.find(0).standby
+    assert promoted in stored.find(rest).standbys
+    core = leading(keymap)
+    core.tick(LEAVES_MS, view(0), False, store_unavailable=True)
+    assert promoted.token in core.promoted(SERVICE)
+    core.map_stored(stored, stored.revision, 1100.0)
+    now_ms, writes = 9000.0, 0
+    while actions := of_kind(core.tick(now_ms, view(0), True), StoreMap):
+        writes += 1
+        assert writes < 4
+        core.map_stored(actions[0].keymap, 2 + writes, now_ms)
+    assert all(item.holder != holder(0) for item in core.keymap(SERVICE).ranges)
+
+
 def test_the_move_of_a_map_stored_after_a_promotion_waits_for_the_standby():
     """The answer to the map's write was lost, so the map may be stored after the promotion."""
     core = leading(assigned())
@@ -186,7 +209,9 @@
     assert moved.token > grant.range_id.token
     assert moved.holder == grant.holder or grant.holder in moved.previous
     (release, *_) = of_kind(core.tick(1450.0, view(0), False, store_unavailable=True), SendRelease)
-    assert not of_kind(core.tick(1460.0, view(0), True), StoreMap)[0].keymap.find(0).settled
+    stores = of_kind(core.tick(1460.0, view(0), True), StoreMap)
+    assert not any(action.keymap.find(0).settled for action in stores)
+    assert not core.keymap(SERVICE).find(0).settled
 
 
 def test_the_next_leader_has_standbys_release_before_it_grants_anything():
