Bound the nodes that a quarantine reports to from below

A negative number is the only way there, and the budget is negative only if the elapsed time went back, as the new test has it; that this was so in that run is not shown. The test failed before with the same error.

--- a/ploverhatch/gateway/quarantine.py
+++ b/ploverhatch/gateway/quarantine.py
@@ -423,7 +423,8 @@
         refill = (now_ms - self._refilled_ms) / 1000 * MAX_SENT_PER_S
         self._send_budget = min(MAX_SENT_BURST, self._send_budget + refill)
         self._refilled_ms = now_ms
-        max_nodes = int(self._send_budget / max(each, 1))
+        # The elapsed time may go back by a moment, and with it the budget.
+        max_nodes = max(0, int(self._send_budget / max(each, 1)))
         chosen = members if len(members) <= max_nodes else random.sample(members, max_nodes)
         self._send_budget -= len(chosen) * each
         return chosen
--- a/tests/functional/test_quarantine.py
+++ b/tests/functional/test_quarantine.py
@@ -6,6 +6,7 @@
 from gevent.event import Event
 
 from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway import quarantine
 from ploverhatch.gateway.forwarder import Forwarder
 from ploverhatch.gateway.quarantine import Quarantine
 from ploverhatch.platform.dialect import PlatformDialect
@@ -165,6 +166,13 @@
     assert bench.quarantine.crashes == 1
 
 
+# Guards against a task of reports that ends, since the budget of messages had become negative.
+def test_a_node_whose_clock_goes_back_sends_no_reports_instead_of_failing(bench, monkeypatch):
+    now_ms = elapsed_ms()
+    monkeypatch.setattr(quarantine, "elapsed_ms", lambda: now_ms - 60_000.0)
+    assert bench.quarantine._affordable([PEER], 1) == []
+
+
 def test_observed_crashes_are_reported_and_reports_are_merged(bench):
     bench.crash_servers(3)
     gevent.sleep(0.05)
