Ask other nodes for what they reached since this one did, and forget removed servers

A node that is cut off asked eight others each half second, and each opened three connections to answer, although it had just been answered by servers: the query said nothing of how long the sender had reached none. Servers that were removed while they couldn't be reached stayed in doubt until all probes failed. Found by reading; the tests of links pass as before.

--- a/ploverhatch/gateway/links.py
+++ b/ploverhatch/gateway/links.py
@@ -36,7 +36,6 @@
 NODES_ASKED_OF_SERVER = 3  # By a node that doesn't reach one server.
 ASK_INTERVAL_MS = 500.0  # The least time between two queries about one server.
 RECENT_MS = 1000.0  # A server that was reached within this time is reached.
-VERDICT_TIMEOUT_S = 0.1  # The wait for other nodes' replies about one server.
 
 
 class LinkMonitor:
@@ -160,20 +159,29 @@
             self._wake.clear()
             now_ms = elapsed_ms()
             if now_ms - self._probed_ms >= PROBE_INTERVAL_MS:
-                if self._state.is_suspect or self._state.probes_failed or self._is_silent(now_ms):
-                    self._probe_round(now_ms)
-                elif self._state.unreached:
-                    self._probed_ms = now_ms
-                    self._probe_unreached()
+                self._probe_if_in_doubt(now_ms)
             self._log_change()
 
+    def _probe_if_in_doubt(self, now_ms: float) -> None:
+        if self._state.is_suspect or self._state.probes_failed or self._is_silent(now_ms):
+            self._probed_ms = now_ms
+            self._forget_removed()
+            self._probe_round(now_ms)
+        elif self._state.unreached:
+            self._probed_ms = now_ms
+            self._forget_removed()
+            self._probe_unreached()
+
+    def _forget_removed(self) -> None:
+        known = self._pool.server_ids
+        self._state.keep_only(known)
+        self._asked_ms = {name: at_ms for name, at_ms in self._asked_ms.items() if name in known}
+
     def _is_silent(self, now_ms: float) -> bool:
         waited_ms = min(self._pool.oldest_in_flight_ms(), now_ms - self._state.last_reached_ms)
         return waited_ms >= SILENCE_MS
 
     def _probe_round(self, now_ms: float) -> None:
-        self._state.keep_only(self._pool.server_ids)
-        self._probed_ms = now_ms
         others = sorted(self._pool.server_ids)
         chosen = random.sample(others, min(PROBED_OTHERS, len(others)))
         probes = {*self._probe_latest(), *map(self._spawn_probe, chosen)}
@@ -183,7 +191,8 @@
             self._state.note_probes(now_ms)
         self._was_late = late
         if self._state.probes_failed:
-            self._ask_nodes(list(self._members()), NODES_ASKED, LinkQuery())
+            unreached_ms = min(elapsed_ms() - self._state.last_reached_ms, RECENT_MS)
+            self._ask_nodes(list(self._members()), NODES_ASKED, LinkQuery("", unreached_ms))
 
     def _probe_latest(self) -> list[gevent.Greenlet]:
         """Probe the servers that are the likeliest to be up: those that were reached last."""
