--- a/ploverhatch/routing/link_messages.py
+++ b/ploverhatch/routing/link_messages.py
@@ -6,7 +6,8 @@
 class LinkQuery(msgspec.Struct, array_like=True, frozen=True, tag=15):
     """Asks a node whether it reaches a server, or any server if ``server_id`` is empty.
 
-    The sender has not reached it for ``failed_ms`` milliseconds. Only what was reached since counts.
+    The sender has not reached it for ``failed_ms`` milliseconds; only what was reached since
+    counts.
     """
 
     server_id: str = ""
--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -22,11 +22,11 @@
     NAMES_PER_LINE,
     AnswerRecord,
     SentAnswer,
-    unacknowledged_bytes,
 )
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
 from ploverhatch.routing.gateway_attempts import AttemptResult
+from ploverhatch.transport.unacknowledged import unacknowledged_bytes
 from tests.unit.test_platform_adapter import SETTINGS
 
 
