--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -32,6 +32,7 @@
 from ploverhatch.gateway.peer_forwarding import PeerForwarder
 from ploverhatch.gateway.quarantine import OnTrialElsewhereError, Quarantine
 from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
+from ploverhatch.gateway.rerouting import Rerouting
 from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
 from ploverhatch.gateway.shared_slots import (
     LEASE_MARGIN_MS,
@@ -128,8 +129,8 @@
         peers: PeerForwarder | None = None,
     ) -> None:
         self._links = links or LinkMonitor(pool, tuple, lambda message, to: None)
-        self._peers = peers
         self._choice = ServerChoice(directory, pool, evacuate_ms, drain_ms, self._links)
+        self._rerouting = Rerouting(self._links, self._choice, peers)
         self._shared_slots = shared_slots
         self._directory = directory
         self._dialect = dialect
@@ -259,7 +260,7 @@
     def _run(self, call: Call) -> CallerReply:
         progress = _Progress(call.earlier_attempts)
         if self._links.is_cut_off:
-            reply = self._forward(call, progress, counted=False)
+            reply = self._rerouting.forward(call, progress.history, counted=False)
             if reply is not None:
                 return reply
         self._count(call)
@@ -270,8 +271,8 @@
 
     def _try_next(self, call: Call, progress: _Progress) -> CallerReply | None:
         """Make one attempt; return the reply, or ``None`` if another attempt is to be made."""
-        if self._servers_are_cut_off(call):
-            reply = self._forward(call, progress)
+        if self._rerouting.is_due(call):
+            reply = self._rerouting.forward(call, progress.history)
             if reply is not None:
                 return reply
         upstream, result, answer = self._attempt_when_permitted(
@@ -287,8 +288,8 @@
             progress.last_answer = answer
         progress.history = progress.history.after(result)
         self._update_upstream(upstream, result, call.trace.attempts[-1].took_ms)
-        if result is AttemptResult.NOT_CONNECTED and self._link_may_be_cut(call, upstream):
-            reply = self._forward(call, progress)
+        if result is AttemptResult.NOT_CONNECTED and self._rerouting.may_help(call, upstream):
+            reply = self._rerouting.forward(call, progress.history)
             if reply is not None:
                 return reply
         step = self._decide(call, progress.history, result)
@@ -318,44 +319,6 @@
         if call.partitioned and key is not None:
             self.sampled_keys.setdefault(call.service, []).append(key)
 
-    def _servers_are_cut_off(self, call: Call) -> bool:
-        """Whether only other nodes reach the servers that may run a request."""
-        if not self._links.any_unreached:
-            return False
-        upstreams = self._choice.usable_upstreams(call)
-        return bool(upstreams) and all(
-            self._links.link_is_cut(upstream.record.server_id) and not upstream.has_idle_connection
-            for upstream in upstreams
-        )
-
-    def _link_may_be_cut(self, call: Call, upstream: Upstream) -> bool:
-        """Whether another node may reach a server to which no connection could be made.
-
-        A request without a key tries another server first.
-        """
-        server_id = upstream.record.server_id
-        if self._links.link_is_cut(server_id):
-            return True
-        last_way = call.partitioned or len(call.trace.attempts) > 1
-        return last_way and not self._links.is_down(server_id)
-
-    def _forward(self, call: Call, progress: _Progress, counted: bool = True) -> CallerReply | None:
-        """Send a request on through another node; return ``None`` if no node took it.
-
-        :raises RefusedError: when a node took it and gave no answer.
-        """
-        if self._peers is None or call.request.forwarded_by is not None:
-            return None
-        if progress.history.may_have_run and not call.route.repeatable:
-            return None
-        outcome = self._peers.forward(call, progress.history, counted)
-        if outcome.lost:
-            # The other node may have made all attempts that the route allows.
-            late = call.remaining_ms <= 0
-            result = results.DEADLINE_IN_FLIGHT if late else results.ANSWER_LOST
-            raise RefusedError(result, "forwarded")
-        return outcome.reply
-
     def _decide(self, call: Call, history: AttemptHistory, result: AttemptResult) -> NextStep:
         step = next_step(
             history,
