--- a/ploverhatch/cli/explain_request.py
+++ b/ploverhatch/cli/explain_request.py
@@ -98,16 +98,25 @@
         f"  route {fields.get('route')} of configuration {fields.get('version')}, "
         f"service {fields.get('service')}, key {fields.get('key')}"
     )
-    attempts = fields.get("attempts", "-")
-    if attempts == "-":
+    attempts = _tries(fields.get("attempts", "-"))
+    sent_on = _tries(fields.get("via", "-"))
+    if not attempts and not sent_on:
         rows.append("  no attempt reached a server")
-    for number, attempt in enumerate(attempts.split("|") if attempts != "-" else [], 1):
-        server, outcome, times = attempt.rsplit(":", 2)
-        start, _, took = times.partition("+")
-        rows.append(f"  attempt {number}: {server} after {start} ms, {outcome} in {took} ms")
+    rows += [f"  attempt {number}: {text}" for number, text in enumerate(attempts, 1)]
+    rows += [f"  sent on to another node: {text}" for text in sent_on]
     return rows
 
 
+def _tries(notes: str) -> list[str]:
+    """Return sentences on the attempts, or on the nodes that a request was sent on to."""
+    found = []
+    for note in notes.split("|") if notes != "-" else []:
+        name, outcome, times = note.rsplit(":", 2)
+        start, _, took = times.partition("+")
+        found.append(f"{name} after {start} ms, {outcome} in {took} ms")
+    return found
+
+
 def _context(line: LogLine, lines: list[LogLine]) -> list[LogLine]:
     """Return the last lines before ``line`` about its service, its servers or leadership."""
     attempts = line.fields.get("attempts", "-")
--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -133,6 +133,19 @@
     assert "service=other" not in output
 
 
+def test_explain_tells_which_nodes_a_request_was_sent_on_to():
+    trace = RequestTrace("r9", received_ms=100.0)
+    trace.note_forwarding("10.0.0.2:7540", AttemptResult.DECLINED, 101.0, 103.0)
+    trace.note_forwarding("10.0.0.3:7540", AttemptResult.ANSWERED, 103.0, 140.0)
+    text = (
+        f"x I [request] Request ended. request=r9 status=200 result=1000 via={'|'.join(trace.via)}"
+    )
+    output = "\n".join(explain("r9", read_lines([text])))
+    assert "sent on to another node: 10.0.0.2:7540 after 1 ms, declined in 2 ms" in output
+    assert "sent on to another node: 10.0.0.3:7540 after 3 ms, answered in 37 ms" in output
+    assert "no attempt reached a server" not in output
+
+
 def test_explain_request_command(tmp_path):
     path = tmp_path / "log"
     path.write_text(LOG)
