--- a/ploverhatch/gateway/process.py
+++ b/ploverhatch/gateway/process.py
@@ -107,19 +107,7 @@
             settings.retry_ratio, settings.retry_slack, settings.retry_window_s
         )
         peer_address = HostPort(settings.ip, settings.peer_port)
-        self._elector = Elector(
-            store,
-            settings.node,
-            os.urandom(INCARNATION_BYTES).hex(),
-            f"{settings.ip}:{settings.peer_port}",
-            self._store_lost,
-            self._store_regained,
-            lambda: self._relay.covered,
-            settings.strength,
-            settings.zone,
-            cut_off=lambda: self._links.is_cut_off,
-            announce_release=self._announce_release,
-        )
+        self._elector = self._make_elector()
         self._peers = PeerLink(
             peer_address,
             self._collect_load,
@@ -139,42 +127,11 @@
         self._peers.add_peer_handler(LinkQuery, self._links.handle_query)
         self._peers.add_peer_handler(LinkReply, self._links.handle_reply)
         self._peer_connections = PeerConnections()
-        peer_forwarder = PeerForwarder(
-            self._links, self._other_zones, settings.zone, self._peer_connections
-        )
-        permits = TrialPermits(
-            self._other_leader, lambda: self._elector.node_count, self._peers.send
-        )
-        self._quarantine = Quarantine(
-            settings.node,
-            self._other_nodes,
-            self._peers.send,
-            self._elector.await_leader,
-            lambda: self.leads,
-            permits,
-            lambda: self._suspension.ran_until_ms,
-            self._links,
-        )
+        self._quarantine = self._make_quarantine()
         self._quarantine_persistence = QuarantinePersistence(
             store, self._quarantine, lambda: self.leads
         )
-        self._peers.add_peer_handler(TrialRequest, permits.handle_request)
-        self._peers.add_peer_handler(TrialReply, permits.handle_reply)
-        self._peers.add_peer_handler(TrialFinished, permits.handle_finished)
-        self._peers.add_peer_handler(CrashReport, self._quarantine.handle_report)
-        self._peers.add_peer_handler(CrashQuery, self._quarantine.handle_query)
-        self._forwarder = Forwarder(
-            self.directory,
-            self._pool,
-            dialect,
-            self._budget,
-            self._slots,
-            settings.evacuate_ms,
-            self._quarantine,
-            settings.drain_ms,
-            self._links,
-            peer_forwarder,
-        )
+        self._forwarder = self._make_forwarder()
         keymap_relay = KeymapRelay(self.directory)
         self._relay = Relay(
             settings.relay_limit_ms,
@@ -185,19 +142,7 @@
             SnapshotClient(lambda: self._elector.leader_address, self._elector.address),
             self._peers.publish,
         )
-        forwarded = ForwardedRequests(
-            self._forwarder.handle, lambda: self.version, self._takes_forwarded
-        )
-        self._peer_server = PeerServer(
-            peer_address,
-            {
-                peer_objects.PATH_PART: Snapshots(self._relay.snapshot).answer,
-                peer_forwarding.PATH_PART: forwarded.answer,
-                peer_release.PATH_PART: RelayedReleases(
-                    dialect, self.directory.apply_notice
-                ).answer,
-            },
-        )
+        self._peer_server = self._make_peer_server(peer_address)
         self._peers.add_handler(RelayedUpdate, self._relay.handle_update)
         self._peers.add_handler(Beacon, self._relay.handle_beacon)
         self._feeds = [
@@ -217,6 +162,76 @@
             settings.readiness, self._answer_readiness, self.directory.client_limits
         )
 
+    # ---- parts ------------------------------------------------------------------------
+
+    def _make_elector(self) -> Elector:
+        settings = self._settings
+        return Elector(
+            self._store,
+            settings.node,
+            os.urandom(INCARNATION_BYTES).hex(),
+            f"{settings.ip}:{settings.peer_port}",
+            self._store_lost,
+            self._store_regained,
+            lambda: self._relay.covered,
+            settings.strength,
+            settings.zone,
+            cut_off=lambda: self._links.is_cut_off,
+            announce_release=self._announce_release,
+        )
+
+    def _make_quarantine(self) -> Quarantine:
+        peers = self._peers
+        permits = TrialPermits(self._other_leader, lambda: self._elector.node_count, peers.send)
+        quarantine = Quarantine(
+            self._settings.node,
+            self._other_nodes,
+            peers.send,
+            self._elector.await_leader,
+            lambda: self.leads,
+            permits,
+            lambda: self._suspension.ran_until_ms,
+            self._links,
+        )
+        peers.add_peer_handler(TrialRequest, permits.handle_request)
+        peers.add_peer_handler(TrialReply, permits.handle_reply)
+        peers.add_peer_handler(TrialFinished, permits.handle_finished)
+        peers.add_peer_handler(CrashReport, quarantine.handle_report)
+        peers.add_peer_handler(CrashQuery, quarantine.handle_query)
+        return quarantine
+
+    def _make_forwarder(self) -> Forwarder:
+        settings = self._settings
+        peer_forwarder = PeerForwarder(
+            self._links, self._other_zones, settings.zone, self._peer_connections
+        )
+        return Forwarder(
+            self.directory,
+            self._pool,
+            self._dialect,
+            self._budget,
+            self._slots,
+            settings.evacuate_ms,
+            self._quarantine,
+            settings.drain_ms,
+            self._links,
+            peer_forwarder,
+        )
+
+    def _make_peer_server(self, address: HostPort) -> PeerServer:
+        forwarded = ForwardedRequests(
+            self._forwarder.handle, lambda: self.version, self._takes_forwarded
+        )
+        releases = RelayedReleases(self._dialect, self.directory.apply_notice)
+        return PeerServer(
+            address,
+            {
+                peer_objects.PATH_PART: Snapshots(self._relay.snapshot).answer,
+                peer_forwarding.PATH_PART: forwarded.answer,
+                peer_release.PATH_PART: releases.answer,
+            },
+        )
+
     # ---- lifecycle --------------------------------------------------------------------
 
     def run(self) -> None:
