--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -153,8 +154,12 @@
     await asyncio.sleep(settle_s)
 
 
+ENDED_LAST = []  # other processes that a script starts; each has a method ``kill``
+
+
 def run_script(main, folder):
     """Run a case in a temporary folder; exit with its code, 2 if it couldn't run."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # ends the gateways too
     record = Record(Path(folder) / "record.txt")
     gateways = []
     with tempfile.TemporaryDirectory() as temporary:
@@ -167,6 +172,8 @@
         finally:
             for gateway in gateways:
                 gateway.end()
+            for process in ENDED_LAST:
+                process.kill()
             keep = os.environ.get("KEEP_LOGS")
             if keep:
                 for path in Path(temporary).glob("*.log"):
