--- a/review/3/run.py
+++ b/review/3/run.py
@@ -172,5 +172,10 @@
     return 1 if broken else 0
 
 
-if __name__ == "__main__":
+def test_a_request_that_is_refused_has_not_run_and_never_will():
+    """Run the case; the process ends with its exit code."""
     site.run_script(main, FOLDER)
+
+
+if __name__ == "__main__":
+    test_a_request_that_is_refused_has_not_run_and_never_will()
