--- a/review/3/run.py
+++ b/review/3/run.py
@@ -61,7 +61,7 @@
                     "target_latency_ms": 600,
                     "priority": 0,
                     "service": "keyed",
-                    "max_attempts": 2,
+                    "max_attempts": int(os.environ.get("MAX_ATTEMPTS", "2")),
                 }
             ],
         }
