Log the connection of each attempt

The line of the request could not tell whether the second rejection was the server's own or the first one read again, since it named the server only. Each attempt now names its connection and its place among the connection's requests: two attempts on one connection, the second declined within a round trip while the server runs it, against two on different ones.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -525,6 +525,7 @@
         self, call: Call, upstream: Upstream
     ) -> tuple[AttemptResult, WireAnswer | None]:
         start_ms = elapsed_ms()
+        call.trace.connection = ""
         result, answer = self._attempt(call, upstream)
         call.trace.attempts.append(
             AttemptNote(
@@ -533,6 +534,7 @@
                 start_ms - call.request.received_ms,
                 elapsed_ms() - start_ms,
                 result,
+                call.trace.connection,
             )
         )
         return result, answer
@@ -555,6 +557,7 @@
             return AttemptResult.WITHHELD if withheld else AttemptResult.NOT_CONNECTED, None
         payload = self._dialect.encode_request(call.request, record.server_id, left_ms)
         call.trace.sent = True
+        call.trace.connection = f"{connection.number}.{connection.exchanges + 1}"
         self._count_send(record.server_id)
         self._quarantine.log_suspect_send(call, record.server_id)
         answer = self._exchange(call, upstream, connection, payload, sent_ms)
--- a/ploverhatch/gateway/request_log.py
+++ b/ploverhatch/gateway/request_log.py
@@ -21,11 +21,13 @@
     after_ms: float  # The time from the first byte of the request to this attempt.
     took_ms: float
     result: AttemptResult
+    connection: str = ""  # "CONNECTION.EXCHANGE", empty if nothing was sent
 
     def text(self) -> str:
-        """Return ``server@token:result:start+duration``."""
+        """Return ``server@token#connection.exchange:result:start+duration``."""
         times = f"{self.after_ms:.0f}+{self.took_ms:.0f}"
-        return f"{self.server_id}@{self.token}:{self.result.value}:{times}"
+        sent_on = f"#{self.connection}" if self.connection else ""
+        return f"{self.server_id}@{self.token}{sent_on}:{self.result.value}:{times}"
 
 
 @dataclass(slots=True)
@@ -43,6 +45,7 @@
     before_ms: float = 0.0
     attempts: list[AttemptNote] = field(default_factory=list)
     sent: bool = False  # Whether a server may have received it.
+    connection: str = ""  # What the present attempt was sent on; see AttemptNote.
     slot: str = ""  # The last reply to a request for a shared slot, and the node that sent it.
     received_ms: float = 0.0  # When its first byte was read, in elapsed milliseconds.
     via: list[str] = field(default_factory=list)  # Nodes that it was sent on to, as logged.
--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -4,6 +4,7 @@
 the request may be repeated. The parser is llhttp, by way of ``httptools``.
 """
 
+import itertools
 import select
 import socket as stdlib_socket
 import struct
@@ -20,6 +21,7 @@
 READ_BYTES = 65_536
 LARGE_PAYLOAD_BYTES = 32_768  # a longer request is sent by a second task while its answer is read
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_numbers = itertools.count(1)
 
 
 class HostPort(NamedTuple):
@@ -159,10 +161,14 @@
     """A connection to one address.
 
     ``reusable`` is true when the last exchange left the connection ready for another one.
+    ``number`` identifies the connection within this process, and ``exchanges`` counts the
+    requests that were sent on it.
     """
 
     def __init__(self, address: HostPort) -> None:
         self.address = address
+        self.number = next(_numbers)
+        self.exchanges = 0
         self.reusable = False
         self.idle_timeout_s = 0.0  # stated in Keep-Alive by the last answer; 0: not stated
         self.idle_since_s = 0.0
@@ -260,6 +266,7 @@
         :raises AnswerCutError: when no complete answer was received.
         """
         self.reusable = False
+        self.exchanges += 1
         reader = _AnswerReader(method)
         try:
             all_sent = self._send_and_read(reader, payload)
