Tie each answer of a server to one request on its connection

Cause: both attempts of a request have the same id, and were sent on one kept connection. A server that sends an answer too many sends the first rejection again where the answer to the second attempt is due, and the id can't tell the two apart.

Why this works: a connection never carries two requests of one id, and an answer without an id counts for the first request of its connection only; so an answer that is taken names its request, and no other request of that name was sent there. Answers to earlier requests are dropped and the own one is read, which ends the 502s. A request without an id shares no connection: the copy of its rejection (400, 421, 429, 503 without an id) was read by the next request, which ran and was told 503.

A test's stand-in for Upstream.connection takes any arguments now.

--- a/ploverhatch/gateway/dialect.py
+++ b/ploverhatch/gateway/dialect.py
@@ -58,6 +58,10 @@
         :param remaining_ms: time until the request's deadline.
         """
 
+    @abstractmethod
+    def answered_id(self, answer: WireAnswer) -> bytes:
+        """Return the id of the request that an answer names; empty if it names none."""
+
     @abstractmethod
     def classify_answer(
         self, facts: RequestFacts, server_id: str, answer: WireAnswer
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -56,8 +56,10 @@
 from ploverhatch.routing.shared_retry_budget import SharedRetryBudget
 from ploverhatch.routing.usual_deadlines import UsualDeadlines
 from ploverhatch.state.server_notices import NO_NOTICE
+from ploverhatch.transport.answer_match import AnswerMatch, match_answer
 from ploverhatch.transport.http_connection import (
     AnswerCutError,
+    ForeignAnswerError,
     HttpConnection,
     NotConnectedError,
     WireAnswer,
@@ -544,7 +546,7 @@
         left_ms = call.remaining_ms
         if left_ms <= 0:
             return AttemptResult.NOT_CONNECTED, None
-        connection = self._connect(upstream, left_ms)
+        connection = self._connect(upstream, call.facts.request_id, left_ms)
         if connection is None:
             return AttemptResult.NOT_CONNECTED, None
         sent_ms = elapsed_ms()
@@ -581,9 +583,11 @@
             upstream.note_answer(elapsed_ms() - sent_ms, call.route.objective_ms)
         return result, answer
 
-    def _connect(self, upstream: Upstream, left_ms: float) -> HttpConnection | None:
+    def _connect(
+        self, upstream: Upstream, request_id: bytes, left_ms: float
+    ) -> HttpConnection | None:
         try:
-            connection = upstream.connection(min(CONNECT_TIMEOUT_S, left_ms / 1000))
+            connection = upstream.connection(min(CONNECT_TIMEOUT_S, left_ms / 1000), request_id)
         except NotConnectedError as error:
             self._links.note_unreached(upstream, error.refused)
             if error.refused:
@@ -602,12 +606,27 @@
         sent_ms: float,
     ) -> WireAnswer | AttemptResult:
         """Send a request and return the server's answer, or the outcome if there is none."""
+        request_id = call.facts.request_id
+        earlier = frozenset(connection.request_ids)
+        connection.request_ids.append(request_id)
+
+        def match(answer: WireAnswer) -> AnswerMatch:
+            return match_answer(request_id, self._dialect.answered_id(answer), earlier)
+
         try:
             with gevent.Timeout((call.deadline_ms - sent_ms) / 1000):
-                return connection.exchange(call.request.method, payload)
+                return connection.exchange(call.request.method, payload, match=match)
         except gevent.Timeout:
             self._quarantine.note_timeout(call, upstream, sent_ms)
             return AttemptResult.TIMED_OUT
+        except ForeignAnswerError:
+            LOG.warning(
+                "Answer may belong to another request.",
+                request=call.trace.request_id,
+                server=upstream.record.server_id,
+                connection=call.trace.connection,
+            )
+            return AttemptResult.LOST
         except AnswerCutError:
             self._quarantine.note_lost(call, upstream, sent_ms)
             upstream.note_lost(connection)
--- a/ploverhatch/gateway/upstreams.py
+++ b/ploverhatch/gateway/upstreams.py
@@ -39,6 +39,7 @@
     NO_IDLE = "opened-no-idle"  # There was none, or all were in use.
     EXPIRED = "opened-expired"  # The idle ones were too old to be reused.
     CLOSED = "opened-closed"  # The server had closed the idle ones.
+    SAME_REQUEST = "opened-same-request"  # The idle ones carried an attempt of the request.
     PROBE = "opened-probe"
     REUSED_LOST = "reused-lost"  # A reused connection broke before the answer.
 
@@ -192,15 +193,24 @@
 
     # ---- connections ----------------------------------------------------------------
 
-    def connection(self, timeout_s: float) -> HttpConnection:
+    def connection(self, timeout_s: float, request_id: bytes | None = None) -> HttpConnection:
         """Return an idle connection, or open a new one.
 
+        A connection on which an earlier attempt of the request was sent is not returned, since
+        the server's answers to the two could not be told apart. For the same reason a request
+        without an id has a connection of its own.
+
+        :param request_id: id of the request to send, empty if it has none; ``None`` for no
+            request in particular.
         :raises NotConnectedError: when no connection can be made.
         """
         now_s = elapsed_ms() / 1000
         use = ConnectionUse.NO_IDLE
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(self._idle.copy()):
+            if request_id is not None and (not request_id or request_id in connection.request_ids):
+                use = ConnectionUse.SAME_REQUEST
+                continue
+            self._idle.remove(connection)
             fresh = _is_fresh(connection, now_s)
             if fresh and connection.is_usable():
                 self._uses[ConnectionUse.REUSED] += 1
@@ -250,7 +260,7 @@
 
     def release(self, connection: HttpConnection) -> None:
         """Keep a connection for the next request if it may be reused."""
-        if not connection.reusable:
+        if not connection.reusable or b"" in connection.request_ids:
             connection.close()
             return
         connection.idle_since_s = elapsed_ms() / 1000
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -78,6 +78,10 @@
             rows.append(b"Content-Length: %d" % len(request.body))
         return b"\r\n".join(rows) + b"\r\n\r\n" + request.body
 
+    @override
+    def answered_id(self, answer: WireAnswer) -> bytes:
+        return answer.get(names.REQUEST_ID) or b""
+
     @override
     def classify_answer(
         self, facts: RequestFacts, server_id: str, answer: WireAnswer
--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -8,6 +8,8 @@
 import select
 import socket as stdlib_socket
 import struct
+from collections import deque
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
@@ -16,9 +18,11 @@
 from gevent import socket
 from httptools import HttpParserError, HttpResponseParser
 
+from ploverhatch.transport.answer_match import AnswerMatch
 from ploverhatch.transport.unacknowledged import unacknowledged_bytes
 
 READ_BYTES = 65_536
+KEPT_IDS = 16  # latest requests on a connection that answers are told apart from
 LARGE_PAYLOAD_BYTES = 32_768  # a longer request is sent by a second task while its answer is read
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _numbers = itertools.count(1)
@@ -76,14 +80,29 @@
         return None
 
 
+class ForeignAnswerError(AnswerCutError):
+    """An answer arrived that may belong to another request."""
+
+
+MatchAnswer = Callable[[WireAnswer], AnswerMatch]
+
+
+def _match_by_order(_answer: WireAnswer) -> AnswerMatch:
+    return AnswerMatch.OWN
+
+
 class _AnswerReader:
-    """Collects one answer from the callbacks of the parser."""
+    """Collects one answer from the callbacks of the parser.
 
-    def __init__(self, method: bytes) -> None:
+    Answers to earlier requests are dropped.
+    """
+
+    def __init__(self, method: bytes, match: MatchAnswer) -> None:
         self.answer = WireAnswer()
         self.complete = False
         self.excess = False  # bytes follow the answer, so the connection can't be reused
         self.keep_alive = False
+        self._match = match
         self._head_only = method == b"HEAD"
         self._has_length = False
         self._headers_done = False
@@ -99,16 +118,24 @@
         """Parse received bytes.
 
         :raises AnswerCutError: when they are not an HTTP answer.
+        :raises ForeignAnswerError: when they hold an answer that may be another request's.
         """
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
+            if isinstance(error.__context__, ForeignAnswerError):
+                raise error.__context__ from None
             if not self.complete:
                 raise AnswerCutError(f"not an answer: {error}") from error
             self.excess = True
 
     def finish(self) -> None:
-        """Complete the answer; the connection can't be reused."""
+        """Complete the answer; the connection can't be reused.
+
+        :raises ForeignAnswerError: unless it is certainly the request's own.
+        """
+        if self._match(self.answer) is not AnswerMatch.OWN:
+            raise ForeignAnswerError("answer to another request")
         self.answer.body = b"".join(self._body)
         self.complete = True
         self.keep_alive = False
@@ -141,13 +168,22 @@
         if self.complete:
             return
         if self.answer.status < 200:  # an interim answer, which the final answer follows
-            self.answer = WireAnswer()
-            self._headers_done = self._has_length = False
-            self._body.clear()
+            self._drop_answer()
             return
+        match = self._match(self.answer)
+        if match is AnswerMatch.EARLIER:
+            self._drop_answer()
+            return
+        if match is AnswerMatch.UNKNOWN:
+            raise ForeignAnswerError("answer to another request")
         self.answer.body = b"".join(self._body)
         self.complete = True
 
+    def _drop_answer(self) -> None:
+        self.answer = WireAnswer()
+        self._headers_done = self._has_length = False
+        self._body.clear()
+
 
 _KEEPALIVE_OPTIONS = (
     (stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1),
@@ -162,13 +198,14 @@
 
     ``reusable`` is true when the last exchange left the connection ready for another one.
     ``number`` identifies the connection within this process, and ``exchanges`` counts the
-    requests that were sent on it.
+    requests that were sent on it. ``request_ids`` holds the ids of the latest ones.
     """
 
     def __init__(self, address: HostPort) -> None:
         self.address = address
         self.number = next(_numbers)
         self.exchanges = 0
+        self.request_ids: deque[bytes] = deque(maxlen=KEPT_IDS)
         self.reusable = False
         self.idle_timeout_s = 0.0  # stated in Keep-Alive by the last answer; 0: not stated
         self.idle_since_s = 0.0
@@ -254,7 +291,11 @@
                 )
 
     def exchange(
-        self, method: bytes, payload: bytes, keep_open_on_timeout: bool = False
+        self,
+        method: bytes,
+        payload: bytes,
+        keep_open_on_timeout: bool = False,
+        match: MatchAnswer = _match_by_order,
     ) -> WireAnswer:
         """Send one request and read its answer; the caller limits the time by ``gevent.Timeout``.
 
@@ -263,11 +304,14 @@
 
         :param keep_open_on_timeout: whether the connection stays open after a timeout. It is not
             used for further requests, but its closing shows that the peer's process ended.
+        :param match: returns which request an answer belongs to. Answers to earlier requests are
+            dropped; by default, each answer is taken for the request's own.
+        :raises ForeignAnswerError: when an answer may belong to another request.
         :raises AnswerCutError: when no complete answer was received.
         """
         self.reusable = False
         self.exchanges += 1
-        reader = _AnswerReader(method)
+        reader = _AnswerReader(method, match)
         try:
             all_sent = self._send_and_read(reader, payload)
         except OSError as error:
--- a/tests/functional/test_forwarder.py
+++ b/tests/functional/test_forwarder.py
@@ -679,9 +679,9 @@
     used = bench.pool.get("u1")
     open_connection = used.connection
 
-    def open_after_notice(timeout_s):
+    def open_after_notice(*args):
         bench.directory.apply_notice("u1", notice)
-        return open_connection(timeout_s)
+        return open_connection(*args)
 
     monkeypatch.setattr(used, "connection", open_after_notice)
     use_shared_slots(bench, GrantedSlots("u1", "u2"))
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -253,3 +253,39 @@
             if self.close_after:
                 return
         gevent.sleep(30)
+
+
+class RepeatingUpstream:
+    """Sends some answers a second time, at the point where the next one is due.
+
+    :param answer: returns the answer to a request, by its ``Request-Id`` and its number, which
+        starts at 0.
+    :param repeats: returns whether the answer to a request is sent a second time, by its number.
+    """
+
+    def __init__(self, answer, repeats):
+        self.received = []  # ids of the requests
+        self.copies = 0  # answers sent a second time
+        self._answer, self._repeats = answer, repeats
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = HostPort("127.0.0.1", self._server.server_port)
+
+    def _serve(self, sock, _address):
+        copy = b""
+        with suppress(OSError):
+            while data := sock.recv(65536):
+                if copy:
+                    self.copies += 1
+                    sock.sendall(copy)
+                number, request_id = len(self.received), _request_id(data)
+                self.received.append(request_id)
+                answer = self._answer(request_id, number)
+                sock.sendall(answer)
+                copy = answer if self._repeats(number) else b""
+
+
+def _request_id(data):
+    fields = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    values = [field[12:] for field in fields if field.lower().startswith(b"request-id: ")]
+    return values[0] if values else b""
