Bound what is read of a request, and give others their turn

Callers saw: three callers whose head is one line without an end keep a gateway from serving the others; three with bodies without end take hundreds of MB.

Cause: an unfinished field, empty lines and what surrounds the chunks of a body were not bounded, a body only by itself; and the task of a connection let no other run while bytes were there, while it dropped the rest of a rejected request, or between requests that came in one read.

Why this works: as for answers, everything but the body is bounded together; memory is shared by the account of all messages, and a request that gets none is told 503 with Retry-After; others get a turn between two reads and between two requests. A body is held once, but for a moment.

--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -26,6 +26,14 @@
     DeadlineOverError,
     HeaderList,
 )
+from ploverhatch.transport.buffers import (
+    FIELD_BYTES,
+    MESSAGE_BYTES,
+    PROCESS_BUFFERS,
+    Buffer,
+    BuffersFullError,
+    exceeds_framing,
+)
 from ploverhatch.transport.unacknowledged import unacknowledged_bytes
 
 if TYPE_CHECKING:
@@ -36,6 +44,10 @@
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
 LINGER_S = 1.0
+LINGER_PAUSE_S = 0.01  # between reads, so that a caller that goes on sending costs little
+LARGE_BODY_BYTES = 32_768  # a longer body is sent without a copy
+# With no memory left for a request, until others have been answered.
+RETRY_AFTER_NO_MEMORY = b"0.250"
 # Callers are told this fraction of the idle timeout, so that a request that they send until then
 # still arrives before the close.
 KEEP_ALIVE_FRACTION = 0.8
@@ -66,8 +78,8 @@
     received_ms: float
     target: bytes = b""
     headers: HeaderList = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    body: bytearray = field(default_factory=bytearray)
+    buffer: Buffer = field(default_factory=PROCESS_BUFFERS.open)
     header_bytes: int = 0
     method: bytes = b""
     headers_done: bool = False
@@ -86,7 +98,8 @@
         self._limits = server.limits
         self._ready: deque[_Incoming] = deque()
         self._incoming: _Incoming | None = None
-        self._parser = HttpRequestParser(self)
+        self._received_bytes = 0  # since the last complete request
+        self._parser: Any = HttpRequestParser(self)
         self._rejected: RequestRejectedError | None = None  # later bytes can't be parsed
         self._request: CallerRequest | None = None  # the one that is being served or answered
         self._answers: list[SentAnswer] = []  # sent since a planned stop began
@@ -105,6 +118,7 @@
     def on_message_begin(self) -> None:
         """A request begins."""
         self._incoming = _Incoming(received_ms=elapsed_ms())
+        self._incoming.buffer.grow(MESSAGE_BYTES)
 
     def _current(self) -> _Incoming:
         if self._incoming is None:
@@ -128,6 +142,7 @@
             incoming.expects_continue = True
 
     def _count_header(self, incoming: _Incoming, size: int) -> None:
+        incoming.buffer.grow(size + FIELD_BYTES)
         incoming.header_bytes += size
         if incoming.header_bytes > self._limits().header_bytes:
             raise RequestRejectedError(431)
@@ -143,15 +158,16 @@
     def on_body(self, body: bytes) -> None:
         """A part of the body has arrived."""
         incoming = self._current()
-        incoming.body.append(body)
-        incoming.body_bytes += len(body)
-        if incoming.body_bytes > self._limits().body_bytes:
+        if len(incoming.body) + len(body) > self._limits().body_bytes:
             raise RequestRejectedError(413)
+        incoming.buffer.grow(len(body))
+        incoming.body += body
 
     def on_message_complete(self) -> None:
         """The request is complete."""
         incoming = self._current()
         self._incoming = None
+        self._received_bytes = 0
         self._ready.append(incoming)
 
     # ---- serving --------------------------------------------------------------------
@@ -171,15 +187,22 @@
             self.record_answers()
             with suppress(OSError):
                 self._socket.close()
+            # The parser refers to this object; without it, the memory is free at once.
+            self._parser = self._incoming = None
+            self._ready.clear()
 
     def _serve_all(self) -> None:
         try:
             while (incoming := self._next_request()) is not None:
                 if not self._serve_one(incoming):
                     return
+                del incoming
+                gevent.sleep(0)  # A caller may have sent many at once; others need their turn.
         except RequestRejectedError as error:
             self._server.rejected(error.status)
-            self._send(CallerReply(error.status), b"", close=True)
+            headers = [(b"Retry-After", RETRY_AFTER_NO_MEMORY)] if error.status == 503 else []
+            self._incoming = None  # its memory is free again
+            self._send(CallerReply(error.status, headers), b"", close=True)
             self._linger()
 
     def _log_broken(self, error: BaseException) -> None:
@@ -208,10 +231,11 @@
             method=incoming.method,
             target=incoming.target,
             headers=incoming.headers,
-            body=b"".join(incoming.body),
+            body=bytes(incoming.body),
             received_ms=incoming.received_ms,
             caller=self._caller,
         )
+        incoming.body = bytearray()
         self._served += 1
         self._server.count_request(first=self._served == 1)
         self._request = request
@@ -273,6 +297,9 @@
             if not data:
                 return None
             self._feed(data)
+            if not self._ready and self._rejected is None:
+                self._check_head_time()
+                gevent.sleep(0)  # More bytes may be there at once; others need their turn.
         return self._ready.popleft()
 
     def _read_limit_s(self) -> float:
@@ -285,11 +312,20 @@
                 incoming.expects_continue = False
                 self._socket.sendall(CONTINUE)
             return limits.idle_timeout_ms / 1000
-        left_ms = incoming.received_ms + limits.header_timeout_ms - elapsed_ms()
-        return max(left_ms / 1000, 0.001)
+        return max(self._head_left_ms(incoming) / 1000, 0.001)
+
+    def _head_left_ms(self, incoming: _Incoming) -> float:
+        return incoming.received_ms + self._limits().header_timeout_ms - elapsed_ms()
+
+    def _check_head_time(self) -> None:
+        """Reject a head that goes on after its time, though what had arrived by then was read."""
+        incoming = self._incoming
+        if incoming and not incoming.headers_done and self._head_left_ms(incoming) <= 0:
+            raise RequestRejectedError(408)
 
     def _feed(self, data: bytes) -> None:
         """Parse bytes; a malformed request is rejected after the complete ones before it."""
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -297,9 +333,21 @@
             self._rejected = RequestRejectedError(400)
         except HttpParserError as error:
             cause = error.__context__
+            if isinstance(cause, BuffersFullError):
+                cause = RequestRejectedError(503)
             if not isinstance(cause, RequestRejectedError):
                 cause = RequestRejectedError(400)
             self._rejected = cause
+        else:
+            self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Reject a head, or what surrounds a body, that may have no end."""
+        incoming = self._incoming
+        body_bytes = 0 if incoming is None else len(incoming.body)
+        head_bytes = self._limits().header_bytes + READ_BYTES
+        if exceeds_framing(self._received_bytes, body_bytes, head_bytes):
+            self._rejected = RequestRejectedError(431)
 
     def _send(self, reply: CallerReply, method: bytes, close: bool) -> int:
         """Write an answer; return its size in bytes."""
@@ -313,10 +361,14 @@
             rows.append(b"Connection: keep-alive")
             rows.append(b"Keep-Alive: timeout=%d" % keep_alive_s)
         head = b"\r\n".join(rows) + b"\r\n\r\n"
+        body = b"" if method == b"HEAD" else reply.body
         self._socket.settimeout(WRITE_TIMEOUT_S)
-        payload = head if method == b"HEAD" else head + reply.body
-        self._socket.sendall(payload)
-        return len(payload)
+        if len(body) <= LARGE_BODY_BYTES:
+            self._socket.sendall(head + body)
+        else:
+            self._socket.sendall(head)
+            self._socket.sendall(body)
+        return len(head) + len(body)
 
     def _keep_alive_s(self) -> int:
         """Return the idle time to announce to the caller, in whole seconds; 0: none."""
@@ -332,7 +384,7 @@
         with suppress(OSError), gevent.Timeout(LINGER_S, False):
             self._socket.shutdown(stdlib_socket.SHUT_WR)
             while self._socket.recv(READ_BYTES):
-                pass
+                gevent.sleep(LINGER_PAUSE_S)
 
     def close_if_idle(self, idle_s: float) -> None:
         """Close the connection if it has been idle for at least ``idle_s``."""
--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -37,7 +37,7 @@
 )
 from tests.functional.test_gateway import until
 from tests.standin.callers import Caller
-from tests.standin.endless import ANSWERS, endless
+from tests.standin.endless import ANSWERS, REQUESTS, endless
 from tests.standin.site import KEYED, PLAIN, PROGRAM, StandinSite
 
 LIMIT_S = 0.6  # of one call
@@ -258,3 +258,13 @@
     assert upstream.max_body_bytes == CAUTIOUS_BODY_BYTES
     upstream._cautious_until_ms -= CAUTIOUS_MS
     assert upstream.max_body_bytes == MAX_BODY_BYTES
+
+
+@pytest.mark.parametrize("form", REQUESTS)
+def test_callers_that_send_without_end_harm_nobody_else(site, form):
+    """Three callers with a head of one endless line kept a gateway from serving a third of all."""
+    ports = [gateway.front for gateway in site.gateways]
+    with endless("ask", form, ports[0], 3), endless("ask", form, ports[1], 3):
+        load = Load(site)
+        load.run(EPISODE_S)
+        load.check()
