Give others their turn while datagrams come without end

Seen by a test only: while datagrams come faster than they are read, no other task of a gateway runs. Cause: the task that reads them waits only when none is there; each malformed one wrote a log line.

Evidence: test_datagrams_without_end_leave_others_their_turn didn't end within 60 s before (both forms), and passes now. Why this works: a turn for others after 16 datagrams, and one line a second for malformed ones.

--- a/ploverhatch/gateway/peer_link.py
+++ b/ploverhatch/gateway/peer_link.py
@@ -5,6 +5,7 @@
 store, so that an old one never replaces a newer one.
 """
 
+import itertools
 from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
 FIRST_REPORT_S = 0.1  # interval of checks for a first leader to report to
 MAX_KEYS = 400  # in one report, for each service
 MAX_DATAGRAM_BYTES = 8192
+DATAGRAMS_PER_TURN = 16
+LOG_INTERVAL_MS = 1000.0
 PEER_EXPIRY_MS = 3000.0  # a node that reported within this time is sent changes
 MEMBERS_EVERY = 4  # every fourth beacon also goes to nodes that do not report
 
@@ -104,6 +107,8 @@
         self._leader_changed = Signal()
         self._divided = 0  # number of messages so far that were longer than a datagram
         self._assembly = packing.Assembly()
+        self._malformed = 0  # datagrams since the last logged one
+        self._malformed_logged_ms = -1e12
         self._collect = collect
         self._leader = leader
         self._handle_report = handle_report
@@ -207,12 +212,14 @@
 
     def receive_forever(self) -> None:
         """Receive messages of other nodes and pass them to their handlers."""
-        while True:
+        for number in itertools.count(1):
+            if number % DATAGRAMS_PER_TURN == 0:
+                gevent.sleep(0)  # Further ones may be there at once; others need their turn.
             try:
                 data, peer = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
                 message = self._decode(data, peer)
             except (OSError, ValueError, RecursionError) as error:  # RecursionError: nested deeply
-                LOG.warning("Datagram not received, or malformed.", cause=error)
+                self._note_malformed(error)
                 continue
             peer_handler = self._peer_handlers.get(type(message))
             if peer_handler is not None:
@@ -222,6 +229,14 @@
                 self._peers[peer] = _Peer(message.stamp_ms, elapsed_ms())
             self._handle(message)
 
+    def _note_malformed(self, error: Exception) -> None:
+        """Log at most one malformed datagram in a second, with the number since the last one."""
+        self._malformed += 1
+        if elapsed_ms() - self._malformed_logged_ms >= LOG_INTERVAL_MS:
+            self._malformed_logged_ms = elapsed_ms()
+            LOG.warning("Datagram not received, or malformed.", cause=error, count=self._malformed)
+            self._malformed = 0
+
     def _handle(self, message: Message | None) -> None:
         leader = self._leader()
         handler = self._handlers.get(type(message))
--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -13,6 +13,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway.dialect import GrantCall
+from ploverhatch.gateway.peer_link import LoadReport, PeerLink
 from ploverhatch.gateway.peer_objects import SnapshotClient
 from ploverhatch.gateway.server_control import ServerControl
 from ploverhatch.gateway.upstreams import (
@@ -37,8 +38,8 @@
 )
 from tests.functional.test_gateway import until
 from tests.standin.callers import Caller
-from tests.standin.endless import ANSWERS, REQUESTS, endless
-from tests.standin.site import KEYED, PLAIN, PROGRAM, StandinSite
+from tests.standin.endless import ANSWERS, DATAGRAMS, REQUESTS, endless
+from tests.standin.site import KEYED, PLAIN, PROGRAM, StandinSite, free_port
 
 LIMIT_S = 0.6  # of one call
 MAX_STILL_S = 0.25  # for which one call may keep others from running
@@ -268,3 +269,17 @@
         load = Load(site)
         load.run(EPISODE_S)
         load.check()
+
+
+@pytest.mark.parametrize("form", DATAGRAMS)
+def test_datagrams_without_end_leave_others_their_turn(form):
+    """The task that reads datagrams went on for as long as one was there."""
+    port = free_port()
+    link = PeerLink(
+        HostPort("127.0.0.1", port), lambda: LoadReport({}, {}), str, lambda report: None
+    )
+    task = gevent.spawn(link.receive_forever)
+    with endless("datagrams", form, port), others_run():
+        gevent.sleep(1.5)
+    task.kill()
+    link.close()
