Give each release of keys a connection of its own

Cause: grants, renewals and releases name nothing and shared a kept connection, so the copy of a renewal's answer was read as the answer to the release that followed: the leader granted the keys elsewhere while their last holder was at work on them.

Evidence: three tests in test_server_control.py failed before (a release done at once instead of after its 0.2 s, a grant acknowledged by a release's answer, a grant refused by the copy of an earlier refusal).

Why this works: no other call shares a release's connection, so its answer can only be its own. The kept connection carries grants only, and only while they succeed.

--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -1,4 +1,12 @@
-"""Control calls to one server, which grant keys to it and release them."""
+"""Control calls to one server, which grant keys to it and release them.
+
+Neither calls nor answers name each other; the order on a connection is all that ties them, and a
+server may send an answer too many. So grants alone are sent on a kept connection, and only after
+successful answers. An answer that a later grant gets too early says that a grant was taken; the
+grant's own answer, which follows, ends the connection, and no server but this one can have the
+keys before they are released. A release has a connection of its own: its answer says that the
+server is done with the keys.
+"""
 
 from collections.abc import Callable
 
@@ -32,6 +40,7 @@
 RELEASE_TIMEOUT_S = 2.0
 # A server may close an idle connection this much earlier than the timeout it announced.
 IDLE_MARGIN_S = 0.5
+SUCCESS = range(200, 300)
 DEFAULT_TIMING = LeaseTiming()
 
 
@@ -115,7 +124,7 @@
         """Release keys; return the outcome and the server's handover value, empty for none."""
         payload = self._dialect.encode_release(call, self._server_id, self._host)
         try:
-            answer = self._call(payload, RELEASE_TIMEOUT_S, may_send)
+            answer = self._call_once(payload, RELEASE_TIMEOUT_S, may_send)
             return CallOutcome.DONE, self._dialect.read_release(answer)
         except OtherInstanceError:
             return CallOutcome.OTHER_INSTANCE, ""
@@ -142,15 +151,40 @@
                 del self._sent_ms[connection]
         if not self._has_broken():
             self._drop_unanswered()  # the answered connection serves its purpose from here on
-        if connection.reusable:
+        if connection.reusable and answer.status in SUCCESS:
             self._keep(connection)
         else:
             connection.close()
             self._reconnect()
+        self._pass_on_notice(answer)
+        return answer
+
+    def _call_once(
+        self, payload: bytes, timeout_s: float, may_send: Callable[[], bool]
+    ) -> WireAnswer:
+        """Make a call on a connection that no other call shares."""
+        connection = self._open()
+        self._sent_ms[connection] = elapsed_ms()
+        try:
+            if self._closed or not may_send():
+                raise _NotSentError
+            with gevent.Timeout(timeout_s):
+                answer = connection.exchange(b"POST", payload)
+        except gevent.Timeout as error:
+            raise _NoAnswerError("no answer in time") from error
+        except AnswerCutError as error:
+            self._broken = True
+            raise _NoAnswerError(str(error)) from error
+        finally:
+            self._sent_ms.pop(connection, None)
+            connection.close()
+        self._pass_on_notice(answer)
+        return answer
+
+    def _pass_on_notice(self, answer: WireAnswer) -> None:
         notice = self._dialect.notice(b"", self._server_id, answer)
         if notice != NO_NOTICE:
             self._on_notice(self._server_id, notice)
-        return answer
 
     def _exchange(self, connection: HttpConnection, payload: bytes, timeout_s: float) -> WireAnswer:
         try:
@@ -167,6 +201,9 @@
         if not self._has_broken() and self._kept is not None:
             connection, self._kept = self._kept, None
             return connection
+        return self._open()
+
+    def _open(self) -> HttpConnection:
         connection = HttpConnection(self._address)
         try:
             connection.open(CONNECT_TIMEOUT_S)
--- a/tests/functional/test_server_control.py
+++ b/tests/functional/test_server_control.py
@@ -10,15 +10,16 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway import server_control
-from ploverhatch.gateway.dialect import GrantCall
+from ploverhatch.gateway.dialect import GrantCall, ReleaseCall
 from ploverhatch.gateway.server_control import ServerControl
 from ploverhatch.platform.dialect import PlatformDialect
 from ploverhatch.sharding.keymap import Holder
 from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.state.server_notices import ServerNotice
 from ploverhatch.transport.http_connection import HostPort, HttpConnection
-from tests.standin.upstream import RawUpstream
+from tests.standin.upstream import RawUpstream, RepeatingUpstream
 
 DONE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 LEAVING = b"HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
@@ -219,3 +220,62 @@
     control.close()
     gevent.sleep(0.05)
     assert control._kept is None and control._unanswered is None
+
+
+HELD_BACK_S = 0.2  # time until a server is done with keys that it releases
+RELEASED = b"HTTP/1.1 200 OK\r\nHandover: h-1\r\nContent-Length: 0\r\n\r\n"
+REFUSED = b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+
+
+def test_a_release_is_not_answered_by_a_copy_of_an_earlier_answer():
+    """Keys were granted to another server while their last holder was at work on them.
+
+    The copy of the answer to a renewal was read as the answer to the release that followed.
+    """
+
+    def answer(_name, number):
+        if number < 2:
+            return DONE
+        gevent.sleep(HELD_BACK_S)
+        return RELEASED
+
+    upstream = RepeatingUpstream(answer, repeats=lambda number: number == 1)
+    control = control_of(upstream)
+    assert grant(control) is CallOutcome.DONE
+    assert grant(control, renewal=True) is CallOutcome.DONE
+    start_ms = elapsed_ms()
+    outcome = control.release(ReleaseCall(0, 9, 2), lambda: True)
+    assert outcome == (CallOutcome.DONE, "h-1")
+    assert elapsed_ms() - start_ms >= HELD_BACK_S * 1000
+
+
+def test_a_copy_of_a_release_s_answer_is_no_answer_to_a_grant():
+    upstream = RepeatingUpstream(
+        lambda name, number: (DONE, RELEASED, REFUSED)[number], repeats=lambda number: number == 1
+    )
+    control = control_of(upstream)
+    assert grant(control) is CallOutcome.DONE
+    assert control.release(ReleaseCall(0, 9, 2), lambda: True)[0] is CallOutcome.DONE
+    assert grant(control) is CallOutcome.REFUSED
+
+
+def test_a_copy_of_a_refusal_refuses_no_later_grant():
+    """A grant that the server had taken counted as refused."""
+    upstream = RepeatingUpstream(
+        lambda name, number: DONE if number else REFUSED, repeats=lambda number: number == 0
+    )
+    control = control_of(upstream)
+    assert grant(control) is CallOutcome.REFUSED
+    assert grant(control) is CallOutcome.DONE
+
+
+def test_a_release_leaves_the_kept_connection_alone():
+    """The kept connection shows that the server still is the incarnation that was granted keys."""
+    upstream = RepeatingUpstream(
+        lambda name, number: RELEASED if number == 1 else DONE, repeats=lambda number: False
+    )
+    control = control_of(upstream)
+    assert grant(control) is CallOutcome.DONE
+    control.release(ReleaseCall(0, 4, 2), lambda: True)
+    assert grant(control, renewal=True) is CallOutcome.DONE
+    assert not control.pop_connection_break()
