Take a reset for a reset, whichever task was told of it

Cause: the kernel reports a reset to one call only. Where the task that sends a long request got the report, the reading task saw an ordinary end, which completes an answer without a length.

Evidence: test_a_reset_that_the_sending_task_sees_does_not_end_an_answer_without_length failed before. Ruled out: short requests, which are sent before the crash.

Why this works: the state of the connection shows a reset whoever was told of it: both directions are closed, at an ordinary end only one.

--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -316,6 +316,16 @@
         poll.register(self._socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def _was_reset(self) -> bool:
+        """Return whether the connection was reset.
+
+        The kernel reports a reset to one call only, which may have been that of the task that
+        sends; to others it looks like an ordinary end. But the state of the connection shows it.
+        """
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLHUP)
+        return bool(poll.poll(0))
+
     @property
     def has_unacknowledged(self) -> bool:
         """Whether the peer's machine is known not to have acknowledged all that was sent."""
@@ -427,7 +437,7 @@
                     # Bytes may be there at once, again and again: others need their turn, and so
                     # does the timeout of this exchange.
                     gevent.sleep(0)
-            elif reader.ends_with_connection:
+            elif reader.ends_with_connection and not self._was_reset():
                 reader.finish()
             else:
                 raise AnswerCutError("closed before a whole answer")
--- a/tests/functional/test_http_connection.py
+++ b/tests/functional/test_http_connection.py
@@ -143,3 +143,28 @@
     connection._socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, 2000)
     connection.enable_keepalive()
     assert connection._socket.getsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT) == 0
+
+
+def test_a_reset_that_the_sending_task_sees_does_not_end_an_answer_without_length():
+    """A part of an answer was passed on as a whole one.
+
+    The server crashed while it answered a long request that was still being sent. The kernel
+    reported the reset to the task that sent, and an ordinary end to the one that read.
+    """
+
+    class Crashing(RawUpstream):
+        def _serve(self, sock, address):
+            sock.recv(100)
+            sock.sendall(UNFRAMED)
+            gevent.sleep(0.1)  # The client waits for room to send the rest.
+            sock.close()  # Unread bytes remain, so this sends a reset.
+
+    body = b"x" * (20 << 20)
+    payload = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    for _ in range(5):
+        server = Crashing()
+        connection = HttpConnection(server.address)
+        connection.open(1.0)
+        with pytest.raises(AnswerCutError), gevent.Timeout(2.0):
+            connection.exchange(b"POST", payload)
+        server.close()
