Take an answer that switches protocols for a broken one

Cause: the parser raises HttpParserUpgrade, which is no HttpParserError.

Evidence: test_broken_answers[switches protocols] failed before. An answer after which the upgrade is only offered (any other status) is read as ever.

--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -16,7 +16,7 @@
 
 import gevent
 from gevent import socket
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from ploverhatch.transport.answer_match import AnswerMatch
 from ploverhatch.transport.buffers import (
@@ -152,6 +152,8 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade as error:
+            raise AnswerCutError("switches protocols, which no request asked for") from error
         except HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, BuffersFullError):
--- a/tests/functional/test_http_connection.py
+++ b/tests/functional/test_http_connection.py
@@ -51,6 +51,11 @@
     "cut in the head": ([b"HTTP/1.1 200 OK\r\nContent-Le"], True),
     "cut in the body": ([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"], True),
     "cut in the chunks": ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok"], True),
+    # It raised an error that callers of the connection don't expect; a leader gave its lease back.
+    "switches protocols": (
+        [b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"],
+        False,
+    ),
     "not an answer": ([b"\x16\x03\x01 hello"], False),
     "two lengths": ([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"], True),
 }
