Serve a request that offers an upgrade without it

Cause: the parser ends such a request with its head and leaves what follows to the other protocol; the connection took that for a malformed request. A server may ignore the offer (RFC 9110, 7.8), so the request is read again without the field, with its body and with those that follow. CONNECT stays rejected, since what follows it isn't HTTP.

--- a/ploverhatch/gateway/caller_connection.py
+++ b/ploverhatch/gateway/caller_connection.py
@@ -60,6 +60,7 @@
 _PEEK = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
 
 HTTP_1_0 = "1.0"
+CONNECT = b"CONNECT"
 
 REASONS = {int(status): status.phrase.encode() for status in HTTPStatus}
 
@@ -352,9 +353,8 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._ready.pop()  # the complete request that asks for the upgrade
-            self._rejected = RequestRejectedError(400)
+        except HttpParserUpgrade as upgrade:
+            self._decline_upgrade(data[upgrade.args[0] :])
         except HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, BuffersFullError):
@@ -365,6 +365,25 @@
         else:
             self._check_framing()
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Read a request that asks for another protocol as one that doesn't (RFC 9110, 7.8).
+
+        The parser takes such a request as complete with its head, whatever body follows.
+
+        :param rest: bytes that follow the head.
+        """
+        asking = self._ready.pop()
+        self._buffer.shrink(asking.held_bytes)
+        if asking.method == CONNECT:  # What follows it isn't HTTP.
+            self._rejected = RequestRejectedError(400)
+            return
+        self._parser = HttpRequestParser(self)
+        self._feed(_head_without_upgrade(asking))
+        if self._incoming or self._ready:
+            (self._incoming or self._ready[-1]).received_ms = asking.received_ms
+        if rest and self._rejected is None:
+            self._feed(rest)
+
     def _check_framing(self) -> None:
         """Reject a head, or what surrounds a body, that may have no end."""
         incoming = self._incoming
@@ -452,5 +471,12 @@
             return False
 
 
+def _head_without_upgrade(request: _Incoming) -> bytes:
+    version = b"1.1" if request.accepts_interim else b"1.0"
+    rows = [request.method + b" " + request.target + b" HTTP/" + version]
+    rows += [name + b": " + value for name, value in request.headers if name.lower() != b"upgrade"]
+    return b"\r\n".join(rows) + b"\r\n\r\n"
+
+
 def _reason(status: int) -> bytes:
     return REASONS.get(status, b"Unknown")
