Ignore SIGHUP while a gateway starts

Cause: the handler was set once the process served; until then the signal's default action ended it. Most of that time goes to imports.

Why this works: SIGHUP is ignored by the first import of the program, and the settings are read after it. What remains are the first hundredths of a second, before the interpreter runs the program.

--- a/ploverhatch/cli/platform_gateway.py
+++ b/ploverhatch/cli/platform_gateway.py
@@ -8,6 +8,7 @@
 import os
 import sys
 
+from ploverhatch.cli import early_signals  # noqa: F401 - first, for its effect
 from ploverhatch.common import log_output
 from ploverhatch.gateway.process import Gateway
 from ploverhatch.platform import names
