Take a reset release for no break while others show the server

Cause: a full server resets new connections, and a release that is cut counted as the end of the incarnation, so all of its keys were granted anew.

Why this works: the kept connection, or one with another call under way, shows whether the incarnation lives; only where there is none does the reset count. test_a_release_that_is_reset_is_no_break failed before.

--- a/ploverhatch/gateway/server_control.py
+++ b/ploverhatch/gateway/server_control.py
@@ -173,7 +173,8 @@
         except gevent.Timeout as error:
             raise _NoAnswerError("no answer in time") from error
         except AnswerCutError as error:
-            self._broken = True
+            # A full server resets new connections. Others show whether this incarnation lives.
+            self._broken = self._broken or not (self._kept or len(self._sent_ms) > 1)
             raise _NoAnswerError(str(error)) from error
         finally:
             self._sent_ms.pop(connection, None)
--- a/tests/functional/test_server_control.py
+++ b/tests/functional/test_server_control.py
@@ -279,3 +279,18 @@
     control.release(ReleaseCall(0, 4, 2), lambda: True)
     assert grant(control, renewal=True) is CallOutcome.DONE
     assert not control.pop_connection_break()
+
+
+def test_a_release_that_is_reset_is_no_break():
+    """A full server resets new connections; its keys were granted anew at each such release."""
+    control = control_of(RawUpstream(DONE, None, DONE))
+    assert grant(control) is CallOutcome.DONE
+    assert control.release(ReleaseCall(0, 4, 2), lambda: True)[0] is CallOutcome.NO_ANSWER
+    assert not control.pop_connection_break()
+    assert grant(control, renewal=True) is CallOutcome.DONE
+
+
+def test_a_release_that_is_reset_is_a_break_where_no_connection_shows_the_server():
+    control = control_of(RawUpstream(None))
+    assert control.release(ReleaseCall(0, 4, 2), lambda: True)[0] is CallOutcome.NO_ANSWER
+    assert control.pop_connection_break()
