Measure turns in processor time in the tests of bytes without end

The check was wrong: it counted the time in which the machine ran other processes. What it guards is one task that keeps the others from running, so turns are measured in the process's own processor time, with the same bound; that calls end in time is checked by the clock as before. test_many_requests_in_one_read_leave_others_their_turn is still red on the code before its mend.

--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -5,6 +5,7 @@
 
 import re
 import tempfile
+import time
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -48,7 +49,7 @@
 from tests.standin.site import KEYED, PLAIN, PROGRAM, StandinSite, free_port
 
 LIMIT_S = 0.6  # of one call
-MAX_STILL_S = 0.25  # for which one call may keep others from running
+MAX_TURN_S = 0.25  # processor time for which one task may keep others from running
 MEMORY_MB = 256  # the default of the settings
 DEADLINE_S = 2.0  # of the callers
 LATE_S = 0.3
@@ -59,16 +60,19 @@
 
 @contextmanager
 def others_run():
-    """Check that other tasks get their turn."""
+    """Check that other tasks get their turn.
+
+    Turns are measured in processor time: on a busy machine the whole process waits as well.
+    """
     longest_s = [0.0]
 
     def tick():
-        last_ms = elapsed_ms()
+        last_s = time.process_time()
         while True:
             gevent.sleep(0.005)
-            now_ms = elapsed_ms()
-            longest_s[0] = max(longest_s[0], (now_ms - last_ms) / 1000)
-            last_ms = now_ms
+            now_s = time.process_time()
+            longest_s[0] = max(longest_s[0], now_s - last_s)
+            last_s = now_s
 
     task = gevent.spawn(tick)
     gevent.sleep(0.02)
@@ -77,7 +81,7 @@
         gevent.sleep(0.02)
     finally:
         task.kill()
-    assert longest_s[0] < MAX_STILL_S
+    assert longest_s[0] < MAX_TURN_S
 
 
 @pytest.mark.parametrize("form", ANSWERS)
