Have the callers of a test of turns in another process

Traced: the 40 callers sent from the test's own process, whose time counted as the server's. They are 20 now, in a process of their own; the bound is the same.

--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -56,6 +56,7 @@
 SERVED = 0.98
 EPISODE_S = 2.5
 MAX_PROBE_S = 0.5
+CALLERS = 20  # that send many requests each
 
 
 @contextmanager
@@ -301,14 +302,8 @@
 
     server = CallerServer(HostPort("127.0.0.1", 0), handle, ClientLimits)
     server.start()
-    many = b"GET / HTTP/1.1\r\n\r\n" * 3600
-    callers = [gevent.socket.create_connection(("127.0.0.1", server.port)) for _ in range(40)]
-    with others_run():
-        for sock in callers:
-            sock.sendall(many)
-        gevent.sleep(0.5)
-    for sock in callers:
-        sock.close()
+    with others_run(), endless("ask", "requests", server.port, CALLERS):
+        gevent.sleep(1.0)
     server.stop()
 
 
