--- a/tests/functional/test_peer_forwarding.py
+++ b/tests/functional/test_peer_forwarding.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 from gevent import socket
+from gevent.server import StreamServer
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.gateway import peer_forwarding
@@ -677,3 +678,44 @@
     assert cut.ask(b"/key/a", headers=KEY).status == 502
     assert counted(site) == (1, 1)
     assert sum(node.budget.spent for node in site.nodes) == 0
+
+
+# ---- answers too many between nodes -------------------------------------------------------------
+
+
+class RepeatingLink:
+    """Passes calls on to a node, and the first answer again where the next one is due."""
+
+    def __init__(self, node):
+        self._node = node
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = ("127.0.0.1", self._server.server_port)
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _address):
+        first = b""
+        with socket.create_connection(self._node.linked.address) as onward:
+            while call := sock.recv(65536):
+                onward.sendall(call)
+                answer = onward.recv(65536)
+                sock.sendall(first + answer)
+                first = b"" if first else answer
+
+
+# A caller of a cut node was told "not run" and its request ran: the copy of the answer to an
+# earlier call on the connection between the nodes was read as the answer to its own.
+def test_a_copy_of_a_nodes_refusal_is_not_the_answer_to_the_next_call(site):
+    upstream = Upstream("u1")
+    cut, other = site.add_nodes(2, upstream)
+    link = RepeatingLink(other)
+    cut.cut()
+    cut.peers._nodes = lambda: {link.address: "z1"}
+    upstream.behaviour.refuse = 1
+    assert cut.ask(b"/once/a", b"POST").status == 503
+    reply = cut.ask(b"/once/a", b"POST", body=b"another")
+    link.close()
+    assert [item.body for item in upstream.ran] == [b"another"]
+    assert reply.status == 200
--- a/tests/probe/test_gateway_soak.py
+++ b/tests/probe/test_gateway_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.soak import soak
+from tests.standin.verdict import NOT_RUN
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -85,3 +86,15 @@
         assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
     finally:
         result.site.close()
+
+
+# Callers were told 408, 429 or 503 for what a server had run, and 421 had it run twice.
+def test_soak_of_servers_that_run_requests_and_fail_them():
+    result = soak(15.0, seed=6801, gateways=4, sound_store=True, failures=True)
+    try:
+        assert result.found == []
+        failed = [row for upstream in result.site.upstreams.values() for row in upstream.failed]
+        assert sum(status in NOT_RUN for _, status in failed) >= 5
+        assert sum(status == 200 for status, _ in result.load.answers.values()) > 300
+    finally:
+        result.site.close()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,7 +20,7 @@
 writers store malformed entries. With ``--crowds`` many callers send a crashing request at the same
 time. With ``--bursts`` many clients come for a short time, repeat at once what is rejected, and
 some leave early. With ``--drills`` the store is restored from its own copies, and upstreams
-announce rate limits.
+announce rate limits. With ``--failures`` upstreams end a part of what they run with error statuses.
 
 At the end all faults are healed, and the run is judged from records alone. The exit code is 1 when
 a promise was broken; the logs of the gateways are kept then.
@@ -243,6 +243,7 @@
 @click.option("--crowds", is_flag=True, help="Many callers ask at once for what ends upstreams.")
 @click.option("--bursts", is_flag=True, help="Short bursts of clients that repeat or leave early.")
 @click.option("--drills", is_flag=True, help="The store comes back from copies; rate limits.")
+@click.option("--failures", is_flag=True, help="Upstreams that run requests and fail them.")
 @click.option("--keep-logs", type=click.Path(file_okay=False), help="Where logs go if it fails.")
 def main(seconds, seed, seeds, jobs, gateways, planned, keep_logs, **kinds):
     main_task = handle_sigterm()
--- a/tests/standin/fault_injection.py
+++ b/tests/standin/fault_injection.py
@@ -27,6 +27,7 @@
 BACKOFF_S = (0.8, 4.0)  # that an upstream asks for
 OUTAGE_S = (0.1, 1.5)  # of the store before a restore
 LIMITS_PER_S = (1.0, 8.0)  # requests per second that an upstream accepts
+FAILING_SHARE = 0.2  # of what an upstream runs, while it fails
 MAX_LIMITED = 2  # upstreams with a limit at the same time
 UPSTREAM_DOWN_S = (0.1, 2.0)  # from a crash to the restart under the same id
 CRASHING_PAUSE_S = (0.3, 3.0)  # between repeats of a request that crashes servers
@@ -46,6 +47,7 @@
     crowds: bool = False
     drills: bool = False
     bursts: bool = False
+    failures: bool = False
 
 
 class PlannedWork:
@@ -166,6 +168,8 @@
             self.kinds += [self.crowd, self.crowd, self.crowd, self.crowd]
         if enabled.drills:
             self.kinds += [self.store_drill] * 3 + [self.upstream_limits] * 2
+        if enabled.failures:
+            self.kinds += [self.upstream_fails] * 4
 
     def run(self):
         while True:
@@ -351,6 +355,13 @@
             upstream.behaviour.backoff_s = self.random.uniform(*BACKOFF_S)
             self.later(setattr, upstream.behaviour, "backoff_s", 0.0)
 
+    def upstream_fails(self):
+        """Have an upstream end a part of the requests that it runs with error statuses."""
+        upstream = self._random_upstream()
+        if upstream is not None:
+            upstream.behaviour.failing_share = FAILING_SHARE
+            self.later(setattr, upstream.behaviour, "failing_share", 0.0)
+
     def upstream_reborn(self):
         """Crash an upstream and start it again under its id, at its old or a new address."""
         upstream = self._random_upstream()
@@ -379,6 +390,7 @@
         self.healed_s = elapsed_ms() / 1000
         for upstream in self.site.upstreams.values():
             upstream.behaviour.limit = ""
+            upstream.behaviour.failing_share = 0.0
         faults = self.site.store.faults
         faults.refuse = faults.lose_answers = 0
         faults.silent = False
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -1,6 +1,7 @@
 """Stand-in of an upstream: incarnations, slots, grants, fences, and faulty answers."""
 
 import json
+import random
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -17,6 +18,9 @@
 from ploverhatch.transport.http_connection import HostPort
 
 CRASHES_SERVER = b"ends-server"  # header field of a request that crashes the upstream that runs it
+# Statuses with which a server may end a request that it ran. Callers take 408, 421, 429 and 503 for
+# a promise that it did not run, which the server does not make without Not-Executed.
+FAILURE_STATUSES = (408, 421, 429, 500, 503, 504)
 WORK_HEADER = b"work-ms"  # header field with the service time of a request at speed 1
 
 
@@ -37,6 +41,7 @@
     backoff_s: float = 0.0  # nonzero: each request is rejected with this Retry-After
     limit: str = ""  # requests a second from all callers, announced in all answers; empty: none
     paused_until_s: float = 0.0  # elapsed seconds until which nothing is read, run or answered
+    failing_share: float = 0.0  # of the requests that ran: answered with one of FAILURE_STATUSES
 
 
 @dataclass
@@ -65,6 +70,7 @@
     rejected: list = field(default_factory=list)  # (request, elapsed s, backoff s)
     leaving_answers: list = field(default_factory=list)  # (request, elapsed s)
     limit_answers: list = field(default_factory=list)  # (request, elapsed s, announced limit)
+    failed: list = field(default_factory=list)  # (request that ran, status of its failure)
     crashed_s: float | None = None  # elapsed seconds of the crash
     born: int = 0  # Unix milliseconds of its start; 0: not in its record
     port: int = 0  # 0: any free port
@@ -74,6 +80,7 @@
     def __post_init__(self):
         self.incarnation = self.incarnation or self.server_id
         self._slots = BoundedSemaphore(self.slots)
+        self._random = random.Random(self.incarnation)
         self._server = CallerServer(HostPort("127.0.0.1", self.port), self.handle, ClientLimits)
         self._server.start()
         self.address = HostPort("127.0.0.1", self._server.port)
@@ -182,7 +189,14 @@
             base.append((b"Response-Seal", b"seal"))
         if behaviour.leaving:
             self.leaving_answers.append((request, elapsed_ms() / 1000))
-        return CallerReply(behaviour.status, base, b"answer of " + self.incarnation.encode())
+        return CallerReply(self._status(request), base, b"answer of " + self.incarnation.encode())
+
+    def _status(self, request):
+        if self._random.random() >= self.behaviour.failing_share:
+            return self.behaviour.status
+        status = self._random.choice(FAILURE_STATUSES)
+        self.failed.append((request, status))
+        return status
 
     def _refusal(self, request, headers):
         """Return status and header fields of a rejection, or ``None``."""
