Log and count what servers' answers prove about execution

Now each line holds STATUS/PROOF for each attempt, a reply with 408, 421, 429 or 503 is never ordinary, and errors of servers are counted by status and proof. No decision uses the proof yet.

Tests: what is logged and explained, and a new row of extraordinary requests (both failed before).

--- a/ploverhatch/cli/explain_request.py
+++ b/ploverhatch/cli/explain_request.py
@@ -102,11 +102,24 @@
     sent_on = _tries(fields.get("via", "-"))
     if not attempts and not sent_on:
         rows.append("  no attempt reached a server")
-    rows += [f"  attempt {number}: {text}" for number, text in enumerate(attempts, 1)]
+    rows += [
+        f"  attempt {number}: {text}{_answered(fields, number)}"
+        for number, text in enumerate(attempts, 1)
+    ]
     rows += [f"  sent on to another node: {text}" for text in sent_on]
     return rows
 
 
+def _answered(fields: dict[str, str], number: int) -> str:
+    """Return what the answer to an attempt was and proves; empty if there was none."""
+    answers = fields.get("answers", "-").split("|")
+    answer = answers[number - 1] if number <= len(answers) else "-"
+    if answer == "-":
+        return ""
+    status, _, proof = answer.partition("/")
+    return f", answered {status} (proof: {proof})"
+
+
 def _tries(notes: str) -> list[str]:
     """Return sentences on the attempts, or on the nodes that a request was sent on to."""
     found = []
--- a/ploverhatch/common/results.py
+++ b/ploverhatch/common/results.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+# Statuses by which callers are promised that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Outcome(Enum):
     """What is known about the execution of a request."""
--- a/ploverhatch/gateway/dialect.py
+++ b/ploverhatch/gateway/dialect.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
+from ploverhatch.routing.execution import ExecutionProof
 from ploverhatch.routing.gateway_attempts import AttemptResult
 from ploverhatch.state.server_notices import ServerNotice
 from ploverhatch.transport.http_connection import WireAnswer
@@ -62,6 +63,12 @@
     def answered_id(self, answer: WireAnswer) -> bytes:
         """Return the id of the request that an answer names; empty if it names none."""
 
+    @abstractmethod
+    def execution_proof(
+        self, facts: RequestFacts, server_id: str, answer: WireAnswer
+    ) -> ExecutionProof:
+        """Return what a server's complete answer proves about the execution of a request."""
+
     @abstractmethod
     def classify_answer(
         self, facts: RequestFacts, server_id: str, answer: WireAnswer
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -529,7 +529,7 @@
         self, call: Call, upstream: Upstream
     ) -> tuple[AttemptResult, WireAnswer | None]:
         start_ms = elapsed_ms()
-        call.trace.connection = ""
+        call.trace.connection = call.trace.answer = ""
         result, answer = self._attempt(call, upstream)
         call.trace.attempts.append(
             AttemptNote(
@@ -539,6 +539,7 @@
                 elapsed_ms() - start_ms,
                 result,
                 call.trace.connection,
+                call.trace.answer,
             )
         )
         return result, answer
@@ -568,6 +569,9 @@
         if isinstance(answer, AttemptResult):
             return answer, None
         result = self._dialect.classify_answer(call.facts, record.server_id, answer)
+        proof = self._dialect.execution_proof(call.facts, record.server_id, answer)
+        call.trace.answer = f"{answer.status}/{proof.value}"
+        self.metrics.count_answer(answer.status, proof)
         if result is not AttemptResult.WRONG_INSTANCE:
             upstream.last_answer_ms = elapsed_ms()
         self._links.note_reached(upstream)
--- a/ploverhatch/gateway/metrics.py
+++ b/ploverhatch/gateway/metrics.py
@@ -7,6 +7,9 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+from ploverhatch.routing.execution import ExecutionProof
+
+COUNTED_STATUSES = frozenset({400, 404, 408, 409, 421, 429, 500, 502, 503, 504})
 BUCKETS_MS = (10, 25, 50, 100, 200, 400, 800, 1600)
 PREFIX = "ploverhatch_"
 
@@ -23,6 +26,8 @@
         self.attempts: Counter[str] = Counter()
         # Sends to servers that leave, back off or have a rate limit.
         self.sends: Counter[str] = Counter()
+        # Answers of servers with error statuses, by status and by what they prove.
+        self.answers: Counter[tuple[int, str]] = Counter()
         self._connections = {} if connections is None else connections
         self._durations: Counter[float] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
@@ -41,6 +46,12 @@
         bucket = next((limit for limit in BUCKETS_MS if took_ms <= limit), float("inf"))
         self._durations[bucket] += 1
 
+    def count_answer(self, status: int, proof: ExecutionProof) -> None:
+        """Count a server's complete answer unless it is a success."""
+        if status >= 400:
+            known = status if status in COUNTED_STATUSES else 0
+            self.answers[known, proof.value] += 1
+
     def text(self) -> bytes:
         """Return all values in the exposition format."""
         rows = [
@@ -55,6 +66,10 @@
             f'{PREFIX}attempts_total{{outcome="{name}"}} {count}'
             for name, count in sorted(self.attempts.items())
         ]
+        rows += [
+            f'{PREFIX}server_errors_total{{status="{status or "other"}",proof="{proof}"}} {count}'
+            for (status, proof), count in sorted(self.answers.items())
+        ]
         rows += [
             f'{PREFIX}sends_total{{server="{name}"}} {count}'
             for name, count in sorted(self.sends.items())
--- a/ploverhatch/gateway/request_log.py
+++ b/ploverhatch/gateway/request_log.py
@@ -1,12 +1,14 @@
 """Writes one log line for each request that wasn't ordinary.
 
-A request is ordinary if its first attempt was answered within the route's objective.
+A request is ordinary if its first attempt was answered within the route's objective, with a
+status that does not promise that it has not run.
 Ordinary requests are only counted. docs/LOGS.md lists the fields.
 """
 
 from dataclasses import dataclass, field
 
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.results import NOT_RUN_STATUSES
 from ploverhatch.routing.gateway_attempts import AttemptResult
 
 LOG = PartLogger("request")
@@ -22,6 +24,7 @@
     took_ms: float
     result: AttemptResult
     connection: str = ""  # "CONNECTION.EXCHANGE", empty if nothing was sent
+    answer: str = ""  # "STATUS/PROOF" of the server's answer, empty without one
 
     def text(self) -> str:
         """Return ``server@token#connection.exchange:result:start+duration``."""
@@ -46,6 +49,7 @@
     attempts: list[AttemptNote] = field(default_factory=list)
     sent: bool = False  # Whether a server may have received it.
     connection: str = ""  # What the present attempt was sent on; see AttemptNote.
+    answer: str = ""  # What the present attempt was answered; see AttemptNote.
     slot: str = ""  # The last reply to a request for a shared slot, and the node that sent it.
     received_ms: float = 0.0  # When its first byte was read, in elapsed milliseconds.
     via: list[str] = field(default_factory=list)  # Nodes that it was sent on to, as logged.
@@ -58,7 +62,8 @@
     def finish(self, status: int, result_code: int, detail: str, took_ms: float) -> None:
         """Write the line, unless the request was ordinary."""
         first_try = len(self.attempts) == 1 and self.attempts[0].result is AttemptResult.ANSWERED
-        if first_try and not self.via and took_ms <= self.objective_ms:
+        promises = status in NOT_RUN_STATUSES
+        if first_try and not self.via and not promises and took_ms <= self.objective_ms:
             return
         self._log("Request ended.", status, result_code, detail, took_ms)
 
@@ -92,4 +97,5 @@
             slot=self.slot or "-",
             via="|".join(self.via) or "-",
             attempts="|".join(note.text() for note in self.attempts) or "-",
+            answers="|".join(note.answer or "-" for note in self.attempts) or "-",
         )
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -16,6 +16,7 @@
 )
 from ploverhatch.gateway.messages import CallerRequest, HeaderList, RequestFacts
 from ploverhatch.platform import names
+from ploverhatch.routing.execution import ExecutionProof
 from ploverhatch.routing.gateway_attempts import AttemptResult
 from ploverhatch.state.incarnations import registered_name
 from ploverhatch.state.server_notices import NO_LIMIT, NO_NOTICE, ServerNotice
@@ -44,6 +45,7 @@
 )
 _REPLACED = frozenset({names.DEADLINE, names.EXPECT_INSTANCE})
 _SERVER_ERRORS = frozenset({500, 502, 504})
+_DENIALS = frozenset({b"", b"0", b"false", b"no"})  # values of a field that deny what it states
 
 
 class PlatformDialect(Dialect):
@@ -82,6 +84,24 @@
     def answered_id(self, answer: WireAnswer) -> bytes:
         return answer.get(names.REQUEST_ID) or b""
 
+    @override
+    def execution_proof(
+        self, facts: RequestFacts, server_id: str, answer: WireAnswer
+    ) -> ExecutionProof:
+        answered_id = answer.get(names.REQUEST_ID)
+        sealed = answer.get(names.SEAL) is not None
+        if answered_id is not None and answered_id != facts.request_id:
+            return ExecutionProof.NONE  # The answer belongs to another request.
+        if _states_not_executed(answer):
+            # Only a run yields a seal or a success, so such an answer contradicts itself.
+            contradicts = sealed or answer.status < 400
+            return ExecutionProof.NONE if contradicts else ExecutionProof.NOT_RUN
+        if answer.status == 421 and not sealed and _is_of_other_instance(server_id, answer):
+            return ExecutionProof.OTHER_SERVER
+        if sealed and answered_id is not None:
+            return ExecutionProof.RAN
+        return ExecutionProof.NONE
+
     @override
     def classify_answer(
         self, facts: RequestFacts, server_id: str, answer: WireAnswer
@@ -227,6 +247,16 @@
         return (answer.get(names.HANDOVER) or b"").decode("latin-1")
 
 
+def _states_not_executed(answer: WireAnswer) -> bool:
+    value = answer.get(names.NOT_EXECUTED)
+    return value is not None and value.strip().lower() not in _DENIALS
+
+
+def _is_of_other_instance(server_id: str, answer: WireAnswer) -> bool:
+    instance = answer.get(names.INSTANCE)
+    return instance is not None and instance != _instance(server_id)
+
+
 def _instance(server_id: str) -> bytes:
     """Return the id under which the platform registers the server of an incarnation."""
     return registered_name(server_id).encode()
--- a/tests/functional/test_answers_that_promise.py
+++ b/tests/functional/test_answers_that_promise.py
@@ -1,5 +1,6 @@
 """Answers of servers whose status alone would tell callers that a request has not run."""
 
+import logging
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -8,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ploverhatch.cli.explain_request import explain, read_lines
 from ploverhatch.transport.http_connection import HostPort
 from tests.functional.test_forwarder import KEYED, PLAIN, Bench, field
 from tests.standin.upstream import RawUpstream
@@ -141,3 +143,18 @@
     if reply.status in PROMISING:
         assert used[-1].proves_not_run
     assert field(reply, b"response-seal") in ([], [b"%d" % reply.status])
+
+
+# A promise that a server's failure made left no log line, so nothing told who had made it.
+def test_a_status_that_promises_is_logged_with_what_the_answers_prove(bench, caplog):
+    upstream = RawUpstream(answer(503, b"Not-Executed: 1"), answer(500, b"Response-Seal: s"))
+    add_holder(bench, upstream)
+    with caplog.at_level(logging.INFO, "absl"):
+        ask_once(bench, b"/keyonce/")
+    (line,) = [text for text in caplog.messages if "Request ended." in text]
+    assert "answers=503/not-run|500/ran" in line
+    explained = "\n".join(explain("r1", read_lines([line])))
+    assert "answered 503 (proof: not-run)" in explained
+    figures = bench.forwarder.metrics.text()
+    assert b'server_errors_total{status="500",proof="ran"} 1' in figures
+    assert b'server_errors_total{status="503",proof="not-run"} 1' in figures
--- a/tests/functional/test_gateway_logs.py
+++ b/tests/functional/test_gateway_logs.py
@@ -98,6 +98,7 @@
     "late": ([AttemptResult.ANSWERED], 200, 1000, 150.0),
     "repeated": ([AttemptResult.LOST, AttemptResult.ANSWERED], 200, 1000, 60.0),
     "refused": ([], 503, 2101, 20.0),
+    "answered with a promise": ([AttemptResult.ANSWERED], 503, 1000, 60.0),
     "lost": ([AttemptResult.LOST], 502, 3001, 30.0),
     "timed out": ([AttemptResult.TIMED_OUT], 504, 3002, 900.0),
 }
