Let only what a server states prove that a request has not run

Callers were told 408, 429 or 503 for requests that a server had run and failed, and one that trusts the promise pays twice; after 421 the gateway itself sent such a request to a server again (TWICE).

Cause: classify_answer decided by the status for some answers and by Not-Executed for others, and what counted as run was handed on with whatever status it had. Class: a status is taken for a proof.

Now one function says what an answer proves, and all else follows from it: not run is only what states Not-Executed (and does not deny it, or bear a seal or a success beside it), or 421 of an instance that is not the one addressed. An answer that ran with a promising status counts as a failure of the server, which repeatable requests survive by another attempt; others get 502 with result 3006, without the seal. Every send is recorded before its first byte, and a refusal that promises needs a proof for each, whichever decision wrote it.

Ruled out: handing on the status without the seal (still a promise); a status of 502 with the seal (MIXED).

--- a/ploverhatch/common/results.py
+++ b/ploverhatch/common/results.py
@@ -126,6 +126,10 @@
     3005, "INTERNAL_ERROR", 500, _UNKNOWN, False, "The router failed; it may have run."
 )
 
+SERVER_FAILED = _row(
+    3006, "SERVER_FAILED", 502, _UNKNOWN, False, "A server ran it and answered as if it had not."
+)
+
 CHANGE_ACCEPTED = _row(4000, "CHANGE_ACCEPTED", 200, _DONE, False, "The change is stored.")
 CHANGE_CONFLICT = _row(
     4001, "CHANGE_CONFLICT", 412, _NOT_RUN, False, "The object changed meanwhile."
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -16,7 +16,7 @@
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.in_flight import InFlightRequests, ProcessEndsError
 from ploverhatch.common.logs import PartLogger
-from ploverhatch.common.results import RefusedError, Result
+from ploverhatch.common.results import NOT_RUN_STATUSES, RefusedError, Result
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.dialect import Dialect, MalformedRequestError
 from ploverhatch.gateway.directory import Directory
@@ -46,6 +46,7 @@
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing.gateway_attempts import (
+    NOT_RUN,
     AttemptHistory,
     AttemptResult,
     NextStep,
@@ -189,10 +190,17 @@
             trace.log_unanswered("caller-gone", elapsed_ms() - request.received_ms)
             raise
         except DeadlineOverError:
-            result = results.DEADLINE_IN_FLIGHT if trace.sent else results.QUEUE_TIMEOUT
+            may_have_run = trace.execution.may_have_run
+            result = results.DEADLINE_IN_FLIGHT if may_have_run else results.QUEUE_TIMEOUT
             reply = self._refuse(RefusedError(result), facts)
         except ProcessEndsError:
-            result = results.DEADLINE_IN_FLIGHT if trace.sent else results.NODE_DRAINING
+            may_have_run = trace.execution.may_have_run
+            result = results.DEADLINE_IN_FLIGHT if may_have_run else results.NODE_DRAINING
+            reply = self._refuse(RefusedError(result), facts)
+        if reply.status in NOT_RUN_STATUSES and trace.execution.may_have_run:
+            # An internal fault: no decision should promise this.
+            LOG.error("Promise withheld, as the request may have run.", request=trace.request_id)
+            result, detail = results.ANSWER_LOST, result.name
             reply = self._refuse(RefusedError(result), facts)
         took_ms = elapsed_ms() - request.received_ms
         if request.forwarded_by is None:
@@ -375,6 +383,13 @@
         raise RefusedError(results.ANSWER_LOST, result.value)
 
     def _forward_answer(self, answer: WireAnswer) -> CallerReply:
+        """Return a server's answer as the reply to the caller.
+
+        :raises RefusedError: for a status by which the caller would take the request, which the
+            server ran, for one that has not run.
+        """
+        if answer.status in NOT_RUN_STATUSES:
+            raise RefusedError(results.SERVER_FAILED, str(answer.status))
         headers = self._dialect.reply_headers(answer)
         return CallerReply(answer.status, headers, answer.body, buffer=answer.buffer)
 
@@ -561,17 +576,14 @@
             upstream.release(connection)
             return AttemptResult.WITHHELD if withheld else AttemptResult.NOT_CONNECTED, None
         head = self._dialect.encode_head(call.request, record.server_id, left_ms)
-        call.trace.sent = True
+        call.trace.execution.note_send()
         call.trace.connection = f"{connection.number}.{connection.exchanges + 1}"
         self._count_send(record.server_id)
         self._quarantine.log_suspect_send(call, record.server_id)
         answer = self._exchange(call, upstream, connection, head, sent_ms)
         if isinstance(answer, AttemptResult):
             return answer, None
-        result = self._dialect.classify_answer(call.facts, record.server_id, answer)
-        proof = self._dialect.execution_proof(call.facts, record.server_id, answer)
-        call.trace.answer = f"{answer.status}/{proof.value}"
-        self.metrics.count_answer(answer.status, proof)
+        result = self._classify(call, record.server_id, answer)
         if result is not AttemptResult.WRONG_INSTANCE:
             upstream.last_answer_ms = elapsed_ms()
         self._links.note_reached(upstream)
@@ -589,6 +601,16 @@
             upstream.note_answer(elapsed_ms() - sent_ms, call.route.objective_ms)
         return result, answer
 
+    def _classify(self, call: Call, server_id: str, answer: WireAnswer) -> AttemptResult:
+        """Return the outcome of an attempt; record what its answer proves."""
+        result = self._dialect.classify_answer(call.facts, server_id, answer)
+        proof = self._dialect.execution_proof(call.facts, server_id, answer)
+        call.trace.answer = f"{answer.status}/{proof.value}"
+        self.metrics.count_answer(answer.status, proof)
+        if result in NOT_RUN:
+            call.trace.execution.note_not_run()
+        return result
+
     def _connect(
         self, upstream: Upstream, request_id: bytes, left_ms: float
     ) -> HttpConnection | None:
--- a/ploverhatch/gateway/peer_forwarding.py
+++ b/ploverhatch/gateway/peer_forwarding.py
@@ -16,6 +16,7 @@
 
 from ploverhatch.common.clock import elapsed_ms
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.results import NOT_RUN_STATUSES
 from ploverhatch.gateway.call import Call
 from ploverhatch.gateway.links import LinkMonitor
 from ploverhatch.gateway.messages import CallerReply, CallerRequest, ForwardingNode
@@ -155,7 +156,7 @@
         except NotConnectedError:
             return None, AttemptResult.NOT_CONNECTED, None
         head, body = _encode(call, history, counted)
-        call.trace.sent = True
+        call.trace.execution.note_send()
         try:
             with gevent.Timeout(max(0.0, call.remaining_ms) / 1000 + REPLY_MARGIN_S):
                 answer = connection.exchange(
@@ -167,12 +168,15 @@
             return None, AttemptResult.LOST, None
         self._connections.keep(node, connection)
         if answer.status != 200:
+            call.trace.execution.note_not_run()
             return _DECLINED, AttemptResult.DECLINED, None
         try:
             reply = msgspec.msgpack.decode(answer.body, type=ForwardedReply)
         except (ValueError, RecursionError) as error:
             LOG.warning("Forwarded answer is malformed.", cause=error)
             return None, AttemptResult.LOST, None
+        if reply.declined or reply.status in NOT_RUN_STATUSES:
+            call.trace.execution.note_not_run()
         if reply.declined:
             return reply, AttemptResult.DECLINED, None
         result = AttemptResult.NOT_CONNECTED if reply.unreached else AttemptResult.ANSWERED
--- a/ploverhatch/gateway/request_log.py
+++ b/ploverhatch/gateway/request_log.py
@@ -9,6 +9,7 @@
 
 from ploverhatch.common.logs import PartLogger
 from ploverhatch.common.results import NOT_RUN_STATUSES
+from ploverhatch.routing.execution import ExecutionRecord
 from ploverhatch.routing.gateway_attempts import AttemptResult
 
 LOG = PartLogger("request")
@@ -47,7 +48,7 @@
     # The time from the caller's first attempt to this one, as far as it can be known.
     before_ms: float = 0.0
     attempts: list[AttemptNote] = field(default_factory=list)
-    sent: bool = False  # Whether a server may have received it.
+    execution: ExecutionRecord = field(default_factory=ExecutionRecord)
     connection: str = ""  # What the present attempt was sent on; see AttemptNote.
     answer: str = ""  # What the present attempt was answered; see AttemptNote.
     slot: str = ""  # The last reply to a request for a shared slot, and the node that sent it.
--- a/ploverhatch/platform/dialect.py
+++ b/ploverhatch/platform/dialect.py
@@ -6,6 +6,7 @@
 from typing_extensions import override
 
 from ploverhatch.common.logs import PartLogger
+from ploverhatch.common.results import NOT_RUN_STATUSES
 from ploverhatch.gateway.dialect import (
     Dialect,
     GrantCall,
@@ -92,12 +93,12 @@
         sealed = answer.get(names.SEAL) is not None
         if answered_id is not None and answered_id != facts.request_id:
             return ExecutionProof.NONE  # The answer belongs to another request.
-        if _states_not_executed(answer):
+        other_server = answer.status == 421 and _is_of_other_instance(server_id, answer)
+        if other_server or _states_not_executed(answer):
             # Only a run yields a seal or a success, so such an answer contradicts itself.
-            contradicts = sealed or answer.status < 400
-            return ExecutionProof.NONE if contradicts else ExecutionProof.NOT_RUN
-        if answer.status == 421 and not sealed and _is_of_other_instance(server_id, answer):
-            return ExecutionProof.OTHER_SERVER
+            if sealed or answer.status < 400:
+                return ExecutionProof.NONE
+            return ExecutionProof.OTHER_SERVER if other_server else ExecutionProof.NOT_RUN
         if sealed and answered_id is not None:
             return ExecutionProof.RAN
         return ExecutionProof.NONE
@@ -106,28 +107,15 @@
     def classify_answer(
         self, facts: RequestFacts, server_id: str, answer: WireAnswer
     ) -> AttemptResult:
-        status = answer.status
-        answered_id = answer.get(names.REQUEST_ID)
-        if answered_id is not None and answered_id != facts.request_id:
-            return AttemptResult.LOST  # The answer belongs to another request.
-        if status == 421:
-            return self._classify_misdirected(server_id, answer)
-        if answer.get(names.NOT_EXECUTED) is not None:
-            return AttemptResult.DECLINED
-        if 200 <= status < 300:
-            sealed = answer.get(names.SEAL) is not None and answered_id is not None
-            return AttemptResult.ANSWERED if sealed else AttemptResult.LOST
-        if answer.get(names.SEAL) is None or answered_id is None:
-            return AttemptResult.LOST
-        if status in _SERVER_ERRORS:
-            return AttemptResult.SERVER_ERROR
-        return AttemptResult.ANSWERED
-
-    def _classify_misdirected(self, server_id: str, answer: WireAnswer) -> AttemptResult:
-        instance = answer.get(names.INSTANCE)
-        if instance is not None and instance != _instance(server_id):
+        proof = self.execution_proof(facts, server_id, answer)
+        if proof is ExecutionProof.OTHER_SERVER:
             return AttemptResult.WRONG_INSTANCE
-        return AttemptResult.NOT_HOLDER
+        if proof is ExecutionProof.NOT_RUN:
+            return AttemptResult.NOT_HOLDER if answer.status == 421 else AttemptResult.DECLINED
+        if proof is ExecutionProof.NONE:
+            return AttemptResult.LOST
+        failed = answer.status in _SERVER_ERRORS or answer.status in NOT_RUN_STATUSES
+        return AttemptResult.SERVER_ERROR if failed else AttemptResult.ANSWERED
 
     @override
     def notice(self, request_id: bytes, server_id: str, answer: WireAnswer) -> ServerNotice:
--- a/tests/functional/test_answers_that_promise.py
+++ b/tests/functional/test_answers_that_promise.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from ploverhatch.cli.explain_request import explain, read_lines
+from ploverhatch.routing.gateway_attempts import NextStep
 from ploverhatch.transport.http_connection import HostPort
 from tests.functional.test_forwarder import KEYED, PLAIN, Bench, field
 from tests.standin.upstream import RawUpstream
@@ -47,6 +48,27 @@
     reply = ask_once(bench, path)
     assert reply.status not in PROMISING
     assert len(upstream.received) == 1  # It isn't sent again: it ran.
+    # Nothing of the server's answer is left that would fit the status it had.
+    assert (reply.status, reply.body) == (502, b"")
+    assert field(reply, b"ploverhatch-result") == [b"3006"]
+    assert field(reply, b"response-seal") == field(reply, b"retry-after") == []
+
+
+# The same failures of repeatable requests were final, where another server could have answered.
+@pytest.mark.parametrize("status", PROMISING)
+def test_a_repeatable_request_that_a_server_failed_so_is_sent_again(bench, status):
+    upstream = RawUpstream(answer(status, b"Response-Seal: s"), answer(200, b"Response-Seal: s"))
+    add_holder(bench, upstream)
+    assert bench.ask(b"/key/", headers=[(b"Shard-Key", b"7")]).status == 200
+
+
+# A decision that forgets an attempt made the gateway promise what no server had stated.
+def test_no_decision_can_promise_for_a_send_without_proof(bench, monkeypatch, caplog):
+    add_holder(bench, RawUpstream(None))
+    monkeypatch.setattr(bench.forwarder, "_decide", lambda *_: NextStep.REFUSE)
+    reply = ask_once(bench, b"/once/")
+    assert (reply.status, field(reply, b"ploverhatch-result")) == (502, [b"3001"])
+    assert any("Promise withheld" in text for text in caplog.messages)
 
 
 NAMED = {"own": [b"Request-Id: r1"], "another": [b"Request-Id: r9"], "none": []}
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -227,8 +227,18 @@
     (503, [(b"Request-Id", b"r1"), (b"Not-Executed", b"1")], AttemptResult.DECLINED),
     (503, SEALED[:1], AttemptResult.LOST),
     (421, [(b"Not-Executed", b"1")], AttemptResult.NOT_HOLDER),
-    (421, [(b"Instance-Id", b"me")], AttemptResult.NOT_HOLDER),
+    (421, [(b"Instance-Id", b"me"), (b"Not-Executed", b"1")], AttemptResult.NOT_HOLDER),
     (421, [(b"Instance-Id", b"other")], AttemptResult.WRONG_INSTANCE),
+    (421, [(b"Instance-Id", b"other"), (b"Not-Executed", b"1")], AttemptResult.WRONG_INSTANCE),
+    # Only Not-Executed, or the id of another instance, proves that a request has not run.
+    (421, [(b"Instance-Id", b"me")], AttemptResult.LOST),
+    (421, SEALED[:1], AttemptResult.LOST),
+    (421, [*SEALED, (b"Instance-Id", b"other")], AttemptResult.LOST),
+    *((status, SEALED, AttemptResult.SERVER_ERROR) for status in (408, 421, 429, 503)),
+    (503, [*SEALED, (b"Not-Executed", b"1")], AttemptResult.LOST),
+    (200, [*SEALED[:1], (b"Not-Executed", b"1")], AttemptResult.LOST),
+    (503, [*SEALED[:1], (b"Not-Executed", b"0")], AttemptResult.LOST),
+    (200, [*SEALED, (b"Not-Executed", b"0")], AttemptResult.ANSWERED),
 ]
 
 
