Have nodes name the call that they answer

A caller of a node that is cut from the servers was told 503, not run, and its request ran: calls between nodes were tied to their answers by order alone, so a copy of one refusal was read as the answer to the next call. A release that one node carries out for another could have been taken as done in the same way.

Now each call has a number that its answer repeats, copies of earlier answers are dropped, and a connection whose answer names no call isn't kept (a node of an earlier version). Only statuses with which a node answers before any handler has begun count as declined; others as lost.

A real link repeats no bytes, so this is no likely cause of what the users saw.

--- a/ploverhatch/gateway/peer_forwarding.py
+++ b/ploverhatch/gateway/peer_forwarding.py
@@ -34,6 +34,8 @@
 PATH_PART = b"requests"
 MAX_NODES_ASKED = 3  # For one request; nodes that are cut off themselves decline at once.
 SKIPPED_MS = 1000.0  # How long a node is skipped that accepted no connection, or declined.
+# With these a node answers a call that none of its handlers has begun to serve.
+UNHANDLED_STATUSES = frozenset({400, 404, 408, 413, 431, 503})
 # The other node's own answer at the deadline is awaited for this much longer.
 REPLY_MARGIN_S = 0.05
 
@@ -155,19 +157,17 @@
             connection = self._connections.take(node)
         except NotConnectedError:
             return None, AttemptResult.NOT_CONNECTED, None
-        head, body = _encode(call, history, counted)
+        body = _encode(call, history, counted)
         call.trace.execution.note_send()
         try:
             with gevent.Timeout(max(0.0, call.remaining_ms) / 1000 + REPLY_MARGIN_S):
-                answer = connection.exchange(
-                    b"POST", head, body=body, max_body_bytes=MAX_BODY_BYTES
-                )
+                answer = self._connections.exchange(connection, PATH_PART, body, MAX_BODY_BYTES)
         except gevent.Timeout:
             return None, AttemptResult.TIMED_OUT, None
         except AnswerCutError:
             return None, AttemptResult.LOST, None
         self._connections.keep(node, connection)
-        if answer.status != 200:
+        if answer.status in UNHANDLED_STATUSES:
             call.trace.execution.note_not_run()
             return _DECLINED, AttemptResult.DECLINED, None
         try:
@@ -183,10 +183,10 @@
         return reply, result, answer.buffer
 
 
-def _encode(call: Call, history: AttemptHistory, counted: bool) -> tuple[bytes, bytes]:
-    """Return head and body of the call that sends a request on."""
+def _encode(call: Call, history: AttemptHistory, counted: bool) -> bytes:
+    """Return the body of the call that sends a request on."""
     request = call.request
-    body = msgspec.msgpack.encode(
+    return msgspec.msgpack.encode(
         ForwardedRequest(
             request.method,
             request.target,
@@ -199,8 +199,6 @@
             counted,
         )
     )
-    head = b"POST /%s HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (PATH_PART, len(body))
-    return head, body
 
 
 class ForwardedRequests:
--- a/ploverhatch/gateway/peer_release.py
+++ b/ploverhatch/gateway/peer_release.py
@@ -66,15 +66,10 @@
             holder.server_id, holder.host, holder.port, call.first, call.last, call.token
         )
         body = msgspec.msgpack.encode(item)
-        payload = b"POST /%s HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (
-            PATH_PART,
-            len(body),
-            body,
-        )
         try:
             connection = self._connections.take(node)
             with gevent.Timeout(TIMEOUT_S):
-                answer = connection.exchange(b"POST", payload)
+                answer = self._connections.exchange(connection, PATH_PART, body)
             self._connections.keep(node, connection)
             outcome = msgspec.msgpack.decode(answer.body, type=ReleaseOutcome)
             return CallOutcome(outcome.outcome), outcome.handover
--- a/ploverhatch/gateway/peer_server.py
+++ b/ploverhatch/gateway/peer_server.py
@@ -4,6 +4,7 @@
 
 from ploverhatch.gateway.caller_server import CallerServer
 from ploverhatch.gateway.messages import CallerReply, CallerRequest
+from ploverhatch.gateway.peer_connections import CALL_FIELD
 from ploverhatch.routing.route_table import ClientLimits
 from ploverhatch.transport.http_connection import HostPort
 
@@ -39,4 +40,6 @@
 
     def _answer(self, request: CallerRequest) -> CallerReply:
         handler = self._handlers.get(request.path.lstrip(b"/").partition(b"/")[0])
-        return CallerReply(404) if handler is None else handler(request)
+        reply = CallerReply(404) if handler is None else handler(request)
+        reply.headers += [item for item in request.headers if item[0].lower() == CALL_FIELD]
+        return reply
