Answer no unknown outcome with a status that promises not run

RECORDS_LOST (an earlier try may have run) and CHANGE_UNKNOWN (the change may be stored) were 503 with Retry-After; a caller or an operator that knows 503 only repeats what may have been done. Same class as the failures of servers. They are 409, as RUN_IN_PROGRESS, and 502 now; codes and outcomes stay.

Red before: two rows of test_only_what_has_not_run_has_a_status_that_promises_it. Ruled out: leaving it to Ploverhatch-Outcome, which only callers of this product read.

--- a/ploverhatch/common/results.py
+++ b/ploverhatch/common/results.py
@@ -119,7 +119,7 @@
 )
 
 RECORDS_LOST = _row(
-    3004, "RECORDS_LOST", 503, _UNKNOWN, True, "Records were lost; an earlier try may have run."
+    3004, "RECORDS_LOST", 409, _UNKNOWN, True, "Records were lost; an earlier try may have run."
 )
 
 INTERNAL_ERROR = _row(
@@ -143,7 +143,7 @@
 CHANGE_UNKNOWN = _row(
     4004,
     "CHANGE_UNKNOWN",
-    503,
+    502,
     _UNKNOWN,
     True,
     "The store gave no answer and could not be read back.",
