Hand on no promise of a back end at the nodes

Callers of a node were told 503 for what a back end had run and failed, and a repeat with the same Idempotency-Key recalled that 503. Now such an answer, and the record of one, is 502 with result 3006, outcome unknown; the run stays recorded, so a repeat runs nothing.

Red before: test_a_failure_of_what_ran_is_not_told_as_not_run ((503, '1000') in place of (502, '3006')). A refusal of a back end is still told by its own field.

--- a/ploverhatch/emulator/backend.py
+++ b/ploverhatch/emulator/backend.py
@@ -43,6 +43,7 @@
     reported_load: float = -1.0  # negative: the actual load is reported
     draining: bool = False
     refuse: bool = False
+    answer_status: int = 200  # of the requests that ran
     open: bool = False  # whether requests without a token run, for baselines
 
 
@@ -223,7 +224,7 @@
             ("Content-Length", str(len(payload))),
             (http_backend.HEADER_CLOCK, str(clock_ms())),
         )
-        return HttpReply(200, headers, payload)
+        return HttpReply(self.behaviour.answer_status, headers, payload)
 
     def _refuse(self, refusal: Refusal) -> HttpReply:
         headers = (
--- a/ploverhatch/node/router.py
+++ b/ploverhatch/node/router.py
@@ -31,7 +31,7 @@
     HttpReply,
     problem_reply,
 )
-from ploverhatch.common.results import RefusedError, Result
+from ploverhatch.common.results import NOT_RUN_STATUSES, RefusedError, Result
 from ploverhatch.node.crash_guard import CrashGuard, GuardedRequest
 from ploverhatch.node.metrics import RouterMetrics
 from ploverhatch.node.records_client import RecordsClient, RecordsUnavailableError
@@ -213,6 +213,7 @@
         return self._answer(self._run_attempts(call)), results.OK
 
     def _answer(self, reply: BackendReply) -> HttpReply:
+        _check_promises(reply.status)
         headers = (
             *reply.headers,
             ("Content-Length", str(len(reply.body))),
@@ -266,6 +267,7 @@
         if outcome is ClaimResult.HELD:
             raise RefusedError(results.RUN_IN_PROGRESS)
         result = results.REPEATED_ANSWER
+        _check_promises(record.status)
         if not record.body_kept:
             raise RefusedError(results.ANSWER_NOT_KEPT, f"status {record.status}")
         headers = (
@@ -487,6 +489,15 @@
         return self._upstreams.queues()
 
 
+def _check_promises(status: int) -> None:
+    """Check the status with which a back end answered a request that it ran.
+
+    :raises RefusedError: for one by which the caller would take the request for not run.
+    """
+    if status in NOT_RUN_STATUSES:
+        raise RefusedError(results.SERVER_FAILED, f"status {status}")
+
+
 def _fingerprint(call: Call) -> int:
     digest = xxhash.xxh3_64()
     digest.update(f"{call.route.method} {call.target}\n".encode())
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -27,3 +27,19 @@
         assert other.status == 422
         runs = [row for row in cell.executions() if row["idempotency_key"] == "once-1"]
         assert len(runs) == 1
+
+
+# Callers were told 503 for what a back end had run and failed, and a repeat recalled the 503.
+def test_a_failure_of_what_ran_is_not_told_as_not_run():
+    with Cell(nodes=1, backends={"weights": 1, "permits": 1}) as cell:
+        (node,) = cell.nodes
+        for name in cell.backends:
+            cell.backend_call(name, "behaviour", {"answer_status": 503})
+        first = cell.post(node, "/permits/p1", key="once-1")
+        repeat = cell.post(node, "/permits/p1", key="once-1")
+        read = cell.get(node, "/weights/hive-7")
+        for answer in (first, repeat, read):
+            assert (answer.status, answer.headers["ploverhatch-result"]) == (502, "3006")
+            assert answer.headers["ploverhatch-outcome"] == "unknown"
+        runs = [row for row in cell.executions() if row["idempotency_key"] == "once-1"]
+        assert len(runs) == 1
