Tell the next node whether a request may have run

A request that a node sends on after servers declined it was answered 502, though nothing had run: the next node took each attempt that had reached a server for one that may have run. Where it stopped meanwhile, it answered 503 in any case. Both now follow from what the first node's attempts prove, which it sends along; for a node of an earlier version each attempt counts as before.

A node sends that on only if it can be repeated, so no caller of an unsafe request was told a promise that way.

--- a/ploverhatch/gateway/call.py
+++ b/ploverhatch/gateway/call.py
@@ -40,7 +40,7 @@
         sender = self.request.forwarded_by
         if sender is None:
             return AttemptHistory()
-        return AttemptHistory(sender.arrivals, may_have_run=sender.arrivals > 0)
+        return AttemptHistory(sender.arrivals, sender.may_have_run)
 
     @property
     def remaining_ms(self) -> float:
--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -160,6 +160,8 @@
         """
         facts = None
         trace = RequestTrace(received_ms=request.received_ms)
+        if request.forwarded_by is not None and request.forwarded_by.may_have_run:
+            trace.execution.note_send()
         detail = ""
         result = results.OK
         try:
--- a/ploverhatch/gateway/messages.py
+++ b/ploverhatch/gateway/messages.py
@@ -13,10 +13,12 @@
 
     :param arrivals: attempts that may have reached a server.
     :param counted: whether its retry budget has counted the request.
+    :param may_have_run: whether one of its attempts may have run the request.
     """
 
     arrivals: int
     counted: bool
+    may_have_run: bool
 
 
 @dataclass(slots=True, eq=False)
--- a/ploverhatch/gateway/peer_forwarding.py
+++ b/ploverhatch/gateway/peer_forwarding.py
@@ -46,6 +46,7 @@
     ``age_ms`` is the time since its first byte was read; ``version`` that of the sender's
     configuration. ``arrivals`` is the number of attempts that may have reached a server, and
     ``counted`` says whether the sender's retry budget has counted the request.
+    ``may_have_run`` says whether one of the attempts may have run it; earlier versions don't say.
     """
 
     method: bytes
@@ -57,6 +58,14 @@
     version: int
     arrivals: int = 0
     counted: bool = False
+    may_have_run: bool | None = None
+
+    @property
+    def sender(self) -> ForwardingNode:
+        """What the node that sent the request on has done for it."""
+        unknown = self.may_have_run is None
+        may_have_run = self.arrivals > 0 if unknown else bool(self.may_have_run)
+        return ForwardingNode(self.arrivals, self.counted, may_have_run)
 
 
 class ForwardedReply(msgspec.Struct, array_like=True, frozen=True):
@@ -197,6 +206,7 @@
             call.trace.version,
             history.arrivals,
             counted,
+            history.may_have_run,
         )
     )
 
@@ -236,7 +246,7 @@
             item.body,
             elapsed_ms() - item.age_ms,
             item.caller,
-            forwarded_by=ForwardingNode(item.arrivals, item.counted),
+            forwarded_by=item.sender,
         )
         reply = self._handle(request)
         body = ForwardedReply(reply.status, reply.headers, reply.body, unreached=reply.unreached)
--- a/tests/functional/test_answers_that_promise.py
+++ b/tests/functional/test_answers_that_promise.py
@@ -4,13 +4,18 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+import msgspec
 import pytest
 from gevent.server import StreamServer
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ploverhatch.cli.explain_request import explain, read_lines
+from ploverhatch.common.clock import elapsed_ms
+from ploverhatch.gateway.messages import CallerRequest, ForwardingNode
+from ploverhatch.gateway.peer_forwarding import ForwardedRequest
 from ploverhatch.routing.gateway_attempts import NextStep
+from ploverhatch.routing.planned_stop import PlannedStop
 from ploverhatch.transport.http_connection import HostPort
 from tests.functional.test_forwarder import KEYED, PLAIN, Bench, field
 from tests.standin.upstream import RawUpstream
@@ -71,6 +76,34 @@
     assert any("Promise withheld" in text for text in caplog.messages)
 
 
+# A node promised for a request of another node's caller, which that node had sent to a server.
+@pytest.mark.parametrize(("may_have_run", "status"), [(True, 502), (False, 503)])
+@pytest.mark.parametrize("stopping", [False, True])
+def test_a_node_promises_only_if_the_one_before_it_may(bench, may_have_run, status, stopping):
+    if stopping:
+        bench.forwarder.planned_stop = PlannedStop(elapsed_ms() - 3000.0, 4000.0)
+    sender = ForwardingNode(1, True, may_have_run)
+    fields = [(b"Host", b"h.example"), (b"Request-Id", b"r1")]
+    request = CallerRequest(b"POST", b"/once/", fields, b"x", elapsed_ms(), forwarded_by=sender)
+    assert bench.forwarder.handle(request).status == status
+
+
+# A request that servers of two nodes had declined was answered as one that may have run.
+def test_a_request_that_servers_of_two_nodes_declined_is_refused_as_not_run(bench):
+    add_holder(bench, RawUpstream(answer(503, b"Not-Executed: 1")))
+    fields = [(b"Host", b"h.example"), (b"Request-Id", b"r1"), (b"Shard-Key", b"7")]
+    sent_on = ForwardedRequest(b"POST", b"/keyonce/", fields, b"x", b"", 0.0, 1, 1, True, False)
+    request = CallerRequest(
+        b"POST", b"/keyonce/", fields, b"x", elapsed_ms(), forwarded_by=sent_on.sender
+    )
+    assert bench.forwarder.handle(request).status == 503
+
+
+def test_a_node_of_an_earlier_version_may_have_sent_what_it_sends_on():
+    old = msgspec.msgpack.encode([b"POST", b"/", [], b"", b"", 0.0, 1, 1, True])
+    assert msgspec.msgpack.decode(old, type=ForwardedRequest).sender.may_have_run
+
+
 NAMED = {"own": [b"Request-Id: r1"], "another": [b"Request-Id: r9"], "none": []}
 NOT_EXECUTED = {"none": [], "stated": [b"Not-Executed: 1"], "denied": [b"Not-Executed: 0"]}
 INSTANCE = {"none": [], "own": [b"Instance-Id: %b"], "another": [b"Instance-Id: u9"]}
