Take a change for not made only if the store says so

A write that the store answered with 500 or another status that states nothing, or with a success whose body can't be read, counted as not executed: a key map that may be stored was not read back.

--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -175,8 +175,14 @@
             raise RevisionConflictError(found)
         if answer.status == 404:
             raise RevisionConflictError(None)
-        self._expect(answer, 200, 201)
-        return _in_era(pages.read_object(answer.body), self._era_of(answer))
+        if 400 <= answer.status < 500 or answer.status == 503:  # The store did nothing.
+            raise StoreCallError(f"status {answer.status}")
+        if answer.status not in {200, 201}:
+            raise OutcomeUnknownError(f"status {answer.status}")
+        try:
+            return _in_era(pages.read_object(answer.body), self._era_of(answer))
+        except StoreCallError as error:
+            raise OutcomeUnknownError(str(error)) from error
 
     def _call(
         self, method: str, path: str, query: list[str] | None = None, body: object = None
