Move single attempts out of the forwarder

Moves only, and the names that follow from them. test_forwarder, test_quarantine, test_supervision, test_peer_forwarding and the tests of answers pass as before; mypy and the layers too.

--- a/ploverhatch/gateway/forwarder.py
+++ b/ploverhatch/gateway/forwarder.py
@@ -31,8 +31,9 @@
 from ploverhatch.gateway.metrics import GatewayMetrics
 from ploverhatch.gateway.peer_forwarding import PeerForwarder
 from ploverhatch.gateway.quarantine import OnTrialElsewhereError, Quarantine
-from ploverhatch.gateway.request_log import AttemptNote, RequestTrace
+from ploverhatch.gateway.request_log import RequestTrace
 from ploverhatch.gateway.rerouting import Rerouting
+from ploverhatch.gateway.server_attempts import ServerAttempts
 from ploverhatch.gateway.server_choice import RETRY_AFTER_NO_SERVER_S, ServerChoice
 from ploverhatch.gateway.shared_slots import (
     SharedSlot,
@@ -46,7 +47,6 @@
 from ploverhatch.gateway.slots import NoSlotError, QueueFullError
 from ploverhatch.gateway.upstreams import Upstream, UpstreamPool
 from ploverhatch.routing.gateway_attempts import (
-    NOT_RUN,
     AttemptHistory,
     AttemptResult,
     NextStep,
@@ -56,20 +56,12 @@
 from ploverhatch.routing.route_table import Route, ShareSplitter
 from ploverhatch.routing.shared_retry_budget import SharedRetryBudget
 from ploverhatch.routing.usual_deadlines import UsualDeadlines
-from ploverhatch.state.server_notices import NO_NOTICE
-from ploverhatch.transport.answer_match import AnswerMatch, match_answer
 from ploverhatch.transport.http_connection import (
-    AnswerCutError,
-    AnswerTooLongError,
-    ForeignAnswerError,
-    HttpConnection,
-    NotConnectedError,
     WireAnswer,
 )
 
 LOG = PartLogger("forwarder")
 
-CONNECT_TIMEOUT_S = 0.3
 # The share of the objective after which a request that no server can take is refused.
 OFFER_FRACTION = 0.23
 # The share of the objective within which a granted slot mostly still meets the objective.
@@ -150,6 +142,9 @@
         self._quarantine = quarantine or _single_node_quarantine()
         pool.on_removed = self._quarantine.note_server_ended
         self.metrics = GatewayMetrics(pool.uses)
+        self._attempts = ServerAttempts(
+            dialect, directory, self._choice, self._links, self._quarantine, self.metrics
+        )
 
     # ---- entry ----------------------------------------------------------------------
 
@@ -429,7 +424,7 @@
             if slot is not None and granted is not None:
                 self._quarantine.recheck(call, history.may_have_run)
                 with granted.granted_slot():
-                    result, answer = self._attempt_and_record(call, granted)
+                    result, answer = self._attempts.make(call, granted)
                 # A failure of the link says nothing of the server.
                 in_doubt = self._links.in_doubt(granted.record.server_id)
                 slot.failed = result in FAILED_RESULTS and not in_doubt
@@ -517,7 +512,7 @@
             with upstream.slot(call.route.priority, (until_ms - elapsed_ms()) / 1000):
                 self._quarantine.recheck(call, history.may_have_run)
                 with self._reported_use(call, upstream, history):
-                    return self._attempt_and_record(call, upstream)
+                    return self._attempts.make(call, upstream)
         except QueueFullError as error:
             raise self._refusal_without_server(call, history, results.QUEUE_FULL) from error
         except NoSlotError as error:
@@ -542,154 +537,6 @@
         retry_after_s = RETRY_AFTER_BUSY_S if busy else RETRY_AFTER_MOVE_S
         return RefusedError(result, detail or call.service, max(retry_after_s, after_s))
 
-    def _attempt_and_record(
-        self, call: Call, upstream: Upstream
-    ) -> tuple[AttemptResult, WireAnswer | None]:
-        start_ms = elapsed_ms()
-        call.trace.connection = call.trace.answer = ""
-        result, answer = self._attempt(call, upstream)
-        call.trace.attempts.append(
-            AttemptNote(
-                upstream.record.server_id,
-                call.token,
-                start_ms - call.request.received_ms,
-                elapsed_ms() - start_ms,
-                result,
-                call.trace.connection,
-                call.trace.answer,
-            )
-        )
-        return result, answer
-
-    def _attempt(self, call: Call, upstream: Upstream) -> tuple[AttemptResult, WireAnswer | None]:
-        record = upstream.record
-        left_ms = call.remaining_ms
-        if left_ms <= 0:
-            return AttemptResult.NOT_CONNECTED, None
-        connection = self._connect(upstream, call.facts.request_id, left_ms)
-        if connection is None:
-            return AttemptResult.NOT_CONNECTED, None
-        sent_ms = elapsed_ms()
-        left_ms = call.deadline_ms - sent_ms
-        # The server may have asked for a backoff or announced that it leaves while this request
-        # waited for its slot and connection. No code between this check and the send waits.
-        withheld = self._choice.exclusion(call, record.server_id) is not None
-        if left_ms <= 0 or withheld:
-            upstream.release(connection)
-            return AttemptResult.WITHHELD if withheld else AttemptResult.NOT_CONNECTED, None
-        head = self._dialect.encode_head(call.request, record.server_id, left_ms)
-        call.trace.execution.note_send()
-        call.trace.connection = f"{connection.number}.{connection.exchanges + 1}"
-        self._count_send(record.server_id)
-        self._quarantine.log_suspect_send(call, record.server_id)
-        answer = self._exchange(call, upstream, connection, head, sent_ms)
-        if isinstance(answer, AttemptResult):
-            return answer, None
-        result = self._classify(call, record.server_id, answer)
-        if result is not AttemptResult.WRONG_INSTANCE:
-            upstream.last_answer_ms = elapsed_ms()
-        self._links.note_reached(upstream)
-        notice = self._dialect.notice(call.facts.request_id, record.server_id, answer)
-        if notice != NO_NOTICE:
-            self._directory.apply_notice(record.server_id, notice, sent_ms)
-        if notice.backoff_ms:
-            upstream.note_backoff()
-            self._choice.note_backoff(record.server_id)
-        if result is AttemptResult.LOST:
-            connection.abort()
-            return result, None
-        upstream.release(connection)
-        if result is AttemptResult.ANSWERED:
-            upstream.note_answer(elapsed_ms() - sent_ms, call.route.objective_ms)
-        return result, answer
-
-    def _classify(self, call: Call, server_id: str, answer: WireAnswer) -> AttemptResult:
-        """Return the outcome of an attempt; record what its answer proves."""
-        result = self._dialect.classify_answer(call.facts, server_id, answer)
-        proof = self._dialect.execution_proof(call.facts, server_id, answer)
-        call.trace.answer = f"{answer.status}/{proof.value}"
-        self.metrics.count_answer(answer.status, proof)
-        if result in NOT_RUN:
-            call.trace.execution.note_not_run()
-        return result
-
-    def _connect(
-        self, upstream: Upstream, request_id: bytes, left_ms: float
-    ) -> HttpConnection | None:
-        try:
-            connection = upstream.connection(min(CONNECT_TIMEOUT_S, left_ms / 1000), request_id)
-        except NotConnectedError as error:
-            self._links.note_unreached(upstream, error.refused)
-            if error.refused:
-                self._quarantine.note_refused(upstream)
-            return None
-        if connection.is_new:
-            self._links.note_reached(upstream)
-        return connection
-
-    def _exchange(
-        self,
-        call: Call,
-        upstream: Upstream,
-        connection: HttpConnection,
-        head: bytes,
-        sent_ms: float,
-    ) -> WireAnswer | AttemptResult:
-        """Send a request and return the server's answer, or the outcome if there is none."""
-        request_id = call.facts.request_id
-        earlier = frozenset(connection.request_ids)
-        connection.request_ids.append(request_id)
-
-        def match(answer: WireAnswer) -> AnswerMatch:
-            return match_answer(request_id, self._dialect.answered_id(answer), earlier)
-
-        try:
-            with gevent.Timeout((call.deadline_ms - sent_ms) / 1000):
-                return connection.exchange(
-                    call.request.method,
-                    head,
-                    match=match,
-                    body=call.request.body,
-                    max_body_bytes=upstream.max_body_bytes,
-                )
-        except gevent.Timeout:
-            self._quarantine.note_timeout(call, upstream, sent_ms)
-            return AttemptResult.TIMED_OUT
-        except ForeignAnswerError:
-            LOG.warning(
-                "Answer may belong to another request.",
-                request=call.trace.request_id,
-                server=upstream.record.server_id,
-                connection=call.trace.connection,
-            )
-            return AttemptResult.LOST
-        except AnswerTooLongError as error:
-            # The server lives, but the request may have run.
-            upstream.note_too_long(error.body_bytes)
-            LOG.warning(
-                "Answer of a server is too long.",
-                request=call.trace.request_id,
-                server=upstream.record.server_id,
-                cause=error,
-            )
-            return AttemptResult.LOST
-        except AnswerCutError:
-            self._quarantine.note_lost(call, upstream, sent_ms)
-            upstream.note_lost(connection)
-            return AttemptResult.LOST
-        except BaseException:  # The caller disconnected, or the process exits.
-            self._quarantine.note_abandoned(call, upstream, sent_ms)
-            raise
-
-    def _count_send(self, server_id: str) -> None:
-        notices = self._directory.servers.notices
-        if notices.is_leaving(server_id):
-            self.metrics.sends["leaving"] += 1
-        if notices.backoff_left_ms(server_id, elapsed_ms()) > 0:
-            self.metrics.sends["resting"] += 1
-        if server_id in notices.limit_per_s:
-            self.metrics.sends["limited"] += 1
-
     # ---- choice of the server ---------------------------------------------------------
 
     def _await_upstream(self, call: Call, tried: set[str], history: AttemptHistory) -> Upstream:
