--- a/ploverhatch/transport/buffers.py
+++ b/ploverhatch/transport/buffers.py
@@ -14,7 +14,7 @@
 RESERVED_FRACTION = 0.25  # of the memory, for messages of up to SMALL_BYTES
 FIELD_BYTES = 128  # memory of a header field beyond its name and value
 CHUNK_FRAME_BYTES = 32  # a size with leading zeros, a short extension and the ends of lines
-SMALL_FRAMES_BYTES = 2 << 20  # beyond the content of a message
+SMALL_FRAMES_BYTES = 512 << 10  # beyond the content of a message
 MESSAGE_BYTES = 1024  # memory of a message without fields and body
 
 
