--- a/review/4/run.py
+++ b/review/4/run.py
@@ -164,7 +164,7 @@
     done: list[str] = []
     if trouble():
         store.intercept = intercept
-    leaving = upstreams[0]
+    leaving = next(upstream for upstream in upstreams if upstream.leases)
     leaving.state = "draining"
     leaving.beat()
     site.say(f"{leaving.id} announces that it is draining")
--- a/review/parts/store.py
+++ b/review/parts/store.py
@@ -23,6 +23,8 @@
         self.events: list[tuple[float, int, str, dict, bool]] = []
         self.dropped = 0  # events up to this revision are forgotten
         self.changed = asyncio.Event()
+        # When the last call of a kind arrived: by machine, method or "WATCH", and kind of objects.
+        self.calls: dict[tuple[str, str, str], float] = {}
         self.cut: set[str] = set()  # machines that are partitioned from the store, silently
         # Called before a write of a machine is carried out; true: it isn't, and gets no answer.
         self.intercept = lambda machine, method, path, document: False
@@ -81,6 +83,7 @@
     ) -> None:
         try:
             while (request := await read_message(reader)) is not None:
+                self._note(machine, request)
                 await asyncio.sleep(ANSWER_S)
                 if machine in self.cut:
                     await SILENCE.wait()
@@ -101,6 +104,11 @@
         finally:
             writer.close()
 
+    def _note(self, machine: str, request: Message) -> None:
+        target = urlsplit(request.start[1])
+        call = "WATCH" if "watch=" in target.query else request.start[0]
+        self.calls[machine, call, target.path.split("/")[3]] = time.monotonic()
+
     async def answer(self, request: Message) -> tuple[int, object]:
         method, target = request.start[0], urlsplit(request.start[1])
         query = {name: values[0] for name, values in parse_qs(target.query).items()}
