--- a/review/parts/site.py
+++ b/review/parts/site.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -160,6 +161,8 @@
         self.gateways: list[Gateway] = []
         self._record = open(record, "w")  # noqa: SIM115
         self._began = time.monotonic()
+        # Also where the script is ended from outside, its processes end.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     def note(self, text: str, at: float | None = None) -> None:
         """Write a line, with seconds since the start."""
