Inherit a map of another leader that is met in mid-term

Cause: what a leader knows of possible holders lives in the map it has adopted. It inherits the map that it reads at the start of a term, but a map met later, after a conflict, replaced all of that as it was: the former standbys were dropped, and the standbys of that map were not turned into former ones.

Evidence: the gateways' logs of the case. "Keys granted." told after=- for all keys that were regranted, though each had a former standby, and the new leader used the late map's own tokens. Ruled out: a standby that was released and then renewed late (it was never asked), a late grant (all were answered).

Change: map_seen tells a map of this term by its writer. Any other map is inherited: possible holders of overlapping ranges and all standbys become former ones, leases count until earlier leaders' authority is over, its tokens are not used. Ends that are sure stay known. The simulation gets the fault cut-leader-by-write and an invariant on what the leader knows of holders.

--- a/ploverhatch/gateway/key_leader.py
+++ b/ploverhatch/gateway/key_leader.py
@@ -5,6 +5,7 @@
 right before it is sent, after every wait.
 """
 
+import secrets
 from collections.abc import Callable, Collection, Sequence
 
 import gevent
@@ -54,6 +55,7 @@
 LOG = PartLogger("leader")
 
 TICK_S = 0.05
+WRITER_BYTES = 6  # random bytes in the name of a term, by which its key maps are told apart
 READ_RETRY_S = 0.25
 # Nodes report every 0.3 s, and evaluating the reports of hundreds of them takes milliseconds.
 READ_EVERY_MS = 150.0
@@ -101,7 +103,7 @@
         self._publish_promoted = publish_promoted
         self._lease_ms = min(LEASE_MS, lease_max_ms)
         self._timing = LeaseTiming(self._lease_ms)
-        self._core = LeaderCore(self._timing)
+        self._core = LeaderCore(self._timing, writer=secrets.token_hex(WRITER_BYTES))
         self._controls: dict[str, ServerControl] = {}
         self._loads: dict[str, KeyLoad] = {}
         self._answer_times = AnswerTimes()
@@ -171,6 +173,7 @@
                 gevent.sleep(READ_RETRY_S)
                 continue
             renewable_ms = max(self._elector.state.inherited_until_ms, elapsed_ms())
+            self._core.note_renewable(renewable_ms)
             others_until_ms = elapsed_ms() + election.AUTHORITY_MS
             self._core.note_restores(era_of(listing.revision))
             if era_of(listing.revision):
@@ -239,7 +242,7 @@
             seen = self._directory.keymaps.get(service)
             if seen is not None:
                 self._core.note_restores(era_of(seen.revision))
-                self._core.map_seen(seen, now_ms)
+                self._note_map(seen)
             if service in self._directory.outdated_keymaps:
                 self._core.map_outdated(service)
         may_change = self._elector.may_change
@@ -366,9 +369,18 @@
             LOG.warning("Key map not read back.", service=service, cause=error)
         self._core.map_not_stored(service)
         if keymap is not None:
-            self._core.map_seen(keymap, elapsed_ms())
+            self._note_map(keymap)
             self._directory.put_keymap(keymap)
 
+    def _note_map(self, keymap: KeyMap) -> None:
+        if self._core.map_seen(keymap, elapsed_ms()):
+            LOG.warning(
+                "Key map of another leader adopted.",
+                service=keymap.service,
+                revision=keymap.revision,
+                token=keymap.token,
+            )
+
     def _log_moves(self, keymap: KeyMap, logged_token: int) -> None:
         for item in keymap.moving:
             if item.token <= logged_token:
--- a/ploverhatch/gateway/keymap_codec.py
+++ b/ploverhatch/gateway/keymap_codec.py
@@ -40,6 +40,7 @@
     holders: list[_StoredHolder]
     ranges: list[_StoredRange]
     base: int = 0  # revision of the map that this one replaced
+    writer: str = ""  # the term of leadership in which it was written
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -85,7 +86,9 @@
         for item in keymap.ranges
     ]
     stored = [_StoredHolder(item.server_id, item.host, item.port) for item in holders]
-    return msgspec.to_builtins(_StoredMap(keymap.token, stored, ranges, keymap.revision))
+    return msgspec.to_builtins(
+        _StoredMap(keymap.token, stored, ranges, keymap.revision, keymap.writer)
+    )
 
 
 def decode_keymap(item: VersionedObject) -> KeyMap:
@@ -112,7 +115,7 @@
         )
         for row in stored.ranges
     )
-    return KeyMap(item.name, ranges, stored.token, item.revision)
+    return KeyMap(item.name, ranges, stored.token, item.revision, stored.writer)
 
 
 def predates_restore(item: VersionedObject) -> bool:
--- a/ploverhatch/gateway/keymap_relay.py
+++ b/ploverhatch/gateway/keymap_relay.py
@@ -1,5 +1,7 @@
 """Key maps as they are relayed between nodes: the ranges that changed since the last one."""
 
+from dataclasses import replace
+
 import msgspec
 
 from ploverhatch.common.logs import PartLogger
@@ -32,7 +34,7 @@
                 keymap.service, keymap.revision, keymap_codec.encode_keymap(keymap)
             )
         ranges = changed_ranges(before, keymap)
-        part = KeyMap(keymap.service, ranges, keymap.token, keymap.revision)
+        part = replace(keymap, ranges=ranges)
         content = keymap_codec.encode_keymap(part)
         return RelayedChange(keymap.service, keymap.revision, content, base=before.revision)
 
--- a/ploverhatch/sharding/holders.py
+++ b/ploverhatch/sharding/holders.py
@@ -82,6 +82,7 @@
     tried_ms: dict[RangeId, float] = field(default_factory=dict)
     renewals_in_flight: list[_Renewal] = field(default_factory=list)
     probe_due: bool = False  # a renewal is to be sent at once, to see whether it is answered
+    stopped: bool = False  # this incarnation of the server has certainly ended
     superseded: bool = False  # a later incarnation of the server runs at another address
     # Tokens of grants that were acknowledged before the connection closed. A later incarnation
     # may answer at the address, and would accept a renewal at an unchanged token.
@@ -104,10 +105,17 @@
 
     def note_grant_sent(self, now_ms: float) -> None:
         """Record that a grant is sent now."""
+        self.stopped = self.superseded
         self.held_until_ms = max(self.held_until_ms, self.timing.expiry_ms(now_ms))
 
+    def note_renewable(self, until_ms: float) -> None:
+        """Record that other leaders may grant it keys until a time, unless it has stopped."""
+        if not self.stopped:
+            self.held_until_ms = max(self.held_until_ms, self.timing.expiry_ms(until_ms))
+
     def note_stopped(self) -> None:
         """Record that the server has stopped, so that it holds nothing."""
+        self.stopped = True
         self.held_until_ms = 0.0
 
     def note_superseded(self) -> None:
--- a/ploverhatch/sharding/keymap.py
+++ b/ploverhatch/sharding/keymap.py
@@ -91,6 +91,7 @@
     ranges: tuple[KeyRange, ...] = ()
     token: int = 0  # highest token assigned so far
     revision: int = 0  # revision of the object in the store; 0 means not stored yet
+    writer: str = ""  # the term of leadership in which the map was written; empty: not known
 
     @cached_property
     def _starts(self) -> list[int]:
--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -32,6 +32,7 @@
     Action,
     CallOutcome,
     ForgetServer,
+    HoldEnd,
     RangeId,
     Resign,
     SendGrant,
@@ -42,7 +43,12 @@
     range_id,
 )
 from ploverhatch.sharding.restored import possible_holders, revoked_everywhere, token_above_lost
-from ploverhatch.sharding.standbys import assign_standbys, inherited, promote
+from ploverhatch.sharding.standbys import (
+    assign_standbys,
+    inherited,
+    promote,
+    with_known_holders,
+)
 from ploverhatch.sharding.transfer import Transfer
 from ploverhatch.state.incarnations import is_later_incarnation, registered_name
 from ploverhatch.state.server_notices import MIN_LIMIT_PER_S
@@ -110,11 +116,18 @@
 
     :param timing: times that follow from the duration of a lease.
     :param limits: thresholds for moves that balance servers.
+    :param writer: names the term in the maps that it writes, and no other term; if empty, each
+        map that is read counts as another leader's.
     """
 
     def __init__(
-        self, timing: LeaseTiming | None = None, limits: planner.PlanLimits | None = None
+        self,
+        timing: LeaseTiming | None = None,
+        limits: planner.PlanLimits | None = None,
+        writer: str = "",
     ) -> None:
+        self._writer = writer
+        self._renewable_until_ms = -1e12  # time until which earlier leaders may make grants
         self._timing = timing or LeaseTiming()
         self._limits = limits or planner.PlanLimits()
         self._services: dict[str, _ServiceState] = {}
@@ -178,23 +191,46 @@
         :param same_incarnations: whether the incarnations that were granted the keys are known
             to be running still.
         """
+        self.note_renewable(renewable_until_ms)
+        state = self._state(keymap.service)
+        self._inherit(state, keymap, now_ms)
+        if not same_incarnations:
+            self._distrust_grants(state.keymap)
+
+    def note_renewable(self, until_ms: float) -> None:
+        """Record a time until which earlier leaders may make and renew grants."""
+        self._renewable_until_ms = max(self._renewable_until_ms, until_ms)
+
+    def _inherit(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
+        """Adopt a map of another leader, which may have granted keys by it.
+
+        That leader didn't know all that is known here: who may hold keys by the map that is
+        replaced may hold them still.
+        """
+        keymap = with_known_holders(keymap, state.keymap, partial(self._has_ended, state))
         keymap = inherited(keymap)
-        state = self._services.setdefault(keymap.service, _ServiceState(keymap))
-        self._adopt(state, keymap, now_ms)
         for item in keymap.ranges:
             for holder in item.possible_holders:
-                lease = self._lease(holder)
-                lease.held_until_ms = max(
-                    lease.held_until_ms, self._timing.expiry_ms(renewable_until_ms)
-                )
-        if not same_incarnations:
-            for item in keymap.ranges:
-                self._lease(item.holder).unproven_tokens.add(item.token)
-        for transfer in state.transfers.values():
-            for server_id in transfer.expiries_ms:
-                transfer.expiries_ms[server_id] = max(
-                    transfer.expiries_ms[server_id], self._leases[server_id].held_until_ms
-                )
+                self._lease(holder).note_renewable(self._renewable_until_ms)
+        state.transfers.clear()  # they don't wait for the holders that the other leader knew
+        self._adopt(state, keymap, now_ms)
+
+    def _has_ended(self, state: _ServiceState, item: KeyRange, holder: Holder) -> bool:
+        """Whether a possible holder of a range certainly holds it no more.
+
+        A release is no proof: an earlier leader may grant the range again at a reserved token,
+        which is higher than the one that the release named.
+        """
+        transfer = state.transfers.get(range_id(state.keymap.service, item))
+        return transfer is not None and transfer.ended.get(holder.server_id) is HoldEnd.EXPIRED
+
+    def _distrust_grants(self, keymap: KeyMap) -> None:
+        """Make no call at a map's tokens: other incarnations may have been granted the keys."""
+        for item in keymap.ranges:
+            self._lease(item.holder).unproven_tokens.add(item.token)
+
+    def _state(self, service: str) -> _ServiceState:
+        return self._services.setdefault(service, _ServiceState(KeyMap(service)))
 
     def _lease(self, holder: Holder) -> HolderLease:
         lease = self._leases.get(holder.server_id)
@@ -271,8 +307,7 @@
     def _plan_all(self, views: Mapping[str, ServiceView], now_ms: float) -> list[Action]:
         actions: list[Action] = []
         for service, view in views.items():
-            state = self._services.setdefault(service, _ServiceState(KeyMap(service)))
-            actions += self._plan(state, view, now_ms)
+            actions += self._plan(self._state(service), view, now_ms)
         return actions
 
     def _plan(self, state: _ServiceState, view: ServiceView, now_ms: float) -> list[Action]:
@@ -420,8 +455,8 @@
         if candidates:
             holders = [candidate.holder for candidate in candidates]
             keymap = assign_standbys(keymap, state.stored or KeyMap(keymap.service), holders)
-        state.storing = keymap
-        return [StoreMap(keymap)]
+        state.storing = replace(keymap, writer=self._writer)
+        return [StoreMap(state.storing)]
 
     def _candidates(
         self, state: _ServiceState, view: ServiceView, now_ms: float
@@ -623,9 +658,7 @@
         state = self._services[keymap.service]
         state.storing = None
         state.outdated = False
-        state.untrusted_until_ms = None
-        state.stored = replace(keymap, revision=revision)
-        self._adopt_stored(state, state.stored, now_ms)
+        self._note_stored(state, replace(keymap, revision=revision), now_ms)
 
     def map_not_stored(self, service: str) -> None:
         """Record that the store did not accept a map, or that it is not known whether it did."""
@@ -664,9 +697,7 @@
         servers = [Holder(item.server_id, item.host, item.port) for item in view.records]
         holders = possible_holders(keymap, servers)
         for holder in holders:
-            lease = self._lease(holder)
-            expiry_ms = self._timing.expiry_ms(renewable_until_ms)
-            lease.held_until_ms = max(lease.held_until_ms, expiry_ms)
+            self._lease(holder).note_renewable(renewable_until_ms)
         return revoked_everywhere(keymap, holders, self._restores)
 
     def map_outdated(self, service: str) -> None:
@@ -675,24 +706,47 @@
         if state is not None:
             state.outdated = True
 
-    def map_seen(self, keymap: KeyMap, now_ms: float) -> None:
-        """Record that a map was read from the store; it is adopted if its revision is later."""
+    def map_seen(self, keymap: KeyMap, now_ms: float) -> bool:
+        """Record that a map was read from the store; it is adopted if its revision is later.
+
+        :returns: whether it was adopted as the map of another leader. Such a map is found in
+            mid-term where the store carries out the write of an earlier leader late.
+        """
         state = self._services.setdefault(keymap.service, _ServiceState(keymap))
         if state.storing is not None or keymap.revision <= state.keymap.revision:
-            return
+            return False
         if keymap.token < state.keymap.token:
             # The store was restored from a snapshot, so its map has to be overwritten.
             state.outdated = True
-            keymap = replace(state.keymap, revision=keymap.revision)
-        state.stored = None  # another leader may have written it
+            state.stored = None
+            known = replace(state.keymap, revision=keymap.revision)
+            self._adopt_stored(state, known, now_ms)
+            return False
+        if self._writer and keymap.writer == self._writer:
+            self._note_stored(state, keymap, now_ms)
+            return False
+        state.stored = None
+        self._keep_listed_promotions(state, keymap)
+        self._inherit(state, promote(keymap, state.promoted), now_ms)
+        self._distrust_grants(state.keymap)
+        return True
+
+    def _note_stored(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
+        """Adopt a map that this leader wrote and that the store has."""
+        state.untrusted_until_ms = None
+        state.stored = keymap
         self._adopt_stored(state, keymap, now_ms)
 
     def _adopt_stored(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
         """Adopt a map that the store has; its write may have begun before a promotion."""
+        self._keep_listed_promotions(state, keymap)
+        self._adopt(state, keymap, now_ms)
+
+    def _keep_listed_promotions(self, state: _ServiceState, keymap: KeyMap) -> None:
+        """Drop the promotions that a map in the store shows or has replaced."""
         listed = {standby.token for item in keymap.ranges for standby in item.standbys}
         state.promoted &= listed
-        state.has_unstored_promotions = False
-        self._adopt(state, keymap, now_ms)
+        state.has_unstored_promotions = promote(keymap, state.promoted) != keymap
 
     def _adopt(self, state: _ServiceState, keymap: KeyMap, now_ms: float) -> None:
         promoted = promote(keymap, state.promoted)
--- a/ploverhatch/sharding/standbys.py
+++ b/ploverhatch/sharding/standbys.py
@@ -9,7 +9,8 @@
 This module does no I/O and reads no clock.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from bisect import bisect_left
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import replace
 
 from ploverhatch.sharding.keymap import Holder, KeyMap, KeyRange, Standby
@@ -113,5 +114,38 @@
     return replace(keymap, ranges=ranges)
 
 
+def with_known_holders(
+    keymap: KeyMap, known: KeyMap, has_ended: Callable[[KeyRange, Holder], bool]
+) -> KeyMap:
+    """Return a map with the possible holders of the one that it replaces as former standbys.
+
+    The writer of the map may not have known of all of them. Where ranges were split or joined,
+    those of each overlapping range count.
+
+    :param known: the map that is replaced.
+    :param has_ended: returns whether a server certainly holds a range of ``known`` no more.
+    """
+    ends = [item.last for item in known.ranges]
+    ranges = []
+    for item in keymap.ranges:
+        holders = (
+            holder
+            for other in _overlapping(known, ends, item)
+            for holder in other.possible_holders
+            if holder not in item.previous and not has_ended(other, holder)
+        )
+        former = _without(item.holder, (*item.former_standbys, *holders))
+        ranges.append(replace(item, former_standbys=former))
+    return replace(keymap, ranges=tuple(ranges))
+
+
+def _overlapping(known: KeyMap, ends: Sequence[int], item: KeyRange) -> Iterable[KeyRange]:
+    """Yield the ranges of a map that share keys with a range; ``ends`` are their last keys."""
+    for other in known.ranges[bisect_left(ends, item.first) :]:
+        if other.first > item.last:
+            return
+        yield other
+
+
 def _without(holder: Holder, others: Iterable[Holder]) -> tuple[Holder, ...]:
     return tuple(dict.fromkeys(other for other in others if other != holder))
--- a/ploverhatch/sharding/transfer.py
+++ b/ploverhatch/sharding/transfer.py
@@ -52,7 +52,7 @@
         pending = {
             holder.server_id: holder
             for holder in (*item.previous, *item.former_standbys)
-            if not (holder.server_id in leases and leases[holder.server_id].superseded)
+            if not (holder.server_id in leases and leases[holder.server_id].stopped)
         }
         unused_ms = view.unused_from_ms(now_ms)
         expiries = {
--- a/ploverhatch/simulation/keys/cell.py
+++ b/ploverhatch/simulation/keys/cell.py
@@ -8,6 +8,8 @@
 from ploverhatch.simulation.keys.node import (
     CALL_TIMEOUT_MS,
     LATE_ORDER_MS,
+    LEASE,
+    SERVICE,
     SimKeyNode,
     UnansweredGrant,
 )
@@ -42,6 +44,7 @@
         self._starts = 0
         self._stale: dict[str, ServerRecord] = {}  # entries of ended incarnations, by name
         self._last_served: dict[tuple[int, str], float] = {}  # by key and node
+        self._unknown_holders: dict[tuple[int, str, str], str] = {}  # by key, holder and leader
         for number in range(servers):
             self.start_server(port=9000 + number)
         for number in range(nodes):
@@ -290,9 +293,44 @@
         }
         return [key for key in SAMPLE_KEYS if key not in served]
 
+    def check_known_holders(self, node: SimKeyNode) -> None:
+        """Note the servers that hold keys, but that the leader of the latest map doesn't know of.
+
+        Nothing is noted for another node, nor for a leader that has not read the latest map yet.
+        """
+        lease, stored = self.store.items.get(LEASE), self.store.items.get(SERVICE)
+        if lease is None or stored is None or node.core is None:
+            return
+        keymap = node.core.keymap(SERVICE)
+        identity = lease.value.node, lease.value.incarnation
+        if identity != node.state.identity or keymap.revision != stored.revision:
+            return
+        for item in keymap.ranges:
+            known = {registered_name(holder.server_id) for holder in item.possible_holders}
+            for key in SAMPLE_KEYS:
+                if item.first <= key <= item.last:
+                    for server in self._proven_holders(key):
+                        if registered_name(server) not in known:
+                            self._unknown_holders.setdefault(
+                                (key, server, node.name),
+                                f"key {key}: {node.name} leads and doesn't know that {server} "
+                                f"may hold it",
+                            )
+
+    def _proven_holders(self, key: int) -> list[str]:
+        """Return the servers that hold a key by a grant that arrived in time."""
+        found = []
+        for server in self.servers.values():
+            hold = server.holding(key)
+            if hold is None or hold.late or hold.held_up:
+                continue
+            if hold.proven_until_ms > self.world.now_ms:
+                found.append(server.incarnation)
+        return found
+
     def violations(self) -> list[str]:
         """Return the violations that the servers' own records show."""
-        return find_violations(self.journal.holds)
+        return find_violations(self.journal.holds) + list(self._unknown_holders.values())
 
 
 def _discard(_: object) -> None:
--- a/ploverhatch/simulation/keys/faults.py
+++ b/ploverhatch/simulation/keys/faults.py
@@ -10,6 +10,7 @@
 
 from ploverhatch.sharding.messages import CallOutcome
 from ploverhatch.simulation.keys.cell import KeyCell
+from ploverhatch.simulation.keys.node import SERVICE
 from ploverhatch.simulation.keys.server import SimKeyServer
 from ploverhatch.state.incarnations import registered_name
 
@@ -112,6 +113,21 @@
     return lambda: cell.store.cut.discard(name)
 
 
+def cut_leader_by_write(cell: KeyCell) -> Heal:
+    """Cut the leader off from the store by its next write of the key map.
+
+    The write is carried out late, just before the next leader's first write of the map.
+    """
+    name = _leader_or_random(cell)
+    cell.store.cut_by_write.add((name, SERVICE))
+
+    def heal() -> None:
+        cell.store.cut_by_write.discard((name, SERVICE))
+        cell.store.cut.discard(name)
+
+    return heal
+
+
 def _cut_leader_from_servers(cell: KeyCell, outcome: CallOutcome) -> Heal:
     node = cell.nodes[_leader_or_random(cell)]
     node.cut_from_servers = outcome
@@ -358,6 +374,7 @@
         false_silence,
         late_orders,
         hot_key,
+        cut_leader_by_write,
     )
 }
 
@@ -369,6 +386,8 @@
 }
 # Left out of random schedules, so that the schedule of a seed is the same as without them.
 NODE_CUTS = frozenset({"cut-nodes-from-servers", "refuse-nodes"})
+LATE_WRITES = frozenset({"cut-leader-by-write"})
+NOT_DRAWN = NODE_CUTS | LATE_WRITES
 REFUSED_FRACTION = 0.5  # of the links that are cut in random schedules
 
 
@@ -449,7 +468,7 @@
     """Run a schedule of one to five random faults."""
     world = KeyCell(seed, nodes=0, servers=0).world
     count = world.random.randint(1, 5)
-    drawn = sorted(FAULTS.keys() - REFUSING.values() - NODE_CUTS)
+    drawn = sorted(FAULTS.keys() - REFUSING.values() - NOT_DRAWN)
     names = [world.random.choice(drawn) for _ in range(count)]
     # Drawn apart, so that the schedule of a seed is otherwise the same.
     links = random.Random(f"links of {seed}")
--- a/ploverhatch/simulation/keys/node.py
+++ b/ploverhatch/simulation/keys/node.py
@@ -261,7 +261,8 @@
 
     def _start_leading(self) -> None:
         """Read the key map, then lead with a new core for this term."""
-        core, term = LeaderCore(), self.state.seen.term
+        term = self.state.seen.term
+        core = LeaderCore(writer=f"{self.name} {self.state.incarnation} {term}")
         self._connected_to.clear()
         self._kept.clear()
         self._unanswered.clear()
@@ -272,9 +273,10 @@
                 return
             if self.state.seen.term != term:
                 return
+            inherited_ms = max(self.state.inherited_until_ms, self.now_ms)
+            core.note_renewable(inherited_ms)
             if item is not None:
                 keymap = replace(item.value, revision=item.revision)
-                inherited_ms = max(self.state.inherited_until_ms, self.now_ms)
                 core.inherit(keymap, inherited_ms, self.now_ms, same_incarnations=False)
             self.core = core
 
@@ -360,6 +362,7 @@
         actions = self.core.tick(
             self.now_ms, {SERVICE: known}, may_change, finishing, store_unavailable, self.is_cut_off
         )
+        self.cell.check_known_holders(self)
         self._execute(self.core, actions)
 
     def _execute(self, core: LeaderCore, actions: list[Action]) -> None:
--- a/ploverhatch/simulation/keys/store.py
+++ b/ploverhatch/simulation/keys/store.py
@@ -39,6 +39,17 @@
     revision: int
 
 
+@dataclass(frozen=True, eq=False)
+class _HeldWrite:
+    """A write without an answer that is carried out before the next one of its object."""
+
+    node: str
+    name: str
+    value: Any
+    revision: int
+    sent_ms: float
+
+
 Answer = Callable[[StoreResult, StoredItem | None], None]
 
 
@@ -51,6 +62,9 @@
         self.items: dict[str, StoredItem] = {}
         self.revision = 0
         self.cut: set[str] = set()  # nodes that can't reach the store
+        # Nodes that are cut off by their next write of an object, by node and object.
+        self.cut_by_write: set[tuple[str, str]] = set()
+        self._held: list[_HeldWrite] = []
         self.watchers: dict[str, Callable[[str, StoredItem], None]] = {}
 
     def _reachable(self, node: str) -> bool:
@@ -73,9 +87,15 @@
         """Write one object if its revision is ``revision``; 0 means that it must be absent."""
 
         def serve() -> None:
+            if (node, name) in self.cut_by_write:
+                self.cut_by_write.discard((node, name))
+                self.cut.add(node)
+                self._held.append(_HeldWrite(node, name, value, revision, self.world.now_ms))
             if not self._reachable(node):
                 self.world.after(TIMEOUT_MS, lambda: answer(StoreResult.UNKNOWN, None))
-            elif self.world.random.random() < self.faults.lost:
+                return
+            self._apply_held(node, name)
+            if self.world.random.random() < self.faults.lost:
                 if self.faults.late:
                     self.world.after(
                         self.world.random.uniform(*LATE_MS),
@@ -91,6 +111,14 @@
         delay = self.faults.delay_ms / 2
         self.world.after(delay, serve)
 
+    def _apply_held(self, node: str, name: str) -> None:
+        """Carry out the held writes of an object, since another node is about to write it."""
+        for write in [write for write in self._held if write.name == name and write.node != node]:
+            self._held.remove(write)
+            age_ms = self.world.now_ms - write.sent_ms
+            if LATE_MS[0] <= age_ms <= LATE_MS[1]:
+                self._apply(write.name, write.value, write.revision)
+
     def _apply_late(self, name: str, value: Any, revision: int) -> None:
         self._apply(name, value, revision)
 
--- a/tests/unit/key_mutations.py
+++ b/tests/unit/key_mutations.py
@@ -50,6 +50,14 @@
     return replace(keymap, ranges=ranges)
 
 
+def adopt_late_map_as_it_is(self, keymap, now_ms):
+    state = self._state(keymap.service)
+    if state.storing is None and keymap.revision > state.keymap.revision:
+        state.stored = None
+        self._adopt_stored(state, keymap, now_ms)
+    return False
+
+
 def refused_release_ends_standby(self, call, outcome, handover, now_ms):
     state = self._services.get(call.range_id.service)
     transfer = state.transfers.get(call.range_id) if state else None
@@ -98,6 +106,9 @@
     "standbys of the last leader not released": [
         mock.patch.object(leader_core, "inherited", forget_standbys)
     ],
+    "late map adopted without the known holders": [
+        mock.patch.object(LeaderCore, "map_seen", adopt_late_map_as_it_is)
+    ],
     "refused release not waited out": [
         mock.patch.object(LeaderCore, "release_ended", refused_release_ends_standby)
     ],
--- a/tests/unit/test_key_simulation.py
+++ b/tests/unit/test_key_simulation.py
@@ -6,7 +6,9 @@
 
 from ploverhatch.simulation.keys.faults import (
     FAULTS,
+    LATE_WRITES,
     NODE_CUTS,
+    NOT_DRAWN,
     REFUSING,
     run_during_cut,
     run_schedule,
@@ -16,10 +18,12 @@
 
 REFUSED = set(REFUSING.values())
 # A pair's seed is its place, so those of later faults are appended.
-EARLIER = sorted(FAULTS.keys() - NODE_CUTS)
-PAIRS = list(combinations(sorted(FAULTS.keys() - REFUSED - NODE_CUTS), 2))
+EARLIER = sorted(FAULTS.keys() - NOT_DRAWN)
+WITHOUT_LATE_WRITES = sorted(FAULTS.keys() - LATE_WRITES)
+PAIRS = list(combinations(sorted(FAULTS.keys() - REFUSED - NOT_DRAWN), 2))
 PAIRS += [pair for pair in combinations(EARLIER, 2) if not REFUSED.isdisjoint(pair)]
-PAIRS += [pair for pair in combinations(sorted(FAULTS), 2) if not NODE_CUTS.isdisjoint(pair)]
+PAIRS += [pair for pair in combinations(WITHOUT_LATE_WRITES, 2) if not NODE_CUTS.isdisjoint(pair)]
+PAIRS += [pair for pair in combinations(sorted(FAULTS), 2) if not LATE_WRITES.isdisjoint(pair)]
 UNREACHABLE_AND_RESTARTED = (1, ("cut-server", "kill-all", "restart-server"))
 # Schedules (a seed and faults) that have a violation when the mechanism is switched off.
 FAILING_SCHEDULES = {
@@ -29,6 +33,7 @@
     "leases of the last leader not inherited": UNREACHABLE_AND_RESTARTED,
     "suspensions not counted": (5, ("suspend-leader", "suspend-leader", "split-leader")),
     "standbys of the last leader not released": (0, ("cut-leader-from-store", "drain-server")),
+    "late map adopted without the known holders": (1, ("drain-server", "cut-leader-by-write")),
     "refused release not waited out": (245, ("late-orders", "split-leader-refused")),
     "unanswered grants not discarded": (1, ("cut-server",)),
     "old maps trusted": (6, ("split-leader", "late-orders", "late-orders")),
@@ -99,6 +104,15 @@
     assert verdict.requests > 1000
 
 
+# Guards against a new leader that adopts its predecessor's late map, and with it forgets servers
+# that hold keys by a standby's grant.
+@pytest.mark.parametrize("other", ["drain-server", "restart-server", "evacuate", "cut-server"])
+def test_a_map_of_the_last_leader_that_is_stored_late_makes_no_holder_forgotten(other):
+    for seed in range(12):
+        verdict = run_schedule(seed, [other, "cut-leader-by-write"])
+        assert verdict.clean, explain(verdict)
+
+
 @pytest.mark.parametrize("pair", PAIRS, ids="+".join)
 def test_two_faults(pair):
     verdict = run_schedule(PAIRS.index(pair), pair)
