Inherit a map that is created after the listing of maps

Seen by callers: nothing so far; keyed requests of a service would be rejected for the rest of the leader's term.

Cause: map_seen used a first map as the known state of its service, and then skipped it, since its revision was not later than its own. So the map had no transfers. The same holds for a map that could not be read at the start.

Change: a service without a map has an empty one. The first map that is met is inherited as any other map of another leader.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -712,7 +712,7 @@
         :returns: whether it was adopted as the map of another leader. Such a map is found in
             mid-term where the store carries out the write of an earlier leader late.
         """
-        state = self._services.setdefault(keymap.service, _ServiceState(keymap))
+        state = self._state(keymap.service)
         if state.storing is not None or keymap.revision <= state.keymap.revision:
             return False
         if keymap.token < state.keymap.token:
--- a/tests/unit/test_late_maps.py
+++ b/tests/unit/test_late_maps.py
@@ -180,6 +180,29 @@
     assert standby not in {call.holder for call in releases}
 
 
+# Guards against keys that nobody is granted, since the leader has no transfers for a map that it
+# did not find at the start of its term.
+def test_keys_of_a_first_map_that_is_stored_after_the_listing_are_granted():
+    core = LeaderCore(writer="next")
+    core.note_renewable(RENEWABLE_MS)
+    pieces = [Move(0, 32767, holder(0)), Move(32768, 65535, holder(1))]
+    first = first_assignment(KeyMap(SERVICE), pieces)
+    core.map_seen(replace(first, revision=1, writer="earlier"), 100.0)
+    granted = set()
+    for step in range(40):
+        now_ms = 150.0 + 50.0 * step
+        actions = core.tick(now_ms, view(), True)
+        for action in actions:
+            if isinstance(action, StoreMap):
+                core.map_stored(action.keymap, 2 + step, now_ms)
+            elif isinstance(action, SendRelease):
+                actions += core.release_ended(action, CallOutcome.DONE, "", now_ms)
+            elif isinstance(action, SendGrant):
+                granted.add((action.range_id.first, action.range_id.last, action.holder))
+                actions += core.grant_ended(action, CallOutcome.DONE, now_ms)
+    assert granted >= {(0, 32767, holder(0)), (32768, 65535, holder(1))}
+
+
 def test_the_writer_of_a_map_is_stored_with_it():
     content = keymap_codec.encode_keymap(late_map())
     assert content["writer"] == "earlier"
