Revoke a first map that is met after a restore everywhere

After a restore of the store, a service without a map may have lost it, so that any server may hold its keys.

Cause: that knowledge was dropped with the first map that was adopted, such as one that an earlier leader had sent and that the store carried out late.

Change: such a map is invalid until it has been revoked everywhere, as one that is older than the restore at the start of a term.

Measured: the new test failed before (one server of four was named) and passes.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -726,6 +726,8 @@
             self._note_stored(state, keymap, now_ms)
             return False
         state.stored = None
+        if self._missing_until_ms is not None and not state.keymap.ranges:
+            state.untrusted_until_ms = self._missing_until_ms
         self._keep_listed_promotions(state, keymap)
         self._inherit(state, promote(keymap, state.promoted), now_ms)
         self._distrust_grants(state.keymap)
--- a/tests/unit/test_late_maps.py
+++ b/tests/unit/test_late_maps.py
@@ -203,6 +203,19 @@
     assert granted >= {(0, 32767, holder(0)), (32768, 65535, holder(1))}
 
 
+# Guards against a late map that hides that maps were lost in a restore of the store, by which any
+# server may hold any key.
+def test_a_first_map_that_is_met_after_a_restore_is_revoked_everywhere():
+    core = LeaderCore(writer="next")
+    core.invalidate_missing(RENEWABLE_MS)
+    first = first_assignment(KeyMap(SERVICE), [Move(0, 65535, holder(0))])
+    core.map_seen(replace(first, revision=1, writer="earlier"), 100.0)
+    (item,) = stored(core, 150.0, 2).ranges
+    assert {item.holder, *item.previous} == {holder(n) for n in range(COUNT)}
+    asked = {call.holder for call in of_kind(core.tick(200.0, view(0), True), SendRelease)}
+    assert asked == set(item.previous)
+
+
 def test_the_writer_of_a_map_is_stored_with_it():
     content = keymap_codec.encode_keymap(late_map())
     assert content["writer"] == "earlier"
