Take a status outside 100 to 599 for no answer

Seen by callers: a server that answers with status 000 made them wait for their whole deadline and get 504, where others could have served the request; a status above 599 was told to them as it was.

Cause: no status was checked. Each one below 200 counted as an interim answer, after which the final one is waited for. geventhttpclient's response, which the node program uses, does the same.

Change: the connection reports such an answer as cut, on every kind of connection. Ruled out: statuses that are told on between nodes (each node reads them from a checked answer); a check in the platform's dialect (control calls, the store and other nodes need it too).

--- a/ploverhatch/transport/http_client.py
+++ b/ploverhatch/transport/http_client.py
@@ -13,9 +13,10 @@
 
 import gevent
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 from typing_extensions import override
 
+from ploverhatch.transport.http_connection import STATUSES
 from ploverhatch.transport.peers import set_no_delay
 
 
@@ -52,6 +53,16 @@
         return json.loads(self.body)
 
 
+class _Response(HTTPSocketResponse):
+    """A response whose status has to be one of HTTP."""
+
+    @override
+    def _on_headers_complete(self) -> int | bool | None:
+        if self.status_code not in STATUSES:
+            raise HTTPParseError(f"not an answer: status {self.status_code:03}")
+        return super()._on_headers_complete()
+
+
 class _NoDelayPool(ConnectionPool):
     """Connection pool that disables Nagle's algorithm."""
 
@@ -134,7 +145,7 @@
         return answer
 
     def _read_answer(self, sock: Any, method: str) -> HttpAnswer:
-        response = HTTPSocketResponse(sock, method=method)
+        response = _Response(sock, method=method)
         body = bytes(response.read())
         fields = tuple((name.lower(), value) for name, value in response.items())
         answer = HttpAnswer(response.status_code, fields, body)
--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -33,6 +33,7 @@
 MAX_HEAD_BYTES = 65_536  # of an answer and all interim answers before it
 MAX_BODY_BYTES = 64 << 20
 MAX_CONTROL_BODY_BYTES = 65_536  # of an answer that carries no data of callers
+STATUSES = range(100, 600)  # RFC 9110, section 15; below 200 the final answer follows
 KEPT_IDS = 16  # latest requests on a connection that answers are told apart from
 LARGE_PAYLOAD_BYTES = 32_768  # a longer request is sent by a second task while its answer is read
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -205,7 +206,10 @@
     def on_headers_complete(self) -> None:
         if self.complete:
             return
-        self.answer.status = self._parser.get_status_code()
+        status = self._parser.get_status_code()
+        if status not in STATUSES:
+            raise AnswerCutError(f"not an answer: status {status:03}")
+        self.answer.status = status
         self.keep_alive = self._parser.should_keep_alive()
         self._headers_done = True
         if self._head_only and self.answer.status >= 200:
