Take an answer of another version of HTTP for none

Cause: llhttp accepts versions 0.9 and 2.0 too, and nothing looked at them.

Change: an answer whose major version isn't 1 is reported as cut, as one with a status that is none.

A version of 1.0 is served, and closes the connection, as before.

--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -206,6 +206,9 @@
     def on_headers_complete(self) -> None:
         if self.complete:
             return
+        version = self._parser.get_http_version()
+        if not version.startswith("1."):
+            raise AnswerCutError(f"not an answer: version {version}")
         status = self._parser.get_status_code()
         if status not in STATUSES:
             raise AnswerCutError(f"not an answer: status {status:03}")
--- a/tests/functional/test_http_connection.py
+++ b/tests/functional/test_http_connection.py
@@ -61,6 +61,18 @@
 }
 
 
+# Guards against answers in a version of the protocol that the connection doesn't speak.
+@pytest.mark.parametrize("version", [b"HTTP/2.0", b"HTTP/0.9", b"HTTP/3.0"])
+def test_answers_of_other_versions(version):
+    with pytest.raises(AnswerCutError):
+        exchange(COMPLETE.replace(b"HTTP/1.1", version))
+
+
+def test_an_answer_of_version_1_0_is_whole():
+    connection, answer = exchange(COMPLETE.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    assert (answer.status, answer.body, connection.reusable) == (200, b"ok", False)
+
+
 @pytest.mark.parametrize("name", BROKEN_ANSWERS)
 def test_broken_answers(name):
     answers, close = BROKEN_ANSWERS[name]
