Give an interim answer with a body up at once

Other interim statuses with a body were refused already, since llhttp reads the body as the next answer.

Cause: an interim answer was dropped with its body, and the final one waited for.

Change: a body before the final answer is reported as no answer (RFC 9110, section 15.2: such answers have none).

Measured: the new case failed before and passes.

--- a/ploverhatch/transport/http_connection.py
+++ b/ploverhatch/transport/http_connection.py
@@ -221,6 +221,8 @@
     def on_body(self, body: bytes) -> None:
         if self.complete:
             return
+        if self.answer.status < 200:
+            raise AnswerCutError("not an answer: interim, with a body")
         self._body_bytes += len(body)
         self.body_parts += 1
         if self._body_bytes > self._max_body_bytes:
--- a/tests/functional/test_http_connection.py
+++ b/tests/functional/test_http_connection.py
@@ -56,6 +56,8 @@
         [b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"],
         False,
     ),
+    # It was taken for an interim answer without a body, so the caller waited for its deadline.
+    "interim with a body": ([b"HTTP/1.1 199 Odd\r\nContent-Length: 2\r\n\r\nok"], False),
     "not an answer": ([b"\x16\x03\x01 hello"], False),
     "two lengths": ([b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"], True),
 }
