Test odd objects of every kind that gateways follow

The new test writes objects of five kinds (nodes, maps, configuration, evacuations, quarantine) with lists nested 3,000 deep, a number of 5,000 digits and one that no float holds: a gateway that runs and one that starts serve all, follow later servers and a later configuration, and the leader leads on.

--- a/tests/functional/test_odd_entries.py
+++ b/tests/functional/test_odd_entries.py
@@ -5,10 +5,12 @@
 entries had no slots, or an unknown state, got default values and received requests.
 """
 
+import json
+
 import gevent
 import pytest
 
-from tests.functional.test_gateway import Site, ask, is_ready, start_site, until
+from tests.functional.test_gateway import CONFIG, Site, ask, is_ready, start_site, until
 from tests.standin.malformed_entries import CHANGES, malformed_record
 from tests.standin.upstream import Upstream
 
@@ -56,6 +58,55 @@
     assert [ask(gateway, b"/k/a", key)[0] for key in (0, 30_000, 65_535)] == [200] * 3
 
 
+class Marker:
+    """JSON that no encoder writes; a marker stands for it in an object."""
+
+    def __init__(self, text):
+        self.marker, self._text = f"odd {len(text)}", text
+
+    def put_into(self, body):
+        """Return an answer of the store with the JSON in place of the marker."""
+        return body.replace(json.dumps(self.marker).encode(), self._text)
+
+
+ODD = {
+    "nested": b"[" * 3000 + b"]" * 3000,
+    "number too large": b"9" * 5000,
+    "not a number": b"1e999999",
+}
+# Kinds of objects that gateways follow, with a form in which an odd value stands deep inside.
+PLACES = {
+    "node": ("leases", lambda odd: {"address": "127.0.0.1:99999", "zone": "z1", "strength": odd}),
+    "map": ("keymaps", lambda odd: {"token": odd, "holders": [["u1", "h", odd]], "ranges": [odd]}),
+    "configuration": ("config", lambda odd: {**CONFIG, "version": odd, "services": odd}),
+    "evacuation": ("evacuations", lambda odd: {"zone": odd}),
+    "quarantine": ("quarantine", lambda odd: {"held": [odd], "version": odd}),
+}
+
+
+# Guards against gateways that end, or stop following a kind, because of one object of it.
+@pytest.mark.parametrize("odd", ODD)
+@pytest.mark.parametrize("place", PLACES)
+def test_an_odd_object_of_any_kind_hides_no_other_one(site, place, odd):
+    (gateway,) = start_site(site)
+    value = Marker(ODD[odd])
+    site.server.rewrite = value.put_into
+    kind, spec = PLACES[place]
+    site.store.put(kind, "odd", spec(value.marker))
+    gevent.sleep(0.3)
+    site.start_upstream("u9", "plain")
+    until(lambda: "u9" in gateway.directory.servers.records)
+    site.store.put("config", "main", {**CONFIG, "version": "0000000c"})
+    until(lambda: gateway.directory.table.version == 12)
+    late = site.start_gateway("late")
+    until(lambda: is_ready(late))
+    for key in (0, 30_000, 65_535):
+        for node in (gateway, late):
+            until(lambda node=node, key=key: ask(node, b"/k/a", key)[0] == 200)
+            assert ask(node, b"/p/a")[0] == 200
+    assert gateway.leads
+
+
 def test_an_entry_that_another_writer_replaced_names_no_server_any_more(site):
     (gateway,) = start_site(site)
     site.start_upstream("u9", "plain")
