End idle connections to the store after a call without an answer

Cause: two time limits added up. The watch of the configuration took its whole limit, and the listing after it took an idle connection, which was as silent.

Change: a call that times out ends the connections that have answered nothing since it was sent. Ruled out: shorter limits (a slow store would fail calls that it answers) and keepalive probes (the kernel at the other end may answer them).

--- a/ploverhatch/platform/store.py
+++ b/ploverhatch/platform/store.py
@@ -124,6 +124,7 @@
         finally:
             self._watching.discard(connection)
         if connection.reusable:
+            connection.idle_since_s = elapsed_ms() / 1000
             self._watch_idle[kind] = connection
         else:
             connection.close()
@@ -190,6 +191,7 @@
         connection = self._acquire_connection()
         answer = self._exchange(connection, method, path, query or [], body, 0.0)
         if connection.reusable and len(self._idle) < MAX_IDLE:
+            connection.idle_since_s = elapsed_ms() / 1000
             self._idle.append(connection)
         else:
             connection.close()
@@ -223,6 +225,7 @@
         payload = self._encode(method, path, query, body)
         limit_s = extra_s + (WATCH_SLACK_S if extra_s else CALL_TIMEOUT_S)
         failure = StoreCallError if method == "GET" else OutcomeUnknownError
+        sent_s = elapsed_ms() / 1000
         try:
             with gevent.Timeout(limit_s):
                 answer = connection.exchange(
@@ -231,10 +234,28 @@
             self._note_era(answer)
             return answer
         except gevent.Timeout as error:
+            self._abort_idle_since(sent_s)
             raise failure("no answer in time") from error
         except AnswerCutError as error:
             raise failure(str(error)) from error
 
+    def _abort_idle_since(self, sent_s: float) -> None:
+        """Abort the connections that answered nothing since a call that got no answer was sent.
+
+        All that were open may have gone silent together. Each one that is used again would take
+        a whole time limit to show it, while new ones may work.
+        """
+        kept = [connection for connection in self._idle if connection.idle_since_s > sent_s]
+        watching = {
+            kind: connection
+            for kind, connection in self._watch_idle.items()
+            if connection.idle_since_s > sent_s
+        }
+        for connection in (*self._idle, *self._watch_idle.values()):
+            if connection.idle_since_s <= sent_s:
+                connection.abort()
+        self._idle, self._watch_idle = kept, watching
+
     def _era_of(self, answer: WireAnswer) -> int:
         """Return the era of an answer, or the last known era if the answer states none."""
         value = answer.get(names.ERA) or b""
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -2,6 +2,8 @@
 
 import gevent
 import pytest
+from gevent import socket
+from gevent.server import StreamServer
 
 from ploverhatch.gateway.feeds import Feed, FeedTask
 from ploverhatch.platform.store import PlatformObjectStore
@@ -12,6 +14,7 @@
     RevisionConflictError,
     StoreCallError,
 )
+from ploverhatch.transport.http_connection import HostPort
 from tests.standin.metadata_store import StoreServer
 from tests.standin.relay import NoRelay
 from tests.standin.upstream import RawUpstream
@@ -42,6 +45,86 @@
     assert len(standin.store.calls) == 3
 
 
+class SilentProxy:
+    """Passes calls on to a store until its open connections go silent; new ones work."""
+
+    def __init__(self, address):
+        self._address = address
+        self._links = []
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = HostPort("127.0.0.1", self._server.server_port)
+
+    def silence(self):
+        gevent.killall(self._links)
+
+    def close(self):
+        self._server.stop(timeout=0)
+        self.silence()
+
+    def _serve(self, near, _address):
+        far = socket.create_connection(tuple(self._address))
+        pumps = [gevent.spawn(_pass_on, near, far), gevent.spawn(_pass_on, far, near)]
+        self._links += pumps
+        gevent.sleep(30.0)  # both sockets stay open
+
+
+def _pass_on(source, target):
+    while data := source.recv(65536):
+        target.sendall(data)
+
+
+@pytest.fixture
+def proxy(standin):
+    made = SilentProxy(standin.address)
+    yield made
+    made.close()
+
+
+# Guards against a time limit for each connection that went silent together with the first one.
+@pytest.mark.parametrize("first", ["get", "watch", "create"])
+def test_one_call_without_an_answer_shows_that_open_connections_are_silent(
+    standin, proxy, monkeypatch, first
+):
+    monkeypatch.setattr("ploverhatch.platform.store.CALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr("ploverhatch.platform.store.WATCH_SLACK_S", 0.3)
+    store = PlatformObjectStore(proxy.address)
+    calls = {
+        "get": lambda: store.get(KIND, "n"),
+        "watch": lambda: store.watch(KIND, 0, 0.05),
+        "create": lambda: store.create(KIND, "n", {}),
+    }
+    other_kind = kinds.SERVERS
+    gevent.joinall([gevent.spawn(store.get, KIND, "n") for _ in range(3)])
+    store.watch(other_kind, 0, 0.01)
+    store.watch(KIND, 0, 0.01)
+    proxy.silence()
+    with pytest.raises((StoreCallError, OutcomeUnknownError)):
+        calls[first]()
+    with gevent.Timeout(0.2):
+        store.list_all(KIND)
+        store.get(KIND, "n")
+        store.watch(other_kind, 0, 0.01)
+
+
+def test_a_call_without_an_answer_leaves_connections_that_answered_since(
+    standin, proxy, monkeypatch
+):
+    monkeypatch.setattr("ploverhatch.platform.store.CALL_TIMEOUT_S", 0.3)
+    store = PlatformObjectStore(proxy.address)
+    store.get(KIND, "n")
+    proxy.silence()
+    waiting = gevent.spawn(store.get, KIND, "n")
+    gevent.sleep(0.05)
+    store.get(KIND, "n")  # on a new connection
+    (answered,) = store._idle
+    with pytest.raises(StoreCallError):
+        waiting.get()
+    assert store._idle == [answered]
+    store.get(KIND, "n")
+    assert store._idle == [answered]
+
+
 def test_a_stale_listing_says_so(standin, store):
     store.list_all(KIND, stale=True)
     assert standin.store.calls[0][3] == {"stale": "1"}
