List a replaced standby in one more map only

Cause: a replaced standby stayed listed while the stored map listed it, so for ever, in place of while it can be promoted by the stored map.

Change: only the standbys that the overlapping ranges of the stored map would promote are listed on.

--- a/ploverhatch/sharding/leader_core.py
+++ b/ploverhatch/sharding/leader_core.py
@@ -46,6 +46,7 @@
 from ploverhatch.sharding.standbys import (
     assign_standbys,
     inherited,
+    promotable,
     promote,
     with_known_holders,
 )
@@ -345,11 +346,7 @@
             return
         candidates = self._candidates(state, view, now_ms)
         usable = {candidate.holder for candidate in candidates}
-        reserved = {
-            standby
-            for item in (state.stored.ranges if state.stored else ())
-            for standby in item.standbys
-        }
+        reserved = promotable(state.stored.ranges) if state.stored else set()
         tokens = {
             standby.token
             for item in state.keymap.ranges
--- a/ploverhatch/sharding/standbys.py
+++ b/ploverhatch/sharding/standbys.py
@@ -23,13 +23,14 @@
     """Return the map with a standby for each range, at tokens that no grant has.
 
     Replaced standbys stay listed in the next map, since the leader may promote them by the
-    stored map until the next one is known to be stored.
+    stored map until the next one is known to be stored. Those that the stored map itself had
+    replaced can't be promoted any more.
 
     :param stored: the map that is known to be in the store.
     :param candidates: servers that may hold keys.
     """
     usable = set(candidates)
-    reserved = {standby for item in stored.ranges for standby in item.standbys}
+    ends = [item.last for item in stored.ranges]
     chosen: dict[_Grant, tuple[Standby, ...]] = {}
     token = keymap.token
     ranges = []
@@ -43,11 +44,18 @@
             )
             token += len(in_force)
             chosen[grant] = in_force
+        reserved = promotable(_overlapping(stored, ends, item))
         replaced = tuple(old for old in item.standbys if old in reserved and old not in in_force)
         ranges.append(replace(item, standbys=(*in_force, *replaced)))
     return replace(keymap, ranges=tuple(ranges), token=token)
 
 
+def promotable(stored: Iterable[KeyRange]) -> set[Standby]:
+    """Return the standbys that a leader may promote by ranges of a map that it stored."""
+    pairs = ((item.renewal, item.standby) for item in stored)
+    return {standby for pair in pairs for standby in pair if standby is not None}
+
+
 def _in_force(item: KeyRange, usable: Collection[Holder]) -> tuple[Standby, ...] | None:
     """Return the current standbys of a range, or ``None`` if they have to be replaced."""
     renewal, standby = item.renewal, item.standby
--- a/tests/unit/test_standbys.py
+++ b/tests/unit/test_standbys.py
@@ -87,6 +87,20 @@
         stored = keymap
 
 
+# Guards against maps that grow with each move, until the store takes none of them any more.
+def test_a_replaced_standby_is_listed_in_one_more_map_only():
+    candidates = [holder(number) for number in range(5)]
+    stored = assigned(5)
+    for number in range(40):
+        moved = begin_moves(stored, [Move(0, 100, holder(number % 5))])
+        keymap = assign_standbys(settle(moved, lambda item: True), stored, candidates)
+        by_key = {item.first: item for item in keymap.ranges}
+        replaced = {stored.find(0).renewal, stored.find(0).standby}
+        assert replaced <= set(by_key[0].standbys)
+        assert len(by_key[0].standbys) <= 4
+        stored = keymap
+
+
 @given(st.sets(st.integers(1, 12)))
 def test_promotions_have_the_same_result_one_at_a_time_and_together(tokens):
     """A node that missed the first of two promotions still sent requests to the lost holder."""
